--- /dev/null
+++ b/src/call/answer_channel.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "call/answer_sink.h"
+
+#include <chrono>
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace lentilhoist {
+
+/// Text of an answer that is being generated.
+struct answer_text {
+  std::uint32_t Attempt = 0;
+  std::uint64_t Offset = 0;
+  std::string Text;
+};
+
+/// What arrives on a channel.
+using answer_item = std::variant<answer_text, call_answer>;
+
+/// Joins the threads that produce an answer to the thread that serves the
+/// caller.
+class answer_channel : public answer_sink {
+public:
+  void addText(std::uint32_t Attempt, std::uint64_t Offset,
+               std::string_view Text) override {
+    push(answer_text{Attempt, Offset, std::string(Text)});
+  }
+
+  void finish(const call_answer &Answer) override { push(Answer); }
+
+  /// \param Timeout longest wait.
+  /// \returns the next item, or nothing once the wait is over.
+  std::optional<answer_item> pop(std::chrono::milliseconds Timeout) {
+    std::unique_lock Lock(Mutex);
+    if (!Arrived.wait_for(Lock, Timeout, [&] { return !Items.empty(); }))
+      return std::nullopt;
+    answer_item Item = std::move(Items.front());
+    Items.pop_front();
+    return Item;
+  }
+
+private:
+  void push(answer_item Item) {
+    {
+      const std::lock_guard Lock(Mutex);
+      Items.push_back(std::move(Item));
+    }
+    Arrived.notify_one();
+  }
+
+  std::mutex Mutex;
+  std::condition_variable Arrived;
+  std::deque<answer_item> Items;
+};
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/call/caller_request.cpp
@@ -0,0 +1,67 @@
+#include "call/caller_request.h"
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace lentilhoist {
+
+namespace {
+
+using request_reader = owner_request (*)(const msgpack::object &);
+
+template <std::size_t Index>
+owner_request readAlternative(const msgpack::object &Object) {
+  return Object.as<std::variant_alternative_t<Index, owner_request>>();
+}
+
+template <std::size_t... Indexes>
+constexpr auto makeReaders(std::index_sequence<Indexes...>) {
+  return std::array<request_reader, sizeof...(Indexes)>{
+      &readAlternative<Indexes>...};
+}
+
+constexpr auto Readers = makeReaders(
+    std::make_index_sequence<std::variant_size_v<owner_request>>());
+
+/// Finds the program in each kind of request.
+struct program_finder {
+  program_id operator()(const result_request &Request) const {
+    return Request.Call.Program;
+  }
+  template <typename Request>
+  program_id operator()(const Request &Other) const {
+    return Other.Program;
+  }
+};
+
+} // namespace
+
+program_id programOf(const owner_request &Request) {
+  return std::visit(program_finder(), Request);
+}
+
+std::string encodeRequest(const owner_request &Request) {
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> Packer(Buffer);
+  Packer.pack_array(2);
+  Packer.pack(static_cast<std::uint32_t>(Request.index()));
+  std::visit([&](const auto &Value) { Packer.pack(Value); }, Request);
+  return {Buffer.data(), Buffer.size()};
+}
+
+owner_request decodeRequest(std::string_view Bytes) {
+  try {
+    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    const auto Pair = Handle.get().as<std::vector<msgpack::object>>();
+    if (Pair.size() != 2 || Pair[0].as<std::uint32_t>() >= Readers.size())
+      throw std::invalid_argument("unknown kind of request");
+    return Readers[Pair[0].as<std::uint32_t>()](Pair[1]);
+  } catch (const msgpack::unpack_error &) {
+    throw std::invalid_argument("malformed request");
+  } catch (const msgpack::type_error &) {
+    throw std::invalid_argument("a request has a field of the wrong type");
+  }
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/decision/call_flow.cpp
@@ -0,0 +1,242 @@
+#include "decision/call_flow.h"
+
+#include "core/hash.h"
+#include "decision/call_steps.h"
+
+#include <algorithm>
+#include <cassert>
+#include <fmt/format.h>
+
+namespace lentilhoist {
+
+namespace {
+
+bool isModel(const call_request &Request) {
+  return Request.Kind == call_kind::Model;
+}
+
+microseconds callLimit(const call_request &Request,
+                       const owner_settings &Settings) {
+  if (Request.TimeoutMilliseconds != 0)
+    return milliseconds(Request.TimeoutMilliseconds);
+  return isModel(Request) ? Settings.CallTimeout : Settings.ServiceTimeout;
+}
+
+void hold(const call_request &Request, call_ticket Ticket, instant Now,
+          shard_owner &Owner) {
+  held_call &Held = Owner.Held[{Request.Program, Request.Call}];
+  if (Held.Tickets.empty()) {
+    Held.Request = Request;
+    Held.Deadline = Now.Steady + callLimit(Request, Owner.Settings);
+  }
+  Held.Tickets.insert(Ticket);
+}
+
+void replay(const call_request &Request, call_ticket Ticket, instant Now,
+            const program_state &Program, shard_owner &Owner,
+            action_list &Actions) {
+  const call_history &Call = Program.Calls[Request.Call - 1];
+  if (Call.BodyHash != requestHash(Request)) {
+    answer(Ticket,
+           refuse(error_code::CallConflict,
+                  "this call number was issued with another body"),
+           Actions);
+    return;
+  }
+  if (!Call.Loaded) {
+    loadEntry(Call.Entry, Owner, Actions);
+    hold(Request, Ticket, Now, Owner);
+    return;
+  }
+  answer(Ticket, answerFromHistory(Call, durableCall(Program, Owner)), Actions);
+}
+
+void attach(const call_request &Request, call_ticket Ticket,
+            active_call &Active, action_list &Actions) {
+  const bool SameBody =
+      Active.BodyHash == 0 || Active.BodyHash == requestHash(Request);
+  if (SameBody) {
+    Active.Tickets.insert(Ticket);
+    return;
+  }
+  answer(Ticket,
+         refuse(error_code::CallConflict,
+                "this call number is under way with another body"),
+         Actions);
+}
+
+/// \returns why the program may not issue another call, or an answer with
+/// error_code::None.
+call_answer checkLimits(const program_state &Program, const call_request &Call,
+                        instant Now, const shard_owner &Owner) {
+  if (Program.Ended)
+    return refuse(error_code::ProgramEnded, "the program has ended");
+  if (Call.Call > Program.Budget.Turns)
+    return refuse(error_code::BudgetExhausted,
+                  fmt::format("the program may issue {} calls",
+                              Program.Budget.Turns));
+  if (wallTimeSpent(Program, Now))
+    return refuse(error_code::BudgetExhausted, "the program's time is over");
+  if (uncommittedBytes(Owner) > Owner.Settings.MaxUncommittedBytes)
+    return refuse(error_code::StoreUnavailable,
+                  "too much history waits for the platform");
+  return {};
+}
+
+void startExclusive(const program_state &Program, active_call &Call,
+                    instant Now, shard_owner &Owner, action_list &Actions) {
+  Call.RequestKey = fmt::format("{}/{}/{:016x}",
+                                formatProgramId(Program.Program),
+                                Call.Request.Call, Owner.Random());
+  Call.Stage = call_stage::Preparing;
+  Call.IntentAt = Now;
+  Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
+  Call.WaitEntry = appendRecord(
+      call_intended{Program.Program, Call.Request.Call, Call.BodyHash,
+                    Call.Request.Service, Call.RequestKey},
+      Owner);
+  sealBatch(Now, Owner, Actions);
+}
+
+void startCall(const call_request &Request, call_ticket Ticket, instant Now,
+               program_state &Program, shard_owner &Owner,
+               action_list &Actions) {
+  const call_answer Refusal = checkLimits(Program, Request, Now, Owner);
+  if (Refusal.Code != error_code::None) {
+    answer(Ticket, Refusal, Actions);
+    return;
+  }
+  const bool WindowOpen = Request.Kind == call_kind::ExclusiveService &&
+                          Owner.Doubtful.count(Request.Program) != 0 &&
+                          Now.Steady < Owner.SideEffectsAfter;
+  if (WindowOpen ||
+      (isModel(Request) && !requireTexts(Program, Owner, Actions))) {
+    hold(Request, Ticket, Now, Owner);
+    return;
+  }
+  active_call Call;
+  Call.Request = Request;
+  Call.BodyHash = requestHash(Request);
+  Call.Tickets.insert(Ticket);
+  Call.Deadline = Now.Steady + callLimit(Request, Owner.Settings);
+  active_call &Placed =
+      Owner.Active.insert_or_assign(Request.Program, std::move(Call))
+          .first->second;
+  if (isModel(Request)) {
+    if (!prepareModel(Program, Placed, Now, Owner, Actions))
+      dropCall(Request.Program,
+               refuse(error_code::BudgetExhausted,
+                      "the program's tokens do not cover the prompt"),
+               Now, Owner, Actions);
+  } else if (Request.Kind == call_kind::ExclusiveService) {
+    startExclusive(Program, Placed, Now, Owner, Actions);
+  } else {
+    startAttempt(Program, Placed, Now, Owner, Actions);
+  }
+}
+
+void routeCall(const call_request &Request, call_ticket Ticket, instant Now,
+               program_state &Program, shard_owner &Owner,
+               action_list &Actions) {
+  const auto Active = Owner.Active.find(Request.Program);
+  const bool Busy = Active != Owner.Active.end();
+  if (Busy && Active->second.Request.Call == Request.Call) {
+    attach(Request, Ticket, Active->second, Actions);
+    return;
+  }
+  const std::uint32_t Next = nextCall(Program);
+  if (Request.Call < Next) {
+    replay(Request, Ticket, Now, Program, Owner, Actions);
+    return;
+  }
+  if (Request.Call == Next && !Busy) {
+    startCall(Request, Ticket, Now, Program, Owner, Actions);
+    return;
+  }
+  const bool Holdable =
+      Busy && Request.Call <= Next + Owner.Settings.MaxHeldCalls;
+  if (Holdable) {
+    hold(Request, Ticket, Now, Owner);
+    return;
+  }
+  answer(Ticket,
+         refuse(error_code::OutOfOrder,
+                fmt::format("the program's next call is {}", Next)),
+         Actions);
+}
+
+} // namespace
+
+std::uint64_t requestHash(const call_request &Request) {
+  std::uint64_t Hash = stableHash(Request.Body);
+  Hash = stableHash(Request.Service, Hash);
+  Hash = stableHash(Request.Model, Hash);
+  return stableHash(std::to_string(static_cast<int>(Request.Kind)), Hash) | 1U;
+}
+
+void loadEntry(entry_number Number, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Loading.insert(Number).second)
+    Actions.push_back(read_entry{Owner.Shard, Number});
+}
+
+bool requireTexts(const program_state &Program, shard_owner &Owner,
+                  action_list &Actions) {
+  bool Complete = true;
+  for (const call_history &Call : Program.Calls) {
+    if (Call.Loaded)
+      continue;
+    Complete = false;
+    loadEntry(Call.Entry, Owner, Actions);
+  }
+  return Complete;
+}
+
+call_answer refuse(error_code Code, std::string Detail) {
+  call_answer Answer;
+  Answer.Code = Code;
+  Answer.Run = run_state::NotRun;
+  Answer.Status = httpStatus(Code);
+  Answer.Body = std::move(Detail);
+  return Answer;
+}
+
+void onCall(const call_request &Request, call_ticket Ticket, instant Now,
+            shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return;
+  }
+  const auto Found = Owner.State.Programs.find(Request.Program);
+  if (Found == Owner.State.Programs.end()) {
+    answer(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+           Actions);
+    return;
+  }
+  if (Request.Call == 0) {
+    answer(Ticket, refuse(error_code::BadRequest, "calls are numbered from 1"),
+           Actions);
+    return;
+  }
+  routeCall(Request, Ticket, Now, Found->second, Owner, Actions);
+}
+
+void retryHeldCalls(instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning || Owner.Held.empty())
+    return;
+  const auto Held = std::move(Owner.Held);
+  Owner.Held.clear();
+  for (const auto &[Key, Call] : Held) {
+    if (Call.Request.Call == 0) {
+      for (const call_ticket Ticket : Call.Tickets)
+        onReadHistory(Key.first, Ticket, Now, Owner, Actions);
+      continue;
+    }
+    for (const call_ticket Ticket : Call.Tickets)
+      onCall(Call.Request, Ticket, Now, Owner, Actions);
+    const auto Again = Owner.Held.find(Key);
+    if (Again != Owner.Held.end())
+      Again->second.Deadline = Call.Deadline;
+  }
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/decision/call_results.cpp
@@ -0,0 +1,557 @@
+#include "decision/call_flow.h"
+#include "decision/call_steps.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lentilhoist {
+
+namespace {
+
+std::uint64_t drawnTokens(const active_call &Call) {
+  return Call.PromptBound + Call.MaxTokens;
+}
+
+program_state *findProgram(const program_id &Program, shard_owner &Owner) {
+  const auto Found = Owner.State.Programs.find(Program);
+  return Found == Owner.State.Programs.end() ? nullptr : &Found->second;
+}
+
+call_answer answerFromResult(const attempt_result &Result,
+                             std::uint32_t DurableCall) {
+  call_answer Answer;
+  Answer.Code = Result.Code;
+  Answer.Run = Result.Run;
+  Answer.Status = Result.Status;
+  Answer.Body = Result.Response;
+  Answer.PromptTokens = Result.PromptTokens;
+  Answer.GeneratedTokens = Result.GeneratedTokens;
+  Answer.CommittedThrough = DurableCall;
+  return Answer;
+}
+
+/// Tokens to reserve once a call has used some.
+std::uint64_t reserveAfter(const program_state &Program, std::uint64_t Used,
+                           std::uint64_t PromptTokens,
+                           const owner_settings &Settings) {
+  const std::uint64_t Available =
+      freeTokens(Program) + Program.ReservedTokens - Used;
+  const std::uint64_t OneCall =
+      PromptTokens + Settings.NewPromptTokens + Settings.DefaultMaxTokens;
+  return std::min(OneCall * Settings.CallsReservedAhead, Available);
+}
+
+/// Limits what a runner reports to what the call was allowed to use.
+void clampUsage(const program_state &Program, attempt_result &Result) {
+  const std::uint64_t Available = freeTokens(Program) + Program.ReservedTokens;
+  Result.PromptTokens = std::min(Result.PromptTokens, Available);
+  Result.GeneratedTokens =
+      std::min(Result.GeneratedTokens, Available - Result.PromptTokens);
+}
+
+void loseDraw(const attempt_result &Result, const program_state &Program,
+              active_call &Call, shard_owner &Owner) {
+  const std::uint64_t Available = freeTokens(Program) + Program.ReservedTokens;
+  const std::uint64_t Reported = Result.PromptTokens + Result.GeneratedTokens;
+  const std::uint64_t Lost =
+      std::min(Result.UsageKnown ? Reported : drawnTokens(Call), Available);
+  const std::uint64_t Reserve =
+      reserveAfter(Program, Lost, promptBound(Program, 0), Owner.Settings);
+  Call.WaitEntry =
+      appendReservation({Program.Program, Reserve, Lost}, Owner);
+}
+
+bool mayRetry(const active_call &Call, instant Now, const shard_owner &Owner) {
+  return Call.Attempts < Owner.Settings.MaxAttempts &&
+         Now.Steady < Call.Deadline;
+}
+
+void settleFailedModel(const attempt_result &Result, instant Now,
+                       const program_state &Program, active_call &Call,
+                       shard_owner &Owner, action_list &Actions) {
+  call_answer Failure = answerFromResult(Result, durableCall(Program, Owner));
+  if (Result.Run == run_state::NotRun) {
+    returnTokens(drawnTokens(Call), Owner.Grants[Program.Program]);
+  } else {
+    Failure.Run = run_state::Ran;
+    loseDraw(Result, Program, Call, Owner);
+  }
+  if (!mayRetry(Call, Now, Owner)) {
+    dropCall(Program.Program, Failure, Now, Owner, Actions);
+    sealBatch(Now, Owner, Actions);
+    return;
+  }
+  Call.Stage = call_stage::Preparing;
+  Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
+  sealBatch(Now, Owner, Actions);
+  if (Result.Run == run_state::NotRun)
+    prepareModel(Program, Call, Now, Owner, Actions);
+}
+
+void settleExclusive(const attempt_result &Result, instant Now,
+                     const program_state &Program, active_call &Call,
+                     shard_owner &Owner, action_list &Actions) {
+  if (!hasOpenIntent(Program)) {
+    if (Result.Run == run_state::Ran)
+      onOutcomeKnown({Program.Program, Call.Request.Call, Result.Run,
+                      Result.Status, Result.Response, Owner.Self, "late"},
+                     0, Now, Owner, Actions);
+    dropCall(Program.Program, answerFromResult(Result, 0), Now, Owner, Actions);
+    return;
+  }
+  if (Result.Run == run_state::NotRun) {
+    withdrawCall(answerFromResult(Result, 0), Now, Call, Owner, Actions);
+    return;
+  }
+  const query_outcome Query{Program.Program, Call.Request.Call,
+                            Call.Request.Service, Call.RequestKey};
+  completeCall(Result, Now, Call, Owner, Actions);
+  if (Result.Run == run_state::OutcomeUnknown)
+    Actions.push_back(Query);
+}
+
+void settleFailedIdempotent(const attempt_result &Result, instant Now,
+                            const program_state &Program, active_call &Call,
+                            shard_owner &Owner, action_list &Actions) {
+  if (mayRetry(Call, Now, Owner)) {
+    startAttempt(Program, Call, Now, Owner, Actions);
+    return;
+  }
+  dropCall(Program.Program,
+           answerFromResult(Result, durableCall(Program, Owner)), Now, Owner,
+           Actions);
+}
+
+/// Gives up on a former owner that did not deliver.
+void abandonRemote(const program_id &Id, active_call &Call, instant Now,
+                   shard_owner &Owner, action_list &Actions) {
+  const program_state *Program = findProgram(Id, Owner);
+  assert(Program != nullptr);
+  attempt_result Lost;
+  Lost.Code = error_code::RunnerFailed;
+  Lost.Status = httpStatus(Lost.Code);
+  Lost.Response = "the former owner did not deliver the result";
+  if (hasOpenIntent(*Program)) {
+    Lost.Code = error_code::OutcomeUnknown;
+    Lost.Run = run_state::OutcomeUnknown;
+    Call.Request.Kind = call_kind::ExclusiveService;
+    Call.BodyHash = Program->Calls.back().BodyHash;
+    completeCall(Lost, Now, Call, Owner, Actions);
+    return;
+  }
+  appendReservation({Id, 0, Program->ReservedTokens}, Owner);
+  dropCall(Id, answerFromResult(Lost, durableCall(*Program, Owner)), Now, Owner,
+           Actions);
+  sealBatch(Now, Owner, Actions);
+}
+
+void settleGrant(const program_id &Program, entry_number Number,
+                 shard_owner &Owner) {
+  token_grant &Grant = Owner.Grants[Program];
+  while (!Grant.Pending.empty() && Grant.Pending.front().first <= Number) {
+    Grant.Left = Grant.Pending.front().second;
+    Grant.Pending.erase(Grant.Pending.begin());
+  }
+}
+
+void settleGrants(const journal_batch &Batch, entry_number Number,
+                  shard_owner &Owner) {
+  for (const journal_record &Record : Batch.Records) {
+    if (const auto *Created = std::get_if<program_created>(&Record))
+      settleGrant(Created->Program, Number, Owner);
+    else if (const auto *Reserved = std::get_if<tokens_reserved>(&Record))
+      settleGrant(Reserved->Program, Number, Owner);
+    else if (const auto *Done = std::get_if<call_completed>(&Record))
+      settleGrant(Done->Program, Number, Owner);
+  }
+}
+
+void resumePrepared(const program_id &Id, active_call &Call, instant Now,
+                    shard_owner &Owner, action_list &Actions) {
+  const program_state *Program = findProgram(Id, Owner);
+  if (Call.Request.Kind == call_kind::Model) {
+    if (!prepareModel(*Program, Call, Now, Owner, Actions)) {
+      call_answer Refusal = refuse(error_code::BudgetExhausted,
+                                   "the program's tokens are used up");
+      if (Call.Attempts > 0)
+        Refusal.Run = run_state::Ran;
+      dropCall(Id, Refusal, Now, Owner, Actions);
+    }
+    return;
+  }
+  const bool InWindow =
+      Now.Steady < Call.IntentAt.Steady + Owner.Settings.SendWindow;
+  if (InWindow) {
+    startAttempt(*Program, Call, Now, Owner, Actions);
+    return;
+  }
+  withdrawCall(refuse(error_code::StoreUnavailable,
+                      "the platform was too slow to record the call"),
+               Now, Call, Owner, Actions);
+}
+
+std::vector<program_id> activePrograms(const shard_owner &Owner) {
+  std::vector<program_id> Programs;
+  Programs.reserve(Owner.Active.size());
+  for (const auto &[Program, Call] : Owner.Active)
+    Programs.push_back(Program);
+  return Programs;
+}
+
+void answerTickets(const call_answer &Answer, active_call &Call,
+                   action_list &Actions) {
+  for (const call_ticket Ticket : Call.Tickets)
+    answer(Ticket, Answer, Actions);
+  Call.Tickets.clear();
+}
+
+call_answer lostOwnership(run_state Run, const shard_owner &Owner) {
+  call_answer Answer = refuseNotOwner(Owner);
+  Answer.Run = Run;
+  return Answer;
+}
+
+/// \returns whether the call goes on at this instance.
+bool releaseCall(bool HandedOver, active_call &Call, shard_owner &Owner,
+                 action_list &Actions) {
+  const bool Exclusive = Call.Request.Kind == call_kind::ExclusiveService;
+  const bool Withdrawn = Call.Stage == call_stage::Committing &&
+                         Call.Result.Run == run_state::NotRun;
+  switch (Call.Stage) {
+  case call_stage::Running:
+    if (HandedOver || Exclusive)
+      return true;
+    Actions.push_back(cancel_attempt{Call.Request.Program, Call.AttemptId});
+    answerTickets(lostOwnership(run_state::Ran, Owner), Call, Actions);
+    return false;
+  case call_stage::Committing:
+    if (!Exclusive || Withdrawn) {
+      answerTickets(lostOwnership(Call.Result.Run, Owner), Call, Actions);
+      return false;
+    }
+    Call.Stage = call_stage::Delivering;
+    [[fallthrough]];
+  case call_stage::Delivering:
+    Actions.push_back(
+        deliver_result{Call.Request, Owner.Successor, Call.Result});
+    return true;
+  case call_stage::Preparing:
+    answerTickets(lostOwnership(Call.Attempts == 0 ? run_state::NotRun
+                                                   : run_state::Ran,
+                                Owner),
+                  Call, Actions);
+    return false;
+  case call_stage::Remote:
+    answerTickets(lostOwnership(run_state::OutcomeUnknown, Owner), Call,
+                  Actions);
+    return false;
+  }
+  return false;
+}
+
+void expireCall(const program_id &Id, active_call &Call, instant Now,
+                shard_owner &Owner, action_list &Actions) {
+  const call_answer Late = refuse(error_code::StoreUnavailable,
+                                  "the platform does not answer");
+  switch (Call.Stage) {
+  case call_stage::Committing:
+    if (Now.Steady >= Call.PatienceAt && !Call.Tickets.empty())
+      answerTickets(answerFromResult(Call.Result,
+                                     durableCall(*findProgram(Id, Owner), Owner)),
+                    Call, Actions);
+    return;
+  case call_stage::Preparing:
+    if (Now.Steady < Call.Deadline && Now.Steady < Call.PatienceAt)
+      return;
+    if (Call.Request.Kind == call_kind::ExclusiveService) {
+      withdrawCall(Late, Now, Call, Owner, Actions);
+      answerTickets(Late, Call, Actions);
+    } else {
+      call_answer Refusal = Late;
+      if (Call.Attempts > 0)
+        Refusal.Run = run_state::Ran;
+      dropCall(Id, Refusal, Now, Owner, Actions);
+    }
+    return;
+  case call_stage::Running:
+    if (Now.Steady >= Call.Deadline + Owner.Settings.RunGrace) {
+      attempt_result Silent;
+      Silent.Code = error_code::Timeout;
+      Silent.Status = httpStatus(Silent.Code);
+      Silent.Run = run_state::OutcomeUnknown;
+      Silent.Response = "the runner did not answer in time";
+      Actions.push_back(cancel_attempt{Id, Call.AttemptId});
+      settleAttempt(Silent, Now, Call, Owner, Actions);
+    }
+    return;
+  case call_stage::Remote:
+    if (Now.Steady >= Call.Deadline)
+      abandonRemote(Id, Call, Now, Owner, Actions);
+    return;
+  case call_stage::Delivering:
+    return;
+  }
+}
+
+} // namespace
+
+void completeCall(const attempt_result &Result, instant Now, active_call &Call,
+                  shard_owner &Owner, action_list &Actions) {
+  const program_state &Program = *findProgram(Call.Request.Program, Owner);
+  Call.Result = Result;
+  clampUsage(Program, Call.Result);
+  const std::uint64_t Used =
+      Call.Result.PromptTokens + Call.Result.GeneratedTokens;
+  call_completed Record;
+  Record.Program = Program.Program;
+  Record.Call = Call.Request.Call;
+  Record.BodyHash = Call.BodyHash;
+  Record.Kind = Call.Request.Kind;
+  Record.Run = Result.Run;
+  Record.Status = Result.Status;
+  Record.Request = Call.Request.Body;
+  Record.Response = Result.Response;
+  Record.PromptTokens = Call.Result.PromptTokens;
+  Record.GeneratedTokens = Call.Result.GeneratedTokens;
+  Record.Runner = Result.Runner;
+  Record.ReservedTokens = Program.ReservedTokens;
+  if (Record.Kind == call_kind::Model)
+    Record.ReservedTokens =
+        reserveAfter(Program, Used, Used, Owner.Settings);
+  Call.Stage = call_stage::Committing;
+  Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
+  Call.WaitEntry = appendRecord(Record, Owner);
+  Owner.Grants[Record.Program].Pending.emplace_back(Call.WaitEntry,
+                                                    Record.ReservedTokens);
+  sealBatch(Now, Owner, Actions);
+}
+
+void settleAttempt(const attempt_result &Result, instant Now,
+                   active_call &Call, shard_owner &Owner,
+                   action_list &Actions) {
+  const program_state *Program = findProgram(Call.Request.Program, Owner);
+  if (Program == nullptr) {
+    dropCall(Call.Request.Program, answerFromResult(Result, 0), Now, Owner,
+             Actions);
+    return;
+  }
+  const bool Succeeded = Result.Code == error_code::None;
+  if (Call.Request.Kind == call_kind::ExclusiveService)
+    settleExclusive(Result, Now, *Program, Call, Owner, Actions);
+  else if (Succeeded)
+    completeCall(Result, Now, Call, Owner, Actions);
+  else if (Call.Request.Kind == call_kind::Model)
+    settleFailedModel(Result, Now, *Program, Call, Owner, Actions);
+  else
+    settleFailedIdempotent(Result, Now, *Program, Call, Owner, Actions);
+}
+
+void onAttemptResult(const program_id &Program, const std::string &AttemptId,
+                     const attempt_result &Result, instant Now,
+                     shard_owner &Owner, action_list &Actions) {
+  const auto Found = Owner.Active.find(Program);
+  if (Found == Owner.Active.end() || Found->second.AttemptId != AttemptId ||
+      Found->second.Stage != call_stage::Running)
+    return;
+  active_call &Call = Found->second;
+  if (Owner.Phase == owner_phase::Owning) {
+    settleAttempt(Result, Now, Call, Owner, Actions);
+    return;
+  }
+  Call.Stage = call_stage::Delivering;
+  Call.Result = Result;
+  if (Owner.Phase != owner_phase::HandingOver)
+    Actions.push_back(
+        deliver_result{Call.Request, Owner.Successor, Call.Result});
+}
+
+namespace {
+
+/// Adopts the result of a call that waits for its former owner.
+void settleRemote(const call_request &Request, const attempt_result &Result,
+                  call_ticket Ticket, instant Now, active_call &Call,
+                  shard_owner &Owner, action_list &Actions) {
+  Call.Request = Request;
+  Call.BodyHash = requestHash(Request);
+  Call.Tickets.insert(Ticket);
+  Call.Attempts = 1;
+  Call.Stage = call_stage::Running;
+  Call.PromptBound = 0;
+  Call.MaxTokens = findProgram(Request.Program, Owner)->ReservedTokens;
+  settleAttempt(Result, Now, Call, Owner, Actions);
+}
+
+bool isInDoubt(const program_state &Program, std::uint32_t Call) {
+  if (Call == 0 || Call > Program.Calls.size())
+    return false;
+  const call_history &History = Program.Calls[Call - 1];
+  return History.Progress == call_progress::Completed &&
+         History.Run == run_state::OutcomeUnknown;
+}
+
+} // namespace
+
+void onRemoteResult(const call_request &Call, const attempt_result &Result,
+                    call_ticket Ticket, instant Now, shard_owner &Owner,
+                    action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return;
+  }
+  const auto Active = Owner.Active.find(Call.Program);
+  if (Active != Owner.Active.end() &&
+      Active->second.Stage == call_stage::Remote &&
+      Active->second.Request.Call == Call.Call) {
+    settleRemote(Call, Result, Ticket, Now, Active->second, Owner, Actions);
+    return;
+  }
+  const program_state *Program = findProgram(Call.Program, Owner);
+  const bool Resolves = Program != nullptr && isInDoubt(*Program, Call.Call) &&
+                        Result.Run == run_state::Ran;
+  if (Resolves) {
+    onOutcomeKnown({Call.Program, Call.Call, Result.Run, Result.Status,
+                    Result.Response, "former owner", "late answer"},
+                   Ticket, Now, Owner, Actions);
+    return;
+  }
+  answer(Ticket,
+         refuse(error_code::Conflict, "the result came too late to be kept"),
+         Actions);
+}
+
+void onResultDelivered(const program_id &Program, bool Durable,
+                       shard_owner &Owner, action_list &Actions) {
+  const auto Found = Owner.Active.find(Program);
+  if (Found == Owner.Active.end() ||
+      Found->second.Stage != call_stage::Delivering)
+    return;
+  active_call Call = std::move(Found->second);
+  Owner.Active.erase(Found);
+  const std::uint32_t Through =
+      Durable ? Call.Request.Call : Call.Request.Call - 1;
+  answerTickets(answerFromResult(Call.Result, Through), Call, Actions);
+}
+
+void onOutcomeKnown(const outcome_resolved &Outcome, call_ticket Ticket,
+                    instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return;
+  }
+  const program_state *Program = findProgram(Outcome.Program, Owner);
+  if (Program == nullptr || !isInDoubt(*Program, Outcome.Call)) {
+    answer(Ticket,
+           refuse(error_code::Conflict, "the call's outcome is not in doubt"),
+           Actions);
+    return;
+  }
+  appendRecord(Outcome, Owner);
+  call_answer Done;
+  Done.Body = "resolved";
+  if (Ticket != 0)
+    afterCommit(answer_caller{Ticket, std::move(Done)}, Owner);
+  sealBatch(Now, Owner, Actions);
+}
+
+void onCommitted(const journal_batch &Batch, entry_number Number, instant Now,
+                 shard_owner &Owner, action_list &Actions) {
+  settleGrants(Batch, Number, Owner);
+  for (const program_id &Id : activePrograms(Owner)) {
+    const auto Found = Owner.Active.find(Id);
+    if (Found == Owner.Active.end())
+      continue;
+    active_call &Call = Found->second;
+    const bool Due = Call.WaitEntry != 0 && Call.WaitEntry <= Number;
+    if (Due && Call.Stage == call_stage::Committing) {
+      const program_state *Program = findProgram(Id, Owner);
+      const call_answer Done = answerFromResult(
+          Call.Result, Program ? durableCall(*Program, Owner) : 0);
+      dropCall(Id, Done, Now, Owner, Actions);
+    } else if (Due && Call.Stage == call_stage::Preparing &&
+               Owner.Phase == owner_phase::Owning) {
+      Call.WaitEntry = 0;
+      resumePrepared(Id, Call, Now, Owner, Actions);
+    }
+  }
+}
+
+void releaseCalls(bool HandedOver, shard_owner &Owner, action_list &Actions) {
+  for (auto Next = Owner.Active.begin(); Next != Owner.Active.end();) {
+    if (releaseCall(HandedOver, Next->second, Owner, Actions))
+      ++Next;
+    else
+      Next = Owner.Active.erase(Next);
+  }
+  for (const auto &[Key, Held] : Owner.Held) {
+    for (const call_ticket Ticket : Held.Tickets)
+      answer(Ticket, lostOwnership(run_state::OutcomeUnknown, Owner), Actions);
+  }
+  Owner.Held.clear();
+}
+
+namespace {
+
+/// Settles what an earlier hold of this instance left running.
+void resumeOwnCalls(bool Clean, instant Now, shard_owner &Owner,
+                    action_list &Actions) {
+  for (const program_id &Id : activePrograms(Owner)) {
+    active_call &Call = Owner.Active.find(Id)->second;
+    const bool Exclusive = Call.Request.Kind == call_kind::ExclusiveService;
+    const bool Kept =
+        Exclusive || (Clean && Owner.State.InFlight.count(Id) != 0);
+    if (!Kept) {
+      Actions.push_back(cancel_attempt{Id, Call.AttemptId});
+      dropCall(Id, lostOwnership(run_state::Ran, Owner), Now, Owner, Actions);
+    } else if (Call.Stage == call_stage::Delivering) {
+      Call.Stage = call_stage::Running;
+      settleAttempt(attempt_result(Call.Result), Now, Call, Owner, Actions);
+    }
+  }
+}
+
+void resumeProgram(const program_state &Program, instant Now,
+                   shard_owner &Owner) {
+  const program_id Id = Program.Program;
+  if (Owner.Active.count(Id) != 0)
+    return;
+  if (Owner.State.InFlight.count(Id) != 0) {
+    active_call Call;
+    Call.Request.Program = Id;
+    Call.Request.Call = hasOpenIntent(Program)
+                            ? Program.Calls.back().Call
+                            : nextCall(Program);
+    Call.Stage = call_stage::Remote;
+    Call.Deadline = Now.Steady + Owner.Settings.RemoteTimeout;
+    Owner.Active.emplace(Id, std::move(Call));
+    return;
+  }
+  if (hasOpenIntent(Program))
+    appendRecord(call_withdrawn{Id, Program.Calls.back().Call}, Owner);
+  Owner.Grants[Id].Left = Program.ReservedTokens;
+}
+
+} // namespace
+
+void resumeAfterTakeover(bool Clean, instant Now, shard_owner &Owner,
+                         action_list &Actions) {
+  Owner.SideEffectsAfter =
+      Clean ? Now.Steady
+            : Now.Steady + Owner.Settings.SendWindow * 5 / 4;
+  resumeOwnCalls(Clean, Now, Owner, Actions);
+  if (!Clean)
+    return;
+  for (const auto &[Id, Program] : Owner.State.Programs) {
+    if (!Program.Ended)
+      resumeProgram(Program, Now, Owner);
+  }
+}
+
+void expireCalls(instant Now, shard_owner &Owner, action_list &Actions) {
+  for (const program_id &Id : activePrograms(Owner)) {
+    const auto Found = Owner.Active.find(Id);
+    if (Found != Owner.Active.end())
+      expireCall(Id, Found->second, Now, Owner, Actions);
+  }
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/decision/program_flow.cpp
@@ -0,0 +1,327 @@
+#include "decision/call_flow.h"
+#include "decision/call_steps.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace lentilhoist {
+
+namespace {
+
+void answerWhenDurable(call_ticket Ticket, call_answer Answer,
+                       shard_owner &Owner, action_list &Actions) {
+  if (Ticket == 0)
+    return;
+  if (!Owner.Pending.empty())
+    afterCommit(answer_caller{Ticket, std::move(Answer)}, Owner);
+  else if (Owner.Sealed)
+    Owner.Sealed->Batch.AfterCommit.push_back(
+        answer_caller{Ticket, std::move(Answer)});
+  else
+    answer(Ticket, std::move(Answer), Actions);
+}
+
+/// \returns why the program can't be created, or error_code::None.
+call_answer checkCreate(const create_request &Request,
+                        const shard_owner &Owner) {
+  if (Request.Budget.Tokens == 0 || Request.Budget.Turns == 0 ||
+      Request.Budget.WallMilliseconds == 0)
+    return refuse(error_code::BadRequest, "each limit of a budget is positive");
+  if (!Request.HasParent)
+    return {};
+  const auto Parent = Owner.State.Programs.find(Request.Parent);
+  if (Parent == Owner.State.Programs.end())
+    return refuse(error_code::UnknownProgram, "no such parent program");
+  if (Parent->second.Ended)
+    return refuse(error_code::ProgramEnded, "the parent program has ended");
+  if (freeTokens(Parent->second) < Request.Budget.Tokens)
+    return refuse(error_code::BudgetExhausted,
+                  "the parent's free tokens do not cover the budget");
+  return {};
+}
+
+bool sameProgram(const program_state &Program, const create_request &Request) {
+  return Program.Tenant == Request.Tenant && Program.Class == Request.Class &&
+         Program.HasParent == Request.HasParent &&
+         Program.Budget.Tokens == Request.Budget.Tokens &&
+         Program.Budget.Turns == Request.Budget.Turns;
+}
+
+std::vector<program_id> liveChildren(const program_id &Parent,
+                                     const shard_owner &Owner) {
+  std::vector<program_id> Children;
+  for (const auto &[Id, Program] : Owner.State.Programs) {
+    if (Program.HasParent && Program.Parent == Parent && !Program.Ended)
+      Children.push_back(Id);
+  }
+  return Children;
+}
+
+/// Cancels a model or idempotent call of a program that ends.
+void cancelActive(const program_state &Program, instant Now,
+                  shard_owner &Owner, action_list &Actions) {
+  const auto Found = Owner.Active.find(Program.Program);
+  if (Found == Owner.Active.end())
+    return;
+  const active_call &Call = Found->second;
+  const bool Running = Call.Stage == call_stage::Running;
+  if (Running && Call.Request.Kind == call_kind::Model) {
+    const std::uint64_t Drawn = Call.PromptBound + Call.MaxTokens;
+    const std::uint64_t Lost =
+        std::min(Drawn, freeTokens(Program) + Program.ReservedTokens);
+    appendReservation({Program.Program, 0, Lost}, Owner);
+  }
+  if (Running)
+    Actions.push_back(cancel_attempt{Program.Program, Call.AttemptId});
+  call_answer Answer =
+      refuse(error_code::ProgramEnded, "the program ended during the call");
+  if (Running || Call.Attempts > 0)
+    Answer.Run = run_state::Ran;
+  dropCall(Program.Program, Answer, Now, Owner, Actions);
+}
+
+/// \returns whether the program must wait for its call before it can end.
+bool mustFinishFirst(const program_id &Program, end_reason Reason,
+                     call_ticket Ticket, shard_owner &Owner) {
+  const auto Found = Owner.Active.find(Program);
+  if (Found == Owner.Active.end())
+    return false;
+  active_call &Call = Found->second;
+  const bool Cancellable = Call.Request.Kind != call_kind::ExclusiveService &&
+                           (Call.Stage == call_stage::Running ||
+                            Call.Stage == call_stage::Preparing);
+  if (Cancellable)
+    return false;
+  Call.EndAfterwards = true;
+  Call.EndReason = Reason;
+  if (Ticket != 0)
+    Call.EndTickets.insert(Ticket);
+  return true;
+}
+
+void requestReleases(const program_state &Program, action_list &Actions) {
+  for (const std::string &Runner : Program.CacheRunners)
+    Actions.push_back(release_cache{Program.Program, Runner});
+}
+
+nlohmann::json describeCall(const call_history &Call, entry_number Committed) {
+  return {{"call", Call.Call},
+          {"kind", Call.Kind == call_kind::Model ? "model" : "service"},
+          {"run", runStateName(Call.Run)},
+          {"status", Call.Status},
+          {"prompt_tokens", Call.PromptTokens},
+          {"generated_tokens", Call.GeneratedTokens},
+          {"request", Call.Request},
+          {"response", Call.Response},
+          {"committed", Call.Entry <= Committed}};
+}
+
+nlohmann::json describeProgram(const program_state &Program,
+                               entry_number Committed) {
+  nlohmann::json Calls = nlohmann::json::array();
+  for (const call_history &Call : Program.Calls)
+    Calls.push_back(describeCall(Call, Committed));
+  return {{"program", formatProgramId(Program.Program)},
+          {"tenant", Program.Tenant},
+          {"class", Program.Class},
+          {"ended", Program.Ended},
+          {"budget",
+           {{"tokens", Program.Budget.Tokens},
+            {"turns", Program.Budget.Turns},
+            {"wall_ms", Program.Budget.WallMilliseconds},
+            {"spent_tokens", Program.SpentTokens},
+            {"lost_tokens", Program.LostTokens},
+            {"carved_tokens", Program.CarvedTokens}}},
+          {"calls", Calls}};
+}
+
+void sweepProgram(const program_state &Program, instant Now,
+                  shard_owner &Owner, action_list &Actions) {
+  if (!Program.Ended) {
+    if (wallTimeSpent(Program, Now))
+      onEnd(Program.Program, end_reason::WallTime, 0, Now, Owner, Actions);
+    return;
+  }
+  if (!Program.CacheRunners.empty()) {
+    requestReleases(Program, Actions);
+    return;
+  }
+  const auto EndedAt =
+      milliseconds(static_cast<std::int64_t>(Program.EndedUnixMs));
+  if (Now.Unix - EndedAt >= Owner.Settings.Retention) {
+    Owner.Grants.erase(Program.Program);
+    appendRecord(program_forgotten{Program.Program}, Owner);
+  }
+}
+
+void sweepPrograms(instant Now, shard_owner &Owner, action_list &Actions) {
+  std::vector<program_id> Programs;
+  for (const auto &[Id, Program] : Owner.State.Programs)
+    Programs.push_back(Id);
+  for (const program_id &Id : Programs) {
+    const auto Found = Owner.State.Programs.find(Id);
+    if (Found != Owner.State.Programs.end())
+      sweepProgram(Found->second, Now, Owner, Actions);
+  }
+}
+
+void queryDoubtful(instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Doubtful.empty() || Now.Steady < Owner.SideEffectsAfter)
+    return;
+  for (const program_id &Id : Owner.Doubtful) {
+    const auto Found = Owner.State.Programs.find(Id);
+    if (Found == Owner.State.Programs.end())
+      continue;
+    for (const call_history &Call : Found->second.Calls) {
+      if (Call.Run == run_state::OutcomeUnknown && !Call.RequestKey.empty())
+        Actions.push_back(
+            query_outcome{Id, Call.Call, Call.Service, Call.RequestKey});
+    }
+  }
+  Owner.Doubtful.clear();
+}
+
+void expireHeld(instant Now, shard_owner &Owner, action_list &Actions) {
+  for (auto Next = Owner.Held.begin(); Next != Owner.Held.end();) {
+    if (Now.Steady < Next->second.Deadline) {
+      ++Next;
+      continue;
+    }
+    call_answer Late = refuse(error_code::Timeout, "the call waited too long");
+    Late.Run = run_state::OutcomeUnknown;
+    for (const call_ticket Ticket : Next->second.Tickets)
+      answer(Ticket, Late, Actions);
+    Next = Owner.Held.erase(Next);
+  }
+}
+
+} // namespace
+
+void onCreate(const create_request &Request, call_ticket Ticket, instant Now,
+              shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return;
+  }
+  call_answer Created;
+  Created.Body = formatProgramId(Request.Program);
+  const auto Found = Owner.State.Programs.find(Request.Program);
+  if (Found != Owner.State.Programs.end()) {
+    if (!sameProgram(Found->second, Request))
+      Created = refuse(error_code::Conflict,
+                       "the key names a program with other arguments");
+    answerWhenDurable(Ticket, std::move(Created), Owner, Actions);
+    return;
+  }
+  const call_answer Refusal = checkCreate(Request, Owner);
+  if (Refusal.Code != error_code::None) {
+    answer(Ticket, Refusal, Actions);
+    return;
+  }
+  const owner_settings &Settings = Owner.Settings;
+  program_created Record;
+  Record.Program = Request.Program;
+  Record.Tenant = Request.Tenant;
+  Record.Class = Request.Class;
+  Record.HasParent = Request.HasParent;
+  Record.Parent = Request.Parent;
+  Record.Budget = Request.Budget;
+  Record.CreatedUnixMs = static_cast<std::uint64_t>(Now.Unix.count());
+  Record.ReservedTokens =
+      std::min((Settings.NewPromptTokens + Settings.DefaultMaxTokens) *
+                   Settings.CallsReservedAhead,
+               Request.Budget.Tokens);
+  const entry_number Entry = appendRecord(Record, Owner);
+  Owner.Grants[Request.Program].Pending.emplace_back(Entry,
+                                                     Record.ReservedTokens);
+  answerWhenDurable(Ticket, std::move(Created), Owner, Actions);
+  sealBatch(Now, Owner, Actions);
+}
+
+void onEnd(const program_id &Id, end_reason Reason, call_ticket Ticket,
+           instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return;
+  }
+  const auto Found = Owner.State.Programs.find(Id);
+  if (Found == Owner.State.Programs.end()) {
+    answer(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+           Actions);
+    return;
+  }
+  program_state &Program = Found->second;
+  call_answer Done;
+  Done.Body = formatProgramId(Id);
+  if (Program.Ended) {
+    answerWhenDurable(Ticket, std::move(Done), Owner, Actions);
+    return;
+  }
+  if (mustFinishFirst(Id, Reason, Ticket, Owner))
+    return;
+  cancelActive(Program, Now, Owner, Actions);
+  for (const program_id &Child : liveChildren(Id, Owner))
+    onEnd(Child, end_reason::Parent, 0, Now, Owner, Actions);
+  if (Program.ReservedTokens != 0)
+    appendReservation({Id, 0, 0}, Owner);
+  appendRecord(program_ended{Id, Reason,
+                             static_cast<std::uint64_t>(Now.Unix.count())},
+               Owner);
+  action_list Releases;
+  requestReleases(Program, Releases);
+  for (action &Release : Releases)
+    afterCommit(std::move(Release), Owner);
+  answerWhenDurable(Ticket, std::move(Done), Owner, Actions);
+  sealBatch(Now, Owner, Actions);
+}
+
+void onReadHistory(const program_id &Id, call_ticket Ticket, instant Now,
+                   shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return;
+  }
+  const auto Found = Owner.State.Programs.find(Id);
+  if (Found == Owner.State.Programs.end()) {
+    answer(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+           Actions);
+    return;
+  }
+  if (!requireTexts(Found->second, Owner, Actions)) {
+    held_call &Held = Owner.Held[{Id, 0}];
+    Held.Tickets.insert(Ticket);
+    Held.Deadline = Now.Steady + Owner.Settings.ServiceTimeout;
+    return;
+  }
+  call_answer Answer;
+  Answer.Body = describeProgram(Found->second, Owner.Committed).dump();
+  Answer.CommittedThrough = durableCall(Found->second, Owner);
+  answer(Ticket, std::move(Answer), Actions);
+}
+
+void onCacheReleased(const program_id &Program, const std::string &Runner,
+                     instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning)
+    return;
+  const auto Found = Owner.State.Programs.find(Program);
+  if (Found == Owner.State.Programs.end() ||
+      Found->second.CacheRunners.count(Runner) == 0)
+    return;
+  appendRecord(cache_released{Program, Runner}, Owner);
+  sealBatch(Now, Owner, Actions);
+}
+
+void onCallTick(instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning)
+    return;
+  expireCalls(Now, Owner, Actions);
+  expireHeld(Now, Owner, Actions);
+  queryDoubtful(Now, Owner, Actions);
+  if (Now.Steady < Owner.NextSweepAt)
+    return;
+  Owner.NextSweepAt = Now.Steady + Owner.Settings.SweepInterval;
+  sweepPrograms(Now, Owner, Actions);
+  retryHeldCalls(Now, Owner, Actions);
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/decision/shard_state.cpp
@@ -0,0 +1,284 @@
+#include "decision/shard_state.h"
+
+#include <fmt/format.h>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Applies each kind of record; one overload a kind.
+struct record_applier {
+  entry_number Entry;  ///< Entry that holds the record.
+  shard_state &State;  ///< State to change.
+
+  program_state &find(const program_id &Program) {
+    const auto Found = State.Programs.find(Program);
+    if (Found == State.Programs.end())
+      throw corrupt_entry(fmt::format("entry {} names the unknown program {}",
+                                      Entry, formatProgramId(Program)));
+    return Found->second;
+  }
+
+  void operator()(const program_created &Record) {
+    program_state Program;
+    Program.Program = Record.Program;
+    Program.Tenant = Record.Tenant;
+    Program.Class = Record.Class;
+    Program.HasParent = Record.HasParent;
+    Program.Parent = Record.Parent;
+    Program.Budget = Record.Budget;
+    Program.CreatedUnixMs = Record.CreatedUnixMs;
+    Program.ReservedTokens = Record.ReservedTokens;
+    if (Record.HasParent)
+      find(Record.Parent).CarvedTokens += Record.Budget.Tokens;
+    if (!State.Programs.emplace(Record.Program, std::move(Program)).second)
+      throw corrupt_entry(fmt::format("program {} is created twice",
+                                      formatProgramId(Record.Program)));
+  }
+
+  void operator()(const call_intended &Record) {
+    program_state &Program = find(Record.Program);
+    requireNext(Program, Record.Call);
+    call_history Call;
+    Call.Call = Record.Call;
+    Call.BodyHash = Record.BodyHash;
+    Call.Kind = call_kind::ExclusiveService;
+    Call.Progress = call_progress::Intended;
+    Call.Run = run_state::OutcomeUnknown;
+    Call.Service = Record.Service;
+    Call.RequestKey = Record.RequestKey;
+    Call.Entry = Entry;
+    Program.Calls.push_back(std::move(Call));
+    ++State.LiveTurns[Entry];
+  }
+
+  void operator()(const tokens_reserved &Record) {
+    program_state &Program = find(Record.Program);
+    Program.LostTokens += Record.LostTokens;
+    Program.ReservedTokens = Record.Tokens;
+    State.InFlight.erase(Record.Program);
+  }
+
+  void operator()(const call_completed &Record) {
+    program_state &Program = find(Record.Program);
+    if (hasOpenIntent(Program) && Program.Calls.back().Call == Record.Call) {
+      releaseTurn(Program.Calls.back());
+    } else {
+      requireNext(Program, Record.Call);
+      Program.Calls.emplace_back();
+    }
+    call_history &Call = Program.Calls.back();
+    Call.Call = Record.Call;
+    Call.BodyHash = Record.BodyHash;
+    Call.Kind = Record.Kind;
+    Call.Progress = call_progress::Completed;
+    Call.Run = Record.Run;
+    Call.Status = Record.Status;
+    Call.PromptTokens = Record.PromptTokens;
+    Call.GeneratedTokens = Record.GeneratedTokens;
+    Call.Entry = Entry;
+    Call.Loaded = true;
+    Call.Request = Record.Request;
+    Call.Response = Record.Response;
+    ++State.LiveTurns[Entry];
+    State.InFlight.erase(Record.Program);
+    Program.SpentTokens += Record.PromptTokens + Record.GeneratedTokens;
+    Program.ReservedTokens = Record.ReservedTokens;
+    if (Record.Kind == call_kind::Model && !Record.Runner.empty()) {
+      Program.CacheRunners.insert(Record.Runner);
+      Program.LastRunner = Record.Runner;
+    }
+  }
+
+  void operator()(const call_withdrawn &Record) {
+    program_state &Program = find(Record.Program);
+    if (!hasOpenIntent(Program) || Program.Calls.back().Call != Record.Call)
+      throw corrupt_entry("a call without an intent is withdrawn");
+    releaseTurn(Program.Calls.back());
+    Program.Calls.pop_back();
+    State.InFlight.erase(Record.Program);
+  }
+
+  void operator()(const outcome_resolved &Record) {
+    program_state &Program = find(Record.Program);
+    if (Record.Call == 0 || Record.Call > Program.Calls.size())
+      throw corrupt_entry("an outcome is resolved for a call that is unknown");
+    call_history &Call = Program.Calls[Record.Call - 1];
+    releaseTurn(Call);
+    Call.Progress = call_progress::Completed;
+    Call.Run = Record.Run;
+    Call.Status = Record.Status;
+    Call.Entry = Entry;
+    Call.Response = Record.Response;
+    ++State.LiveTurns[Entry];
+  }
+
+  void operator()(const program_ended &Record) {
+    program_state &Program = find(Record.Program);
+    if (Program.Ended)
+      throw corrupt_entry("a program ends twice");
+    Program.Ended = true;
+    Program.Reason = Record.Reason;
+    Program.EndedUnixMs = Record.EndedUnixMs;
+    refundParent(Program);
+  }
+
+  void operator()(const cache_released &Record) {
+    find(Record.Program).CacheRunners.erase(Record.Runner);
+  }
+
+  void operator()(const program_forgotten &Record) {
+    for (const call_history &Call : find(Record.Program).Calls)
+      releaseTurn(Call);
+    State.Programs.erase(Record.Program);
+  }
+
+  void operator()(const shard_taken &Record) {
+    State.Owner = Record.Instance;
+    State.HandedTo.clear();
+    if (Record.Clean)
+      return;
+    State.InFlight.clear();
+    loseWhatWasInFlight();
+  }
+
+  void operator()(const shard_handed_over &Record) {
+    State.HandedTo = Record.To;
+    State.InFlight.insert(Record.InFlight.begin(), Record.InFlight.end());
+  }
+
+private:
+  void requireNext(const program_state &Program, std::uint32_t Call) const {
+    if (Call != nextCall(Program))
+      throw corrupt_entry(fmt::format("program {} has call {} out of sequence",
+                                      formatProgramId(Program.Program), Call));
+  }
+
+  void releaseTurn(const call_history &Call) {
+    const auto Found = State.LiveTurns.find(Call.Entry);
+    if (Found != State.LiveTurns.end() && --Found->second == 0)
+      State.LiveTurns.erase(Found);
+  }
+
+  void refundParent(const program_state &Program) {
+    if (!Program.HasParent)
+      return;
+    const auto Parent = State.Programs.find(Program.Parent);
+    if (Parent == State.Programs.end())
+      return;
+    const std::uint64_t Used = Program.Budget.Tokens - freeTokens(Program);
+    Parent->second.CarvedTokens -= Program.Budget.Tokens - Used;
+  }
+
+  /// The former owner may have sent any reserved attempt and any intent.
+  void loseWhatWasInFlight() {
+    for (auto &[Id, Program] : State.Programs) {
+      if (Program.Ended)
+        continue;
+      Program.LostTokens += Program.ReservedTokens;
+      Program.ReservedTokens = 0;
+      if (hasOpenIntent(Program))
+        Program.Calls.back().Progress = call_progress::Completed;
+    }
+  }
+};
+
+} // namespace
+
+void applyRecord(const journal_record &Record, entry_number Entry,
+                 shard_state &State) {
+  std::visit(record_applier{Entry, State}, Record);
+}
+
+void applyEntry(const journal_entry &Entry, shard_state &State) {
+  if (Entry.Shard != State.Shard || Entry.Number != State.LastEntry + 1)
+    throw corrupt_entry(fmt::format("entry {} of shard {} follows entry {}",
+                                    Entry.Number, Entry.Shard,
+                                    State.LastEntry));
+  for (const journal_record &Record : Entry.Records)
+    applyRecord(Record, Entry.Number, State);
+  State.LastEntry = Entry.Number;
+}
+
+std::string encodeSnapshot(const shard_state &State) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, State);
+  return {Buffer.data(), Buffer.size()};
+}
+
+shard_state decodeSnapshot(std::string_view Bytes) {
+  try {
+    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    auto State = Handle.get().as<shard_state>();
+    for (auto &[Id, Program] : State.Programs) {
+      for (call_history &Call : Program.Calls)
+        Call.Loaded = Call.Progress == call_progress::Intended;
+    }
+    return State;
+  } catch (const msgpack::unpack_error &Error) {
+    throw corrupt_entry(fmt::format("malformed snapshot: {}", Error.what()));
+  } catch (const msgpack::type_error &) {
+    throw corrupt_entry("a snapshot has a field of the wrong type");
+  }
+}
+
+namespace {
+
+void copyTexts(entry_number Entry, std::string Request, std::string Response,
+               call_history &Call) {
+  if (Call.Entry != Entry || Call.Loaded)
+    return;
+  Call.Request = std::move(Request);
+  Call.Response = std::move(Response);
+  Call.Loaded = true;
+}
+
+call_history *findCall(const program_id &Program, std::uint32_t Call,
+                       shard_state &State) {
+  const auto Found = State.Programs.find(Program);
+  if (Found == State.Programs.end() || Call == 0 ||
+      Call > Found->second.Calls.size())
+    return nullptr;
+  return &Found->second.Calls[Call - 1];
+}
+
+} // namespace
+
+void loadTexts(const journal_entry &Entry, shard_state &State) {
+  for (const journal_record &Record : Entry.Records) {
+    if (const auto *Done = std::get_if<call_completed>(&Record)) {
+      if (auto *Call = findCall(Done->Program, Done->Call, State))
+        copyTexts(Entry.Number, Done->Request, Done->Response, *Call);
+    } else if (const auto *Known = std::get_if<outcome_resolved>(&Record)) {
+      if (auto *Call = findCall(Known->Program, Known->Call, State))
+        copyTexts(Entry.Number, std::string(), Known->Response, *Call);
+    } else if (const auto *Intent = std::get_if<call_intended>(&Record)) {
+      if (auto *Call = findCall(Intent->Program, Intent->Call, State))
+        copyTexts(Entry.Number, std::string(), std::string(), *Call);
+    }
+  }
+}
+
+std::size_t dropTexts(entry_number Committed, program_state &Program) {
+  std::size_t Freed = 0;
+  for (call_history &Call : Program.Calls) {
+    if (!Call.Loaded || Call.Entry > Committed ||
+        Call.Progress != call_progress::Completed)
+      continue;
+    Freed += Call.Request.size() + Call.Response.size();
+    Call.Request = std::string();
+    Call.Response = std::string();
+    Call.Loaded = false;
+  }
+  return Freed;
+}
+
+entry_number firstUnloadedEntry(const program_state &Program) {
+  for (const call_history &Call : Program.Calls) {
+    if (!Call.Loaded)
+      return Call.Entry;
+  }
+  return 0;
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/log/log.cpp
@@ -0,0 +1,97 @@
+#include "log/log.h"
+
+#include "core/bounded_ring.h"
+#include "core/instant.h"
+
+#include <array>
+#include <atomic>
+#include <cstdio>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace lentilhoist {
+
+namespace {
+
+constexpr std::size_t RingCapacity = 4'096;
+constexpr milliseconds DrainWait{50};
+constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warning",
+                                                     "error"};
+
+/// The process's writer thread and its ring.
+struct log_state {
+  std::string Instance;
+  std::atomic<log_level> Level{log_level::Info};
+  std::unique_ptr<bounded_ring<std::string>> Ring;
+  std::atomic<bool> Running{false};
+  std::atomic<std::uint64_t> Dropped{0};
+  std::thread Thread;
+};
+
+log_state &state() {
+  static log_state State;
+  return State;
+}
+
+void writeLine(const std::string &Line) { fmt::print(stderr, "{}\n", Line); }
+
+void runWriter(log_state &State) {
+  for (;;) {
+    const auto Line = State.Ring->pop(DrainWait);
+    if (Line)
+      writeLine(*Line);
+    else if (!State.Running)
+      return;
+  }
+}
+
+std::string formatLine(log_level Level, std::string_view Event,
+                       std::initializer_list<log_field> Fields) {
+  nlohmann::ordered_json Line;
+  Line["time_ms"] = readClock().Unix.count();
+  Line["level"] = LevelNames[static_cast<std::size_t>(Level)];
+  Line["instance"] = state().Instance;
+  Line["event"] = Event;
+  for (const log_field &Field : Fields)
+    Line[std::string(Field.Name)] = Field.Value;
+  return Line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace);
+}
+
+} // namespace
+
+log_writer::log_writer(std::string Instance, log_level Level) {
+  log_state &State = state();
+  State.Instance = std::move(Instance);
+  State.Level = Level;
+  State.Ring = std::make_unique<bounded_ring<std::string>>(RingCapacity);
+  State.Running = true;
+  State.Thread = std::thread([&State] { runWriter(State); });
+}
+
+log_writer::~log_writer() {
+  log_state &State = state();
+  State.Running = false;
+  State.Thread.join();
+  const std::uint64_t Dropped = State.Dropped;
+  if (Dropped != 0)
+    writeLine(fmt::format(R"({{"event":"log_lines_dropped","count":{}}})",
+                          Dropped));
+}
+
+void logEvent(log_level Level, std::string_view Event,
+              std::initializer_list<log_field> Fields) {
+  log_state &State = state();
+  if (Level < State.Level)
+    return;
+  std::string Line = formatLine(Level, Event, Fields);
+  if (!State.Running)
+    writeLine(Line);
+  else if (!State.Ring->push(std::move(Line)))
+    ++State.Dropped;
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,392 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lentilhoist {
+
+namespace {
+
+constexpr std::uint32_t ProtocolVersion = 1;
+
+/// A gap between ticks of this many periods means that the process stood
+/// still, and that the silence of others is its own.
+constexpr int PausePeriods = 3;
+
+double logOfSize(const membership &Group) {
+  return std::max(1.0, std::log2(static_cast<double>(Group.Members.size() + 1)));
+}
+
+std::uint32_t retransmitLimit(const membership &Group) {
+  return static_cast<std::uint32_t>(
+      std::ceil(Group.Settings.RetransmitFactor * logOfSize(Group)));
+}
+
+microseconds suspicionTime(const membership &Group) {
+  const double Periods = Group.Settings.SuspicionPeriods * logOfSize(Group) *
+                         (1.0 + Group.HealthScore);
+  return microseconds(static_cast<std::int64_t>(
+      Periods * static_cast<double>(Group.Settings.Period.count())));
+}
+
+void worsenHealth(membership &Group) {
+  if (Group.HealthScore < Group.Settings.MaxHealthScore)
+    ++Group.HealthScore;
+}
+
+void improveHealth(membership &Group) {
+  if (Group.HealthScore > 0)
+    --Group.HealthScore;
+}
+
+member_update describeSelf(const membership &Group) {
+  return {Group.Self, Group.Incarnation, member_status::Alive, Group.Leaving};
+}
+
+/// \returns whether news replaces what is known: a higher incarnation wins,
+/// at equal incarnations the worse status does.
+bool supersedes(const member_update &News, const member_update &Known) {
+  if (News.Incarnation != Known.Incarnation)
+    return News.Incarnation > Known.Incarnation;
+  if (News.Status != Known.Status)
+    return static_cast<int>(News.Status) > static_cast<int>(Known.Status);
+  return News.Leaving && !Known.Leaving;
+}
+
+void setNews(const member_update &News, instant Now, membership &Group) {
+  member_record &Record = Group.Members[News.Identity.Id];
+  Record.News = News;
+  Record.ChangedAt = Now.Steady;
+  Record.Transmissions = 0;
+  ++Group.Changes;
+}
+
+/// Answers news that calls this instance suspect or dead, or that an earlier
+/// process of the same name left behind.
+void refute(const member_update &News, membership &Group) {
+  const bool Harmless = News.Status == member_status::Alive &&
+                        (News.Incarnation < Group.Incarnation ||
+                         (News.Incarnation == Group.Incarnation &&
+                          News.Leaving == Group.Leaving));
+  if (Harmless || News.Incarnation < Group.Incarnation)
+    return;
+  Group.Incarnation = News.Incarnation + 1;
+  if (News.Status != member_status::Alive)
+    worsenHealth(Group);
+}
+
+void applyUpdate(const member_update &News, instant Now, membership &Group) {
+  if (News.Identity.Id == Group.Self.Id) {
+    refute(News, Group);
+    return;
+  }
+  const auto Known = Group.Members.find(News.Identity.Id);
+  if (Known == Group.Members.end() || supersedes(News, Known->second.News))
+    setNews(News, Now, Group);
+}
+
+/// Chooses the news that were passed on least; own news always travel.
+std::vector<member_update> chooseUpdates(membership &Group) {
+  std::vector<member_update> Updates{describeSelf(Group)};
+  const std::uint32_t Limit = retransmitLimit(Group);
+  std::vector<member_record *> Fresh;
+  for (auto &[Id, Record] : Group.Members) {
+    if (Record.Transmissions < Limit)
+      Fresh.push_back(&Record);
+  }
+  std::sort(Fresh.begin(), Fresh.end(), [](const auto *Left, const auto *Right) {
+    return Left->Transmissions < Right->Transmissions;
+  });
+  for (member_record *Record : Fresh) {
+    if (Updates.size() >= Group.Settings.MaxUpdates)
+      break;
+    ++Record->Transmissions;
+    Updates.push_back(Record->News);
+  }
+  return Updates;
+}
+
+std::string encodeMessage(const probe_message &Message) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Message);
+  return {Buffer.data(), Buffer.size()};
+}
+
+void send(probe_message Message, const member_identity &To, membership &Group,
+          std::vector<outgoing_datagram> &Datagrams) {
+  Message.From = Group.Self.Id;
+  Message.Updates = chooseUpdates(Group);
+  std::string Bytes = encodeMessage(Message);
+  while (Bytes.size() > Group.Settings.MaxDatagramBytes &&
+         Message.Updates.size() > 1) {
+    Message.Updates.pop_back();
+    Bytes = encodeMessage(Message);
+  }
+  Datagrams.push_back({To.Address, To.Port, std::move(Bytes)});
+}
+
+void sendTo(probe_message Message, const std::string &To, membership &Group,
+            std::vector<outgoing_datagram> &Datagrams) {
+  const auto Found = Group.Members.find(To);
+  if (Found != Group.Members.end())
+    send(std::move(Message), Found->second.News.Identity, Group, Datagrams);
+}
+
+std::string nextTarget(membership &Group) {
+  for (int Round = 0; Round < 2; ++Round) {
+    while (!Group.ProbeOrder.empty()) {
+      const std::string Id = Group.ProbeOrder.back();
+      Group.ProbeOrder.pop_back();
+      const auto Found = Group.Members.find(Id);
+      const bool Probed = Found != Group.Members.end() &&
+                          Found->second.News.Status != member_status::Dead;
+      if (Probed)
+        return Id;
+    }
+    for (const auto &[Id, Record] : Group.Members)
+      Group.ProbeOrder.push_back(Id);
+    std::shuffle(Group.ProbeOrder.begin(), Group.ProbeOrder.end(),
+                 Group.Random);
+  }
+  return {};
+}
+
+void startProbe(instant Now, membership &Group,
+                std::vector<outgoing_datagram> &Datagrams) {
+  const std::string Target = nextTarget(Group);
+  if (Target.empty())
+    return;
+  Group.Probe = probe_state{Target, Group.NextSequence++, Now.Steady};
+  probe_message Ping;
+  Ping.Sequence = Group.Probe->Sequence;
+  sendTo(std::move(Ping), Target, Group, Datagrams);
+}
+
+void sendIndirectProbes(membership &Group,
+                        std::vector<outgoing_datagram> &Datagrams) {
+  std::vector<std::string> Relays;
+  for (const auto &[Id, Record] : Group.Members) {
+    if (Id != Group.Probe->Target &&
+        Record.News.Status == member_status::Alive)
+      Relays.push_back(Id);
+  }
+  std::shuffle(Relays.begin(), Relays.end(), Group.Random);
+  if (Relays.size() > Group.Settings.IndirectProbes)
+    Relays.resize(Group.Settings.IndirectProbes);
+  for (const std::string &Relay : Relays) {
+    probe_message Request;
+    Request.Kind = probe_kind::IndirectPing;
+    Request.Sequence = Group.Probe->Sequence;
+    Request.Target = Group.Probe->Target;
+    sendTo(std::move(Request), Relay, Group, Datagrams);
+  }
+  Group.Probe->IndirectSent = true;
+}
+
+void suspect(const std::string &Id, instant Now, membership &Group) {
+  const auto Found = Group.Members.find(Id);
+  if (Found == Group.Members.end() ||
+      Found->second.News.Status != member_status::Alive)
+    return;
+  member_update News = Found->second.News;
+  News.Status = member_status::Suspect;
+  setNews(News, Now, Group);
+}
+
+void finishProbe(instant Now, membership &Group) {
+  if (!Group.Probe)
+    return;
+  if (Group.Probe->Acknowledged) {
+    improveHealth(Group);
+  } else {
+    worsenHealth(Group);
+    suspect(Group.Probe->Target, Now, Group);
+  }
+  Group.Probe.reset();
+}
+
+void expireSuspects(instant Now, membership &Group) {
+  const microseconds Limit = suspicionTime(Group);
+  for (auto &[Id, Record] : Group.Members) {
+    const bool Expired = Record.News.Status == member_status::Suspect &&
+                         Now.Steady - Record.ChangedAt >= Limit;
+    if (!Expired)
+      continue;
+    member_update News = Record.News;
+    News.Status = member_status::Dead;
+    setNews(News, Now, Group);
+  }
+}
+
+void forgetDead(instant Now, membership &Group) {
+  Group.Changes += std::erase_if(Group.Members, [&](const auto &Item) {
+    return Item.second.News.Status == member_status::Dead &&
+           Now.Steady - Item.second.ChangedAt >= Group.Settings.DeadRetention;
+  });
+}
+
+/// Forgives every silence that this instance may have slept through.
+void resumeAfterPause(instant Now, membership &Group) {
+  Group.Probe.reset();
+  Group.Relayed.clear();
+  worsenHealth(Group);
+  for (auto &[Id, Record] : Group.Members) {
+    if (Record.News.Status == member_status::Suspect)
+      Record.ChangedAt = Now.Steady;
+  }
+}
+
+void relayAck(const probe_message &Ack, membership &Group,
+              std::vector<outgoing_datagram> &Datagrams) {
+  const auto Found = Group.Relayed.find(Ack.Sequence);
+  if (Found == Group.Relayed.end())
+    return;
+  probe_message Relay;
+  Relay.Kind = probe_kind::Ack;
+  Relay.Sequence = Found->second.RequesterSequence;
+  const std::string Requester = Found->second.Requester;
+  Group.Relayed.erase(Found);
+  sendTo(std::move(Relay), Requester, Group, Datagrams);
+}
+
+/// Makes sure that a sender believed suspect or dead hears of it.
+void tellOfAccusation(const std::string &Sender, membership &Group) {
+  const auto Found = Group.Members.find(Sender);
+  if (Found != Group.Members.end() &&
+      Found->second.News.Status != member_status::Alive)
+    Found->second.Transmissions = 0;
+}
+
+void onPing(const probe_message &Message, membership &Group,
+            std::vector<outgoing_datagram> &Datagrams) {
+  probe_message Ack;
+  Ack.Kind = probe_kind::Ack;
+  Ack.Sequence = Message.Sequence;
+  sendTo(std::move(Ack), Message.From, Group, Datagrams);
+}
+
+void onIndirectPing(const probe_message &Message, instant Now,
+                    membership &Group,
+                    std::vector<outgoing_datagram> &Datagrams) {
+  const std::uint64_t Sequence = Group.NextSequence++;
+  Group.Relayed[Sequence] = {Message.From, Message.Sequence,
+                             Now.Steady + Group.Settings.Period * 2};
+  probe_message Ping;
+  Ping.Sequence = Sequence;
+  sendTo(std::move(Ping), Message.Target, Group, Datagrams);
+}
+
+std::optional<probe_message> decodeMessage(std::string_view Bytes) {
+  try {
+    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    auto Message = Handle.get().as<probe_message>();
+    if (Message.Version != ProtocolVersion || Message.From.empty())
+      return std::nullopt;
+    return Message;
+  } catch (const msgpack::unpack_error &) {
+    return std::nullopt;
+  } catch (const msgpack::type_error &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+void seedMember(const member_identity &Identity, instant Now,
+                membership &Group) {
+  if (Identity.Id == Group.Self.Id || Group.Members.count(Identity.Id) != 0)
+    return;
+  setNews({Identity, 0, member_status::Alive, false}, Now, Group);
+}
+
+void onMembershipTick(instant Now, membership &Group,
+                      std::vector<outgoing_datagram> &Datagrams) {
+  const bool Paused =
+      Group.LastTick.count() != 0 &&
+      Now.Steady - Group.LastTick > Group.Settings.Period * PausePeriods;
+  Group.LastTick = Now.Steady;
+  if (Paused)
+    resumeAfterPause(Now, Group);
+  if (Group.Probe && !Group.Probe->Acknowledged && !Group.Probe->IndirectSent) {
+    const microseconds Limit =
+        Group.Settings.AckTimeout * (1 + Group.HealthScore);
+    if (Now.Steady - Group.Probe->StartedAt >= Limit)
+      sendIndirectProbes(Group, Datagrams);
+  }
+  expireSuspects(Now, Group);
+  if (Now.Steady < Group.NextPeriodAt)
+    return;
+  const microseconds Period = Group.Settings.Period * (1 + Group.HealthScore);
+  Group.NextPeriodAt = Now.Steady + Period;
+  finishProbe(Now, Group);
+  forgetDead(Now, Group);
+  std::erase_if(Group.Relayed, [&](const auto &Item) {
+    return Item.second.ExpiresAt <= Now.Steady;
+  });
+  startProbe(Now, Group, Datagrams);
+}
+
+void onDatagram(std::string_view Bytes, instant Now, membership &Group,
+                std::vector<outgoing_datagram> &Datagrams) {
+  const auto Message = decodeMessage(Bytes);
+  if (!Message) {
+    ++Group.RejectedDatagrams;
+    return;
+  }
+  for (const member_update &News : Message->Updates)
+    applyUpdate(News, Now, Group);
+  tellOfAccusation(Message->From, Group);
+  switch (Message->Kind) {
+  case probe_kind::Ping:
+    onPing(*Message, Group, Datagrams);
+    return;
+  case probe_kind::IndirectPing:
+    onIndirectPing(*Message, Now, Group, Datagrams);
+    return;
+  case probe_kind::Ack:
+    if (Group.Probe && Group.Probe->Sequence == Message->Sequence)
+      Group.Probe->Acknowledged = true;
+    relayAck(*Message, Group, Datagrams);
+    return;
+  }
+}
+
+void announceLeaving(membership &Group) {
+  Group.Leaving = true;
+  ++Group.Incarnation;
+  ++Group.Changes;
+}
+
+bool isAlive(const std::string &Id, const membership &Group) {
+  if (Id == Group.Self.Id)
+    return true;
+  const auto Found = Group.Members.find(Id);
+  return Found != Group.Members.end() &&
+         Found->second.News.Status != member_status::Dead;
+}
+
+std::vector<member_identity> ownerCandidates(const membership &Group) {
+  std::map<std::string, member_identity> Candidates;
+  if (!Group.Leaving)
+    Candidates.emplace(Group.Self.Id, Group.Self);
+  for (const auto &[Id, Record] : Group.Members) {
+    if (Record.News.Status != member_status::Dead && !Record.News.Leaving)
+      Candidates.emplace(Id, Record.News.Identity);
+  }
+  std::vector<member_identity> Ordered;
+  for (auto &[Id, Identity] : Candidates)
+    Ordered.push_back(std::move(Identity));
+  return Ordered;
+}
+
+std::optional<member_identity> findMember(const std::string &Id,
+                                          const membership &Group) {
+  if (Id == Group.Self.Id)
+    return Group.Self;
+  const auto Found = Group.Members.find(Id);
+  if (Found == Group.Members.end())
+    return std::nullopt;
+  return Found->second.News.Identity;
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/runner/event_parser.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace lentilhoist {
+
+/// Splits a stream of server-sent events into the data of each event
+/// (WHATWG HTML, section 9.2).
+class event_parser {
+public:
+  /// Adds bytes.
+  /// \param Bytes the bytes as they arrived.
+  /// \param OnData takes the data of each complete event.
+  void add(std::string_view Bytes,
+           const std::function<void(std::string_view)> &OnData);
+
+private:
+  std::string Partial; ///< Bytes of the event that is not complete.
+};
+
+} // namespace lentilhoist
