--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -42,6 +42,7 @@
   Link.Address = Settings.Identity.Address;
   Link.Port = Settings.Identity.Port;
   Link.Token = Token;
+  Link.Domain = Settings.Identity.Domain;
   Link.SimulatedDelay = Settings.SimulatedLinkDelay;
   return Link;
 }
--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -214,6 +214,8 @@
     shard_owner &Owner = Owners.at(Offered->Shard);
     if (Owner.Phase == owner_phase::Idle)
       beginRecovery(Now, Owner, Actions);
+    else
+      verifyOwnership(Owner, Actions);
   } else if (const auto *Inspect = std::get_if<inspection>(&Event)) {
     Inspect->Run();
   }
--- a/src/decision/call_steps.cpp
+++ b/src/decision/call_steps.cpp
@@ -92,6 +92,7 @@
 
 call_answer refuseNotOwner(const shard_owner &Owner) {
   call_answer Answer = refuse(error_code::NotOwner, "the shard is moving");
+  Answer.Run = run_state::OutcomeUnknown;
   if (Owner.Phase == owner_phase::Idle ||
       Owner.Phase == owner_phase::HandingOver)
     Answer.Owner = Owner.Successor;
--- a/src/decision/shard_owner.cpp
+++ b/src/decision/shard_owner.cpp
@@ -1,6 +1,7 @@
 #include "decision/shard_owner.h"
 
 #include "decision/call_flow.h"
+#include "decision/call_steps.h"
 
 #include <algorithm>
 #include <cassert>
@@ -60,12 +61,30 @@
   Owner.Doubtful.clear();
 }
 
+/// Answers those who waited for records that will not become durable here.
+void refuseAfterCommit(const action_list &AfterCommit, shard_owner &Owner,
+                       action_list &Actions) {
+  for (const action &Then : AfterCommit) {
+    const auto *Answer = std::get_if<answer_caller>(&Then);
+    if (Answer != nullptr)
+      Actions.push_back(answer_caller{Answer->Ticket, refuseNotOwner(Owner)});
+  }
+}
+
+void refuseUncommitted(shard_owner &Owner, action_list &Actions) {
+  if (Owner.Sealed)
+    refuseAfterCommit(Owner.Sealed->Batch.AfterCommit, Owner, Actions);
+  for (const journal_batch &Batch : Owner.Pending)
+    refuseAfterCommit(Batch.AfterCommit, Owner, Actions);
+}
+
 /// Gives up a shard that another instance has taken.
 void depose(const std::string &NewOwner, shard_owner &Owner,
             action_list &Actions) {
   const bool Claiming = Owner.Phase == owner_phase::Claiming;
   Owner.Phase = owner_phase::Idle;
   Owner.Successor = NewOwner;
+  refuseUncommitted(Owner, Actions);
   if (!Claiming)
     releaseCalls(false, Owner, Actions);
   clearVolatile(Owner);
@@ -305,6 +324,12 @@
     onSealedEntryRead(Entry, Now, Owner, Actions);
     return;
   }
+  const bool Overtaken = Entry && Number == Owner.Committed + 1 &&
+                         Owner.Phase == owner_phase::Owning;
+  if (Overtaken) {
+    depose(Entry->Writer, Owner, Actions);
+    return;
+  }
   if (Owner.Loading.erase(Number) == 0)
     return;
   if (Entry)
@@ -312,6 +337,11 @@
   retryHeldCalls(Now, Owner, Actions);
 }
 
+void verifyOwnership(const shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase == owner_phase::Owning)
+    Actions.push_back(read_entry{Owner.Shard, Owner.Committed + 1});
+}
+
 void onHorizonRead(std::optional<entry_number> Number, instant Now,
                    shard_owner &Owner, action_list &Actions) {
   if (!Owner.Sealed)
--- a/src/decision/shard_owner.h
+++ b/src/decision/shard_owner.h
@@ -175,6 +175,12 @@
 /// \param[out] Actions gains what is due.
 void onOwnerTick(instant Now, shard_owner &Owner, action_list &Actions);
 
+/// Looks whether another instance has taken the shard, where there is reason
+/// to think so.
+/// \param Owner the hold.
+/// \param[out] Actions gains the read of the next entry.
+void verifyOwnership(const shard_owner &Owner, action_list &Actions);
+
 /// Takes the platform's answer to a read_horizon action.
 /// \param Number entry of the latest snapshot, or nothing if the read failed.
 /// \param Now the present time.
@@ -209,5 +215,4 @@
 /// \param[out] Actions gains the write.
 void sealBatch(instant Now, shard_owner &Owner, action_list &Actions);
 
-
 } // namespace lentilhoist
--- a/src/instance/membership_node.cpp
+++ b/src/instance/membership_node.cpp
@@ -1,10 +1,13 @@
 #include "instance/membership_node.h"
 
+#include <future>
+
 namespace lentilhoist {
 
 namespace {
 
 constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds SeedWait{1'000};
 
 } // namespace
 
@@ -78,10 +81,14 @@
 }
 
 void membership_node::seed(std::vector<member_identity> Identities) {
-  asio::post(Context, [this, Identities = std::move(Identities)] {
+  const auto Seeded = std::make_shared<std::promise<void>>();
+  asio::post(Context, [this, Seeded, Identities = std::move(Identities)] {
     for (const member_identity &Identity : Identities)
       seedMember(Identity, readClock(), Group);
+    publish();
+    Seeded->set_value();
   });
+  Seeded->get_future().wait_for(SeedWait);
 }
 
 void membership_node::leave() {
--- a/src/instance/membership_node.h
+++ b/src/instance/membership_node.h
@@ -30,7 +30,8 @@
   /// Joins the thread.
   void stop();
 
-  /// Makes instances known that the platform lists.
+  /// Makes instances known that the platform lists, and waits until the view
+  /// shows them.
   /// \param Identities the instances.
   void seed(std::vector<member_identity> Identities);
 
--- a/src/instance/peer_link.cpp
+++ b/src/instance/peer_link.cpp
@@ -91,14 +91,16 @@
   Thread.join();
 }
 
-void peer_link::afterDelay(std::function<void()> Task) {
-  if (Settings.SimulatedDelay.count() == 0) {
+void peer_link::afterDelay(const std::string &ToDomain,
+                           std::function<void()> Task) {
+  const bool Near = ToDomain == Settings.Domain;
+  if (Near || Settings.SimulatedDelay.count() == 0) {
     asio::post(Context, std::move(Task));
     return;
   }
   asio::post(Context, [this, Task = std::move(Task)] {
-    auto Delay =
-        std::make_shared<asio::steady_timer>(Context, Settings.SimulatedDelay);
+    auto Delay = std::make_shared<asio::steady_timer>(
+        Context, Settings.SimulatedDelay * 2);
     Delay->async_wait([Delay, Task](auto Error) {
       if (!Error)
         Task();
@@ -151,7 +153,7 @@
     const std::weak_ptr<peer_connection> Weak = Connection;
     auto Sink = std::make_shared<peer_sink>(
         Message.Stream, [this, Weak](peer_message Answer) {
-          afterDelay([Weak, Answer = std::move(Answer)] {
+          asio::post(Context, [Weak, Answer = std::move(Answer)] {
             if (const auto Live = Weak.lock())
               Live->send(Answer);
           });
@@ -218,7 +220,7 @@
   peer_message Message;
   Message.Kind = peer_kind::Request;
   Message.Payload = encodeRequest(Request);
-  afterDelay([this, To, Message, Sink = std::move(Sink)]() mutable {
+  afterDelay(To.Domain, [this, To, Message, Sink = std::move(Sink)]() mutable {
     outgoing &Peer = connectionTo(To);
     Message.Stream = NextStream++;
     Peer.Open.emplace(Message.Stream, Sink);
--- a/src/instance/peer_link.h
+++ b/src/instance/peer_link.h
@@ -21,8 +21,10 @@
   std::string Token; ///< Shared secret; a peer without it is refused.
   std::chrono::milliseconds Heartbeat{500};
   std::chrono::milliseconds Silence{2'000}; ///< Then the connection is dead.
-  std::chrono::milliseconds SimulatedDelay{0}; ///< Added to each message, for
-                                               ///< experiments on one machine.
+  std::string Domain; ///< Failure domain of this instance.
+  std::chrono::milliseconds SimulatedDelay{
+      0}; ///< One way, to other failure domains; for experiments on one
+          ///< machine. The sender of a request waits for both ways.
 };
 
 /// Passes requests between instances over TCP, many on one connection. A
@@ -80,7 +82,7 @@
   void onOutgoing(const std::string &Id, peer_message Message);
   void dropOutgoing(const std::string &Id, const peer_connection *Connection);
   void beat();
-  void afterDelay(std::function<void()> Task);
+  void afterDelay(const std::string &ToDomain, std::function<void()> Task);
 
   peer_link_settings Settings;
   request_handler OnRequest;
