Treat a handover to a dead successor as clean

Cause: entry-2 handed shard 7 to entry-1, which had been killed but was not yet declared dead. entry-6 then took the shard as an unclean takeover, dropped what was in flight at entry-2, and the callers held answers that were not durable.

--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -346,7 +346,7 @@
     Note.MisplacedSince = Now.Steady;
   const bool Settled =
       View->Leaving || Now.Steady - Note.MisplacedSince >= Settings.SettleTime;
-  if (!Settled)
+  if (!Settled || isSuspect(Desired, *View))
     return;
   Note.MisplacedSince = microseconds(0);
   action_list Actions;
--- a/src/decision/shard_owner.cpp
+++ b/src/decision/shard_owner.cpp
@@ -212,7 +212,9 @@
 void claimShard(instant Now, shard_owner &Owner, action_list &Actions) {
   assert(Owner.Phase == owner_phase::Recovered && !Owner.Sealed);
   Owner.Phase = owner_phase::Claiming;
-  const bool Clean = Owner.State.HandedTo == Owner.Self;
+  // A named successor that never claimed the shard changed nothing, so the
+  // handover is as good for any other claimant.
+  const bool Clean = !Owner.State.HandedTo.empty();
   for (const auto &[Id, Program] : Owner.State.Programs) {
     if (!Clean && hasOpenIntent(Program))
       Owner.Doubtful.insert(Id);
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -123,7 +123,7 @@
 /// An instance became the owner of the shard.
 struct shard_taken {
   std::string Instance;
-  bool Clean = false; ///< The entry before it is a handover to Instance.
+  bool Clean = false; ///< The last owner handed the shard over.
 
   MSGPACK_DEFINE(Instance, Clean)
 };
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -148,6 +148,7 @@
   std::map<std::string, int> Refusals;
   std::size_t Finished = 0;
   int Retries = 0;
+  int Uncommitted = 0;
   std::size_t Unknown = 0;
   for (const program_report &Report : Result.Reports) {
     class_figures &Group = Figures[Report.Tenant + "/" + Report.Class];
@@ -162,12 +163,13 @@
     for (const side_effect &Effect : Report.SideEffects)
       Unknown += Effect.Outcome == load_outcome::Unknown ? 1U : 0U;
     Retries += Report.Retries;
+    Uncommitted += Report.Uncommitted;
   }
   std::string Text =
-      fmt::format("programs {} finished {} in {:.2f} s, retries {}, side "
-                  "effects {} of which unknown {}\n",
+      fmt::format("programs {} finished {} in {:.2f} s, retries {}, not yet "
+                  "durable {}, side effects {} of which unknown {}\n",
                   Result.Reports.size(), Finished, Result.Seconds, Retries,
-                  Result.Records.Executions, Unknown);
+                  Uncommitted, Result.Records.Executions, Unknown);
   for (const auto &[Name, Group] : Figures) {
     Text += fmt::format("  {:<28} program     {}\n", Name,
                         describeQuantiles(Group.Programs));
--- a/src/load/program_runner.cpp
+++ b/src/load/program_runner.cpp
@@ -118,6 +118,9 @@
   if (!Stream && Answer.Complete) {
     Answer.Status = Response.status;
     Answer.Body = Response.body;
+    if (Response.has_header("X-Lentilhoist-Committed-Through"))
+      Answer.CommittedThrough = std::atoi(
+          Response.get_header_value("X-Lentilhoist-Committed-Through").c_str());
   }
   return Answer;
 }
@@ -179,7 +182,7 @@
                                {"max_tokens", Class.MaxTokens}};
   History.push_back(User);
   const auto Answer =
-      sendUntilAnswered("POST", "/v1/chat/completions", Body.dump(), true);
+      callUntilCommitted("/v1/chat/completions", Body.dump(), true);
   if (!acceptStream(Answer, History))
     return false;
   Report.FirstTokens.push_back(Answer.FirstByte);
@@ -190,6 +193,47 @@
   return true;
 }
 
+program_runner::stream_content
+program_runner::readStream(const std::string &Body) {
+  stream_content Content;
+  event_parser Parser;
+  Parser.add(Body, [&](std::string_view Data) {
+    const auto Json = nlohmann::json::parse(Data, nullptr, false);
+    if (!Json.is_object())
+      return;
+    if (Json.contains("lentilhoist")) {
+      if (Json["lentilhoist"].contains("restarted"))
+        Content.Text.clear();
+      Content.CommittedThrough = Json["lentilhoist"].value(
+          "committed_through", Content.CommittedThrough);
+    }
+    if (Json.contains("choices") && Json["choices"][0].contains("delta"))
+      Content.Text +=
+          Json["choices"][0]["delta"].value("content", std::string());
+  });
+  return Content;
+}
+
+/// An answer that is not durable yet can be lost with its owner. The caller
+/// keeps it and issues the call again until the answer is durable.
+program_runner::http_answer
+program_runner::callUntilCommitted(const std::string &Path,
+                                   const std::string &Body, bool Stream) {
+  http_answer Answer = sendUntilAnswered("POST", Path, Body, Stream);
+  const auto FirstByte = Answer.FirstByte;
+  for (int Try = 0; Try < MaxTries; ++Try) {
+    const int Through = Stream ? readStream(Answer.Body).CommittedThrough
+                               : Answer.CommittedThrough;
+    if (Answer.Status != 200 || Through < 0 || Through >= NextCall)
+      break;
+    ++Report.Uncommitted;
+    std::this_thread::sleep_for(RetryDelay * 4);
+    Answer = sendUntilAnswered("POST", Path, Body, Stream);
+  }
+  Answer.FirstByte = FirstByte;
+  return Answer;
+}
+
 bool program_runner::acceptStream(const http_answer &Answer,
                                   const nlohmann::json &Messages) {
   if (Answer.Status != 200) {
@@ -199,17 +243,7 @@
         Answer.Body.substr(0, 200)));
     return false;
   }
-  std::string Text;
-  event_parser Parser;
-  Parser.add(Answer.Body, [&](std::string_view Data) {
-    const auto Json = nlohmann::json::parse(Data, nullptr, false);
-    if (!Json.is_object())
-      return;
-    if (Json.contains("lentilhoist") && Json["lentilhoist"].contains("restarted"))
-      Text.clear();
-    if (Json.contains("choices") && Json["choices"][0].contains("delta"))
-      Text += Json["choices"][0]["delta"].value("content", std::string());
-  });
+  const std::string Text = readStream(Answer.Body).Text;
   const std::string Marker =
       fmt::format("[{:016x}]", stableHash(Messages.dump()));
   if (Text.compare(0, Marker.size(), Marker) != 0)
@@ -225,8 +259,8 @@
   Effect.Body = nlohmann::json{{"booking", fmt::format("{}/{}", Report.Program,
                                                        NextCall)}}
                     .dump();
-  const auto Answer = sendUntilAnswered(
-      "POST", "/v1/services/" + Settings.Service, Effect.Body, false);
+  const auto Answer = callUntilCommitted("/v1/services/" + Settings.Service,
+                                         Effect.Body, false);
   const std::string Run = errorField(Answer.Body, "run");
   if (Answer.Status == 200)
     Effect.Outcome = load_outcome::Answered;
--- a/src/load/program_runner.h
+++ b/src/load/program_runner.h
@@ -37,6 +37,7 @@
   std::vector<std::string> Breaches;     ///< Promises that did not hold.
   int CutStreams = 0;       ///< Streams without an end, killed ones apart.
   int Retries = 0;
+  int Uncommitted = 0; ///< Answers that were not durable when they came.
   bool Finished = false;
 };
 
@@ -65,6 +66,7 @@
     bool Complete = false;
     std::chrono::microseconds FirstByte{0};
     int Port = 0;
+    int CommittedThrough = -1; ///< Negative if the answer does not say.
   };
 
   bool create(const std::string &Parent);
@@ -78,6 +80,15 @@
   http_answer sendUntilAnswered(const std::string &Method,
                                 const std::string &Path,
                                 const std::string &Body, bool Stream);
+  /// What a streamed answer says.
+  struct stream_content {
+    std::string Text;
+    int CommittedThrough = 0;
+  };
+
+  static stream_content readStream(const std::string &Body);
+  http_answer callUntilCommitted(const std::string &Path,
+                                 const std::string &Body, bool Stream);
   bool acceptStream(const http_answer &Answer, const nlohmann::json &Messages);
   void noteRefusal(const std::string &Body);
   int randomBetween(int Least, int Most);
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -365,6 +365,12 @@
          Found->second.News.Status != member_status::Dead;
 }
 
+bool isSuspect(const std::string &Id, const membership &Group) {
+  const auto Found = Group.Members.find(Id);
+  return Found != Group.Members.end() &&
+         Found->second.News.Status == member_status::Suspect;
+}
+
 std::vector<member_identity> ownerCandidates(const membership &Group) {
   std::map<std::string, member_identity> Candidates;
   if (!Group.Leaving)
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -123,6 +123,11 @@
 /// \returns whether the instance is believed to run; true for Self.
 bool isAlive(const std::string &Id, const membership &Group);
 
+/// \param Id an instance.
+/// \param Group the view.
+/// \returns whether the instance may be about to be declared dead.
+bool isSuspect(const std::string &Id, const membership &Group);
+
 /// \param Group the view.
 /// \returns the instances that may own shards: alive and not leaving, Self
 /// included unless it leaves; in order of their names.
