--- a/src/daemon/daemon_event.h
+++ b/src/daemon/daemon_event.h
@@ -81,6 +81,12 @@
   runner_load Load;
 };
 
+/// An engine listed the programs whose prefixes it caches.
+struct cache_listed {
+  std::string Runner;
+  std::vector<program_id> Sessions;
+};
+
 /// Another instance says that a shard waits for this one.
 struct shard_offered {
   shard_index Shard = 0;
@@ -96,6 +102,6 @@
     std::variant<request_arrived, write_finished, entry_loaded, journal_loaded,
                  horizon_loaded, snapshot_stored, attempt_finished,
                  result_delivered, cache_dropped, outcome_found, load_reported,
-                 shard_offered, inspection>;
+                 shard_offered, inspection, cache_listed>;
 
 } // namespace lentilhoist
--- a/src/daemon/load_poller.cpp
+++ b/src/daemon/load_poller.cpp
@@ -22,7 +22,16 @@
     Thread.join();
 }
 
+void load_poller::sweepCache(const runner_settings &Runner) {
+  if (Runner.Kind != runner_kind::Engine)
+    return;
+  const auto Sessions = listSessions({Runner.Address, Runner.Port});
+  if (Sessions)
+    Decisions.reportCache(Runner.Name, *Sessions);
+}
+
 void load_poller::run() {
+  std::size_t Round = 0;
   while (!Stopping) {
     for (const runner_settings &Runner : Settings.Runners) {
       if (Stopping)
@@ -30,6 +39,9 @@
       Decisions.reportLoad(
           Runner.Name, readLoad({Runner.Address, Runner.Port}, readClock()));
     }
+    // One engine a round, so that the sweep costs little.
+    if (!Settings.Runners.empty())
+      sweepCache(Settings.Runners[Round++ % Settings.Runners.size()]);
     std::this_thread::sleep_for(PollInterval);
   }
 }
--- a/src/daemon/load_poller.h
+++ b/src/daemon/load_poller.h
@@ -7,7 +7,8 @@
 
 namespace lentilhoist {
 
-/// The thread that asks each runner for its load, in turn.
+/// The thread that asks each runner for its load, in turn, and looks for caches
+/// that engines hold for programs that have ended.
 class load_poller {
 public:
   /// \param Settings the daemon's settings, which name the runners.
@@ -22,6 +23,7 @@
 
 private:
   void run();
+  void sweepCache(const runner_settings &Runner);
 
   const daemon_settings &Settings;
   scheduler &Decisions;
--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -136,6 +136,11 @@
   post(load_reported{Runner, Load});
 }
 
+void scheduler::reportCache(const std::string &Runner,
+                            std::vector<program_id> Sessions) {
+  post(cache_listed{Runner, std::move(Sessions)});
+}
+
 bool scheduler::inspect(const std::function<void()> &Run) {
   struct rendezvous {
     std::mutex Mutex;
@@ -216,6 +221,9 @@
       beginRecovery(Now, Owner, Actions);
     else
       verifyOwnership(Owner, Actions);
+  } else if (const auto *Cached = std::get_if<cache_listed>(&Event)) {
+    for (const auto &[Shard, Owner] : Owners)
+      onCacheListed(Cached->Runner, Cached->Sessions, Owner, Actions);
   } else if (const auto *Inspect = std::get_if<inspection>(&Event)) {
     Inspect->Run();
   }
@@ -313,25 +321,23 @@
 }
 
 void scheduler::considerClaim(shard_owner &Owner, instant Now) {
-  const std::string &Self = Settings.Identity.Id;
-  const std::string Holder = Owner.State.HandedTo.empty()
-                                 ? Owner.State.Owner
-                                 : Owner.State.HandedTo;
-  const bool Free = Holder.empty() || !isAlive(Holder, *View);
-  const bool Wanted = desiredOwner(Owner.Shard) == Self;
-  if (Holder == Self || (Wanted && Free)) {
+  const claim_decision Decision =
+      decideClaim(Owner, desiredOwner(Owner.Shard),
+                  [this](const std::string &Id) { return isAlive(Id, *View); });
+  if (Decision == claim_decision::Claim) {
     action_list Actions;
     claimShard(Now, Owner, Actions);
     perform(Actions, Now);
     return;
   }
+  const std::string Holder = holderOf(Owner.State);
   const auto Member = findMember(Holder, *View);
-  if (Wanted && Member)
+  if (Decision == claim_decision::AskHolder && Member)
     Link->offer(*Member, Owner.Shard);
   Owner.Phase = owner_phase::Idle;
   Owner.Successor = Holder;
   Notes[Owner.Shard].NextReviewAt = Now.Steady + ReviewBackoff;
-  if (!Wanted)
+  if (Decision == claim_decision::Leave)
     releaseParked(Owner.Shard, Now);
 }
 
--- a/src/daemon/scheduler.h
+++ b/src/daemon/scheduler.h
@@ -63,6 +63,11 @@
   /// \param Load the report.
   void reportLoad(const std::string &Runner, const runner_load &Load);
 
+  /// Tells what an engine caches.
+  /// \param Runner the engine.
+  /// \param Sessions the programs.
+  void reportCache(const std::string &Runner, std::vector<program_id> Sessions);
+
   /// Runs a function on the scheduler's thread and waits for it.
   /// \param Run the function.
   /// \returns whether it ran in time.
--- a/src/decision/call_flow.h
+++ b/src/decision/call_flow.h
@@ -89,6 +89,16 @@
 void onCacheReleased(const program_id &Program, const std::string &Runner,
                      instant Now, shard_owner &Owner, action_list &Actions);
 
+/// Releases what an engine still caches for programs of this shard that have
+/// ended or are unknown: attempts of a crashed owner leave no record.
+/// \param Runner the engine.
+/// \param Sessions the programs that it caches, of any shard.
+/// \param Owner the shard's owner.
+/// \param[out] Actions gains the releases.
+void onCacheListed(const std::string &Runner,
+                   const std::vector<program_id> &Sessions,
+                   const shard_owner &Owner, action_list &Actions);
+
 /// Applies timeouts, wall-time limits and retention to the calls.
 /// \param Now the present time.
 /// \param[in,out] Owner the shard's owner.
--- a/src/decision/call_steps.cpp
+++ b/src/decision/call_steps.cpp
@@ -1,6 +1,7 @@
 #include "decision/call_steps.h"
 
 #include "decision/call_flow.h"
+#include "decision/shard_placement.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -97,8 +98,7 @@
       Owner.Phase == owner_phase::HandingOver)
     Answer.Owner = Owner.Successor;
   else if (Owner.Phase == owner_phase::Recovered)
-    Answer.Owner = Owner.State.HandedTo.empty() ? Owner.State.Owner
-                                                : Owner.State.HandedTo;
+    Answer.Owner = holderOf(Owner.State);
   return Answer;
 }
 
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -311,6 +311,20 @@
   sealBatch(Now, Owner, Actions);
 }
 
+void onCacheListed(const std::string &Runner,
+                   const std::vector<program_id> &Sessions,
+                   const shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning)
+    return;
+  for (const program_id &Session : Sessions) {
+    if (Session.Shard != Owner.Shard)
+      continue;
+    const auto Found = Owner.State.Programs.find(Session);
+    if (Found == Owner.State.Programs.end() || Found->second.Ended)
+      Actions.push_back(release_cache{Session, Runner});
+  }
+}
+
 void onCallTick(instant Now, shard_owner &Owner, action_list &Actions) {
   if (Owner.Phase != owner_phase::Owning)
     return;
--- a/src/decision/shard_placement.h
+++ b/src/decision/shard_placement.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "core/program_id.h"
+#include "decision/shard_owner.h"
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -16,4 +17,24 @@
 std::string chooseOwner(shard_index Shard,
                         const std::vector<std::string> &Candidates);
 
+/// What to do with a shard whose journal has been read.
+enum class claim_decision {
+  Claim,     ///< Take it.
+  AskHolder, ///< Ask the instance that holds it to hand it over.
+  Leave      ///< It is another instance's business.
+};
+
+/// Decides whether to claim a shard.
+/// \param Owner the hold, in phase Recovered.
+/// \param Desired the instance that should own the shard.
+/// \param IsAlive whether an instance is believed to run.
+/// \returns the decision.
+claim_decision
+decideClaim(const shard_owner &Owner, const std::string &Desired,
+            const std::function<bool(const std::string &)> &IsAlive);
+
+/// \param State a shard's state.
+/// \returns the instance that owns it or was handed it last, or nothing.
+const std::string &holderOf(const shard_state &State);
+
 } // namespace lentilhoist
--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -223,6 +223,24 @@
   return Answer && Answer->status == StatusOk;
 }
 
+std::optional<std::vector<program_id>> listSessions(const endpoint &Engine) {
+  auto Client =
+      makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
+  const auto Answer = Client->Get("/v1/cache");
+  if (!Answer || Answer->status != StatusOk)
+    return std::nullopt;
+  const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
+  if (!Json.is_array())
+    return std::nullopt;
+  std::vector<program_id> Sessions;
+  for (const auto &Item : Json) {
+    const auto Program = parseProgramId(Item.value("session", std::string()));
+    if (Program)
+      Sessions.push_back(*Program);
+  }
+  return Sessions;
+}
+
 runner_load readLoad(const endpoint &Runner, instant Now) {
   auto Client =
       makeHttpClient(Runner, {ControlWait, ControlWait, ControlWait});
--- a/src/runner/model_client.h
+++ b/src/runner/model_client.h
@@ -4,8 +4,10 @@
 #include "http/http_client_pool.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace lentilhoist {
 
@@ -40,6 +42,11 @@
 /// \returns whether the engine confirmed it.
 bool releaseSession(const endpoint &Engine, const std::string &Session);
 
+/// Asks an engine which programs' prefixes it caches.
+/// \param Engine the engine.
+/// \returns the programs, or nothing if the engine does not answer.
+std::optional<std::vector<program_id>> listSessions(const endpoint &Engine);
+
 /// Asks a runner for its load.
 /// \param Runner the runner.
 /// \param Now the present time.
