Prove ownership before answers that come from the state alone

Cause: the explorer found that an owner which had been paused answered calls from its old state (a refusal as out of order of a call that its successor had already run), and that a look-alike record in the same entry was loaded in place of the last one; a result delivered to the new owner counted as durable when it was answered out of patience; entries were deleted on the word of records that were not durable yet. Change: such answers wait for a look at the next entry, begun after the request came in; texts load from the last record of a call; a delivery is durable only if the answer says so; an entry is deleted only once what made it dead is durable; requests of side effects are kept with their intent.

--- a/src/daemon/daemon_event.h
+++ b/src/daemon/daemon_event.h
@@ -30,7 +30,14 @@
 struct entry_loaded {
   shard_index Shard = 0;
   entry_number Number = 0;
-  std::optional<journal_entry> Entry;
+  entry_read Read;
+};
+
+/// A look at the next entry was answered.
+struct looked_ahead {
+  shard_index Shard = 0;
+  entry_number Number = 0;
+  entry_read Read;
 };
 
 /// A shard's journal was read, or could not be.
@@ -102,6 +109,7 @@
     std::variant<request_arrived, write_finished, entry_loaded, journal_loaded,
                  horizon_loaded, snapshot_stored, attempt_finished,
                  result_delivered, cache_dropped, outcome_found, load_reported,
-                 shard_offered, inspection, cache_listed>;
+                 shard_offered, inspection, cache_listed,
+                 looked_ahead>;
 
 } // namespace lentilhoist
--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -191,8 +191,11 @@
     onWriteResult(Written->Number, Written->Status, Now,
                   Owners.at(Written->Shard), Actions);
   } else if (const auto *Read = std::get_if<entry_loaded>(&Event)) {
-    onEntryRead(Read->Number, Read->Entry, Now, Owners.at(Read->Shard),
+    onEntryRead(Read->Number, Read->Read, Now, Owners.at(Read->Shard),
                 Actions);
+  } else if (const auto *Looked = std::get_if<looked_ahead>(&Event)) {
+    onLookedAhead(Looked->Number, Looked->Read, Owners.at(Looked->Shard),
+                  Actions);
   } else if (auto *Loaded = std::get_if<journal_loaded>(&Event)) {
     onJournalLoaded(*Loaded, Now);
   } else if (const auto *Horizon = std::get_if<horizon_loaded>(&Event)) {
@@ -433,6 +436,11 @@
       post(entry_loaded{Entry.Shard, Entry.Number,
                         readEntry(Entry.Shard, Entry.Number, Store)});
     });
+  } else if (const auto *Look = std::get_if<look_ahead>(&Action)) {
+    submitPlatformJob([this, Entry = *Look] {
+      post(looked_ahead{Entry.Shard, Entry.Number,
+                        readEntry(Entry.Shard, Entry.Number, Store)});
+    });
   } else if (const auto *Journal = std::get_if<read_journal>(&Action)) {
     submitPlatformJob([this, Shard = Journal->Shard] {
       try {
@@ -585,7 +593,8 @@
     const call_answer Answer =
         Route(result_request{Deliver.Call, Deliver.Result}, DeliveryWait);
     post(result_delivered{Deliver.Call.Program,
-                          Answer.Code == error_code::None});
+                          Answer.Code == error_code::None &&
+                              Answer.CommittedThrough >= Deliver.Call.Call});
   });
 }
 
--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -103,12 +103,18 @@
   shard_index Shard = 0;
 };
 
+/// Look whether another instance has written the next entry.
+struct look_ahead {
+  shard_index Shard = 0;
+  entry_number Number = 0;
+};
+
 /// Whatever a decision asks the process to do.
 using action =
     std::variant<write_entry, read_entry, read_journal, write_snapshot,
                  delete_object, start_attempt, cancel_attempt, query_outcome,
                  answer_caller, deliver_result, release_cache, report_phase,
-                 read_horizon>;
+                 read_horizon, look_ahead>;
 
 using action_list = std::vector<action>;
 
--- a/src/decision/call_flow.cpp
+++ b/src/decision/call_flow.cpp
@@ -37,10 +37,10 @@
             action_list &Actions) {
   const call_history &Call = Program.Calls[Request.Call - 1];
   if (Call.BodyHash != requestHash(Request)) {
-    answer(Ticket,
-           refuse(error_code::CallConflict,
-                  "this call number was issued with another body"),
-           Actions);
+    answerProven(Ticket,
+                 refuse(error_code::CallConflict,
+                        "this call number was issued with another body"),
+                 Now, Owner, Actions);
     return;
   }
   if (!Call.Loaded) {
@@ -48,7 +48,8 @@
     hold(Request, Ticket, Now, Owner);
     return;
   }
-  answer(Ticket, answerFromHistory(Call, durableCall(Program, Owner)), Actions);
+  answerProven(Ticket, answerFromHistory(Call, durableCall(Program, Owner)),
+               Now, Owner, Actions);
 }
 
 void attach(const call_request &Request, call_ticket Ticket,
@@ -93,7 +94,7 @@
   Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
   Call.WaitEntry = appendRecord(
       call_intended{Program.Program, Call.Request.Call, Call.BodyHash,
-                    Call.Request.Service, Call.RequestKey},
+                    Call.Request.Service, Call.RequestKey, Call.Request.Body},
       Owner);
   sealBatch(Now, Owner, Actions);
 }
@@ -103,7 +104,7 @@
                action_list &Actions) {
   const call_answer Refusal = checkLimits(Program, Request, Now, Owner);
   if (Refusal.Code != error_code::None) {
-    answer(Ticket, Refusal, Actions);
+    answerProven(Ticket, Refusal, Now, Owner, Actions);
     return;
   }
   const bool WindowOpen = Request.Kind == call_kind::ExclusiveService &&
@@ -159,10 +160,10 @@
     hold(Request, Ticket, Now, Owner);
     return;
   }
-  answer(Ticket,
-         refuse(error_code::OutOfOrder,
-                fmt::format("the program's next call is {}", Next)),
-         Actions);
+  answerProven(Ticket,
+               refuse(error_code::OutOfOrder,
+                      fmt::format("the program's next call is {}", Next)),
+               Now, Owner, Actions);
 }
 
 } // namespace
@@ -208,8 +209,9 @@
   }
   const auto Found = Owner.State.Programs.find(Request.Program);
   if (Found == Owner.State.Programs.end()) {
-    answer(Ticket, refuse(error_code::UnknownProgram, "no such program"),
-           Actions);
+    answerProven(Ticket,
+                 refuse(error_code::UnknownProgram, "no such program"), Now,
+                 Owner, Actions);
     return;
   }
   if (Request.Call == 0) {
@@ -221,7 +223,13 @@
 }
 
 void retryHeldCalls(instant Now, shard_owner &Owner, action_list &Actions) {
-  if (Owner.Phase != owner_phase::Owning || Owner.Held.empty())
+  if (Owner.Phase != owner_phase::Owning)
+    return;
+  const auto Outcomes = std::move(Owner.HeldOutcomes);
+  Owner.HeldOutcomes.clear();
+  for (const held_outcome &Outcome : Outcomes)
+    onOutcomeKnown(Outcome.Outcome, Outcome.Ticket, Now, Owner, Actions);
+  if (Owner.Held.empty())
     return;
   const auto Held = std::move(Owner.Held);
   Owner.Held.clear();
--- a/src/decision/call_results.cpp
+++ b/src/decision/call_results.cpp
@@ -445,9 +445,18 @@
            Actions);
     return;
   }
-  appendRecord(Outcome, Owner);
+  const call_history &Call = Program->Calls[Outcome.Call - 1];
+  if (!Call.Loaded) {
+    Owner.HeldOutcomes.push_back({Outcome, Ticket});
+    loadEntry(Call.Entry, Owner, Actions);
+    return;
+  }
+  outcome_resolved Record = Outcome;
+  Record.Request = Call.Request;
+  appendRecord(Record, Owner);
   call_answer Done;
   Done.Body = "resolved";
+  Done.CommittedThrough = Outcome.Call;
   if (Ticket != 0)
     afterCommit(answer_caller{Ticket, std::move(Done)}, Owner);
   sealBatch(Now, Owner, Actions);
--- a/src/decision/call_steps.cpp
+++ b/src/decision/call_steps.cpp
@@ -91,6 +91,20 @@
     Actions.push_back(answer_caller{Ticket, std::move(Answer)});
 }
 
+void answerProven(call_ticket Ticket, call_answer Answer, instant Now,
+                  shard_owner &Owner, action_list &Actions) {
+  if (Ticket == 0)
+    return;
+  answer_caller Told{Ticket, std::move(Answer)};
+  if (!Owner.Pending.empty()) {
+    afterCommit(std::move(Told), Owner);
+    return;
+  }
+  Owner.Unproven.push_back(
+      {std::move(Told), Now.Steady + Owner.Settings.CommitPatience});
+  verifyOwnership(Owner, Actions);
+}
+
 call_answer refuseNotOwner(const shard_owner &Owner) {
   call_answer Answer = refuse(error_code::NotOwner, "the shard is moving");
   Answer.Run = run_state::OutcomeUnknown;
--- a/src/decision/call_steps.h
+++ b/src/decision/call_steps.h
@@ -12,6 +12,17 @@
 /// \param[out] Actions gains the answer.
 void answer(call_ticket Ticket, call_answer Answer, action_list &Actions);
 
+/// Answers from the state alone, once it is sure that no other instance has
+/// taken the shard meanwhile: with the commit that is under way, or after a
+/// look at the next entry.
+/// \param Ticket the waiting caller.
+/// \param Answer the answer.
+/// \param Now the present time.
+/// \param[in,out] Owner the shard's owner.
+/// \param[out] Actions gains the look at the journal.
+void answerProven(call_ticket Ticket, call_answer Answer, instant Now,
+                  shard_owner &Owner, action_list &Actions);
+
 /// \param Owner an owner that does not own its shard.
 /// \returns a refusal that names the instance to ask, where it is known.
 call_answer refuseNotOwner(const shard_owner &Owner);
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -181,6 +181,24 @@
   Owner.Doubtful.clear();
 }
 
+/// Looks again for what a failed look left open, and gives up in time.
+void expireUnproven(instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Owner.Unproven.empty())
+    return;
+  while (!Owner.Unproven.empty() &&
+         Now.Steady >= Owner.Unproven.front().Deadline) {
+    call_answer Late = refuse(error_code::StoreUnavailable,
+                              "the platform does not answer");
+    Late.Run = run_state::OutcomeUnknown;
+    answer(Owner.Unproven.front().Told.Ticket, Late, Actions);
+    Owner.Unproven.erase(Owner.Unproven.begin());
+    if (Owner.CoveredByLook > 0)
+      --Owner.CoveredByLook;
+  }
+  if (!Owner.Unproven.empty())
+    verifyOwnership(Owner, Actions);
+}
+
 void expireHeld(instant Now, shard_owner &Owner, action_list &Actions) {
   for (auto Next = Owner.Held.begin(); Next != Owner.Held.end();) {
     if (Now.Steady < Next->second.Deadline) {
@@ -210,12 +228,12 @@
     if (!sameProgram(Found->second, Request))
       Created = refuse(error_code::Conflict,
                        "the key names a program with other arguments");
-    answerWhenDurable(Ticket, std::move(Created), Owner, Actions);
+    answerProven(Ticket, std::move(Created), Now, Owner, Actions);
     return;
   }
   const call_answer Refusal = checkCreate(Request, Owner);
   if (Refusal.Code != error_code::None) {
-    answer(Ticket, Refusal, Actions);
+    answerProven(Ticket, Refusal, Now, Owner, Actions);
     return;
   }
   const owner_settings &Settings = Owner.Settings;
@@ -246,15 +264,16 @@
   }
   const auto Found = Owner.State.Programs.find(Id);
   if (Found == Owner.State.Programs.end()) {
-    answer(Ticket, refuse(error_code::UnknownProgram, "no such program"),
-           Actions);
+    answerProven(Ticket,
+                 refuse(error_code::UnknownProgram, "no such program"), Now,
+                 Owner, Actions);
     return;
   }
   program_state &Program = Found->second;
   call_answer Done;
   Done.Body = formatProgramId(Id);
   if (Program.Ended) {
-    answerWhenDurable(Ticket, std::move(Done), Owner, Actions);
+    answerProven(Ticket, std::move(Done), Now, Owner, Actions);
     return;
   }
   if (mustFinishFirst(Id, Reason, Ticket, Owner))
@@ -283,8 +302,9 @@
   }
   const auto Found = Owner.State.Programs.find(Id);
   if (Found == Owner.State.Programs.end()) {
-    answer(Ticket, refuse(error_code::UnknownProgram, "no such program"),
-           Actions);
+    answerProven(Ticket,
+                 refuse(error_code::UnknownProgram, "no such program"), Now,
+                 Owner, Actions);
     return;
   }
   if (!requireTexts(Found->second, Owner, Actions)) {
@@ -296,7 +316,7 @@
   call_answer Answer;
   Answer.Body = describeProgram(Found->second, Owner.Committed).dump();
   Answer.CommittedThrough = durableCall(Found->second, Owner);
-  answer(Ticket, std::move(Answer), Actions);
+  answerProven(Ticket, std::move(Answer), Now, Owner, Actions);
 }
 
 void onCacheReleased(const program_id &Program, const std::string &Runner,
@@ -330,6 +350,7 @@
     return;
   expireCalls(Now, Owner, Actions);
   expireHeld(Now, Owner, Actions);
+  expireUnproven(Now, Owner, Actions);
   queryDoubtful(Now, Owner, Actions);
   if (Now.Steady < Owner.NextSweepAt)
     return;
--- a/src/decision/shard_owner.cpp
+++ b/src/decision/shard_owner.cpp
@@ -17,7 +17,9 @@
   if (const auto *Done = std::get_if<call_completed>(&Record))
     return RecordOverheadBytes + Done->Request.size() + Done->Response.size();
   if (const auto *Known = std::get_if<outcome_resolved>(&Record))
-    return RecordOverheadBytes + Known->Response.size();
+    return RecordOverheadBytes + Known->Request.size() + Known->Response.size();
+  if (const auto *Intent = std::get_if<call_intended>(&Record))
+    return RecordOverheadBytes + Intent->Request.size();
   return RecordOverheadBytes;
 }
 
@@ -56,6 +58,10 @@
   Owner.Grants.clear();
   Owner.Durable.clear();
   Owner.Loading.clear();
+  Owner.Unproven.clear();
+  Owner.CoveredByLook = 0;
+  Owner.Looking = false;
+  Owner.HeldOutcomes.clear();
   Owner.Collectable.clear();
   Owner.OldSnapshots.clear();
   Owner.Doubtful.clear();
@@ -76,6 +82,10 @@
     refuseAfterCommit(Owner.Sealed->Batch.AfterCommit, Owner, Actions);
   for (const journal_batch &Batch : Owner.Pending)
     refuseAfterCommit(Batch.AfterCommit, Owner, Actions);
+  for (const unproven_answer &Answer : Owner.Unproven)
+    answer(Answer.Told.Ticket, refuseNotOwner(Owner), Actions);
+  for (const held_outcome &Outcome : Owner.HeldOutcomes)
+    answer(Outcome.Ticket, refuseNotOwner(Owner), Actions);
 }
 
 /// Gives up a shard that another instance has taken.
@@ -103,6 +113,7 @@
 
 void leaveOwning(shard_owner &Owner, action_list &Actions) {
   Owner.Phase = owner_phase::Idle;
+  refuseUncommitted(Owner, Actions);
   releaseCalls(true, Owner, Actions);
   clearVolatile(Owner);
   Owner.State = shard_state();
@@ -115,7 +126,7 @@
   Owner.Sealed.reset();
   Owner.Committed = Done.Number;
   Owner.ProvenAt = Done.SealedAt;
-  Owner.Collectable.emplace(Done.Number, Now.Steady);
+  Owner.Collectable.emplace(Done.Number, seen_entry{Now.Steady});
   std::move(Done.Batch.AfterCommit.begin(), Done.Batch.AfterCommit.end(),
             std::back_inserter(Actions));
   if (!Done.Snapshot.empty())
@@ -127,6 +138,8 @@
   if (Owner.Phase == owner_phase::HandingOver && Owner.Pending.empty())
     leaveOwning(Owner, Actions);
   sealBatch(Now, Owner, Actions);
+  if (!Owner.Unproven.empty())
+    verifyOwnership(Owner, Actions);
 }
 
 void confirmCommit(instant Now, shard_owner &Owner, action_list &Actions) {
@@ -155,6 +168,16 @@
                   static_cast<std::size_t>(std::max(Spare, 0.0)));
 }
 
+/// The state runs ahead of what is durable, so an entry that it does not need
+/// is dead only once all that it has applied is durable.
+bool isDead(entry_number Number, seen_entry &Entry, const shard_owner &Owner) {
+  if (Owner.State.LiveTurns.count(Number) != 0)
+    return false;
+  if (Entry.DeadSince == 0)
+    Entry.DeadSince = lastSealed(Owner) + Owner.Pending.size();
+  return Owner.Committed >= Entry.DeadSince;
+}
+
 void collectObjects(instant Now, shard_owner &Owner, action_list &Actions) {
   refillWriteCredit(Now, Owner);
   const std::size_t Budget = deleteBudget(Owner);
@@ -166,11 +189,11 @@
   }
   auto Next = Owner.Collectable.begin();
   while (Used < Budget && Next != Owner.Collectable.end()) {
-    const auto [Number, SeenAt] = *Next;
+    auto &[Number, Entry] = *Next;
     if (Number > Owner.Snapshot ||
-        Now.Steady - SeenAt < Owner.Settings.CollectDelay)
+        Now.Steady - Entry.SeenAt < Owner.Settings.CollectDelay)
       break;
-    if (Owner.State.LiveTurns.count(Number) != 0) {
+    if (!isDead(Number, Entry, Owner)) {
       ++Next;
       continue;
     }
@@ -202,9 +225,9 @@
   Owner.Snapshot = SnapshotNumber;
   for (entry_number Number = SnapshotNumber + 1; Number <= Owner.Committed;
        ++Number)
-    Owner.Collectable.emplace(Number, Now.Steady);
+    Owner.Collectable.emplace(Number, seen_entry{Now.Steady});
   for (const auto &[Number, Turns] : Owner.State.LiveTurns)
-    Owner.Collectable.emplace(Number, Now.Steady);
+    Owner.Collectable.emplace(Number, seen_entry{Now.Steady});
   Owner.Phase = owner_phase::Recovered;
   Actions.push_back(report_phase{Owner.Shard});
 }
@@ -304,44 +327,78 @@
 
 namespace {
 
-void onSealedEntryRead(const std::optional<journal_entry> &Entry, instant Now,
-                       shard_owner &Owner, action_list &Actions) {
-  if (!Entry) {
+void onSealedEntryRead(const entry_read &Read, instant Now, shard_owner &Owner,
+                       action_list &Actions) {
+  if (Read.Status != read_status::Found) {
     scheduleRetry(Now, *Owner.Sealed, Owner.Settings);
     return;
   }
-  const bool Ours = Entry->Writer == Owner.Self &&
-                    Entry->Nonce == Owner.Sealed->Nonce;
+  const bool Ours = Read.Entry.Writer == Owner.Self &&
+                    Read.Entry.Nonce == Owner.Sealed->Nonce;
   if (Ours)
     confirmCommit(Now, Owner, Actions);
   else
-    depose(Entry->Writer, Owner, Actions);
+    depose(Read.Entry.Writer, Owner, Actions);
 }
 
 } // namespace
 
-void onEntryRead(entry_number Number, const std::optional<journal_entry> &Entry,
-                 instant Now, shard_owner &Owner, action_list &Actions) {
+void onEntryRead(entry_number Number, const entry_read &Read, instant Now,
+                 shard_owner &Owner, action_list &Actions) {
   if (Owner.Sealed && Owner.Sealed->Number == Number) {
-    onSealedEntryRead(Entry, Now, Owner, Actions);
-    return;
-  }
-  const bool Overtaken = Entry && Number == Owner.Committed + 1 &&
-                         Owner.Phase == owner_phase::Owning;
-  if (Overtaken) {
-    depose(Entry->Writer, Owner, Actions);
+    onSealedEntryRead(Read, Now, Owner, Actions);
     return;
   }
   if (Owner.Loading.erase(Number) == 0)
     return;
-  if (Entry)
-    loadTexts(*Entry, Owner.State);
+  if (Read.Status == read_status::Found)
+    loadTexts(Read.Entry, Owner.State);
   retryHeldCalls(Now, Owner, Actions);
 }
 
-void verifyOwnership(const shard_owner &Owner, action_list &Actions) {
-  if (Owner.Phase == owner_phase::Owning)
-    Actions.push_back(read_entry{Owner.Shard, Owner.Committed + 1});
+void verifyOwnership(shard_owner &Owner, action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning || Owner.Looking || Owner.Sealed)
+    return;
+  Owner.Looking = true;
+  Owner.CoveredByLook = Owner.Unproven.size();
+  Actions.push_back(look_ahead{Owner.Shard, Owner.Committed + 1});
+}
+
+namespace {
+
+bool isOwnEntry(const journal_entry &Entry, const shard_owner &Owner) {
+  return Owner.Sealed && Owner.Sealed->Number == Entry.Number &&
+         Owner.Sealed->Nonce == Entry.Nonce && Entry.Writer == Owner.Self;
+}
+
+void answerCovered(shard_owner &Owner, action_list &Actions) {
+  const auto End = Owner.Unproven.begin() +
+                   static_cast<std::ptrdiff_t>(Owner.CoveredByLook);
+  for (auto Next = Owner.Unproven.begin(); Next != End; ++Next)
+    Actions.push_back(std::move(Next->Told));
+  Owner.Unproven.erase(Owner.Unproven.begin(), End);
+  Owner.CoveredByLook = 0;
+}
+
+} // namespace
+
+void onLookedAhead(entry_number Number, const entry_read &Read,
+                   shard_owner &Owner, action_list &Actions) {
+  if (!Owner.Looking)
+    return;
+  Owner.Looking = false;
+  if (Owner.Phase != owner_phase::Owning || Read.Status == read_status::Failed)
+    return;
+  const bool Foreign = Read.Status == read_status::Found &&
+                       Number > Owner.Committed &&
+                       !isOwnEntry(Read.Entry, Owner);
+  if (Foreign) {
+    depose(Read.Entry.Writer, Owner, Actions);
+    return;
+  }
+  answerCovered(Owner, Actions);
+  if (!Owner.Unproven.empty())
+    verifyOwnership(Owner, Actions);
 }
 
 void onHorizonRead(std::optional<entry_number> Number, instant Now,
--- a/src/decision/shard_owner.h
+++ b/src/decision/shard_owner.h
@@ -71,6 +71,18 @@
       Pending; ///< Later reservations, less the draws made since.
 };
 
+/// The outcome of a call whose texts must be loaded before it is recorded.
+struct held_outcome {
+  outcome_resolved Outcome;
+  call_ticket Ticket = 0;
+};
+
+/// An answer that waits for a look at the journal.
+struct unproven_answer {
+  answer_caller Told;
+  microseconds Deadline{0};
+};
+
 /// Records that will be written together, and what to do once they are durable.
 struct journal_batch {
   std::vector<journal_record> Records;
@@ -91,6 +103,21 @@
   std::string Snapshot;     ///< Set if a snapshot is due at this entry.
 };
 
+/// What this owner knows of an entry that may be deleted one day.
+struct seen_entry {
+  microseconds SeenAt{0};     ///< When this owner first knew of it.
+  entry_number DeadSince = 0; ///< Nothing needs it once this is durable.
+};
+
+/// Answers of the platform to a read of an entry.
+enum class read_status { Found, Absent, Failed };
+
+/// What a read of an entry yielded.
+struct entry_read {
+  read_status Status = read_status::Failed;
+  journal_entry Entry; ///< Valid if Found.
+};
+
 /// Answers of the platform to a conditional create.
 enum class write_status { Created, Exists, Unclear };
 
@@ -111,11 +138,15 @@
   std::map<program_id, token_grant> Grants;
   std::map<program_id, active_call> Active;
   std::map<std::pair<program_id, std::uint32_t>, held_call> Held;
+  std::vector<held_outcome> HeldOutcomes;
+  std::vector<unproven_answer> Unproven; ///< Wait for a look at the journal.
+  std::size_t CoveredByLook = 0; ///< How many of them the present look covers.
+  bool Looking = false;          ///< A look at the journal is under way.
   std::set<entry_number> Loading;      ///< Entries being read for their texts.
   std::map<program_id, std::uint32_t> Durable; ///< Last durable call.
   std::set<program_id> Doubtful;       ///< Had an open intent at the takeover.
   microseconds SideEffectsAfter{0};    ///< End of the former owner's window.
-  std::map<entry_number, microseconds> Collectable; ///< Seen entries by age.
+  std::map<entry_number, seen_entry> Collectable; ///< Entries by number.
   std::vector<std::string> OldSnapshots; ///< Keys to delete.
   microseconds NextSweepAt{0};         ///< Next look at every program.
   std::string Successor;               ///< Target of a handover.
@@ -162,12 +193,12 @@
 
 /// Takes the platform's answer to a read_entry action.
 /// \param Number the entry's number.
-/// \param Entry the entry, or nothing if it is absent or the read failed.
+/// \param Read what the platform answered.
 /// \param Now the present time.
 /// \param[in,out] Owner the hold.
 /// \param[out] Actions gains what the entry allows.
-void onEntryRead(entry_number Number, const std::optional<journal_entry> &Entry,
-                 instant Now, shard_owner &Owner, action_list &Actions);
+void onEntryRead(entry_number Number, const entry_read &Read, instant Now,
+                 shard_owner &Owner, action_list &Actions);
 
 /// Lets time pass: retries, timeouts, wall-time limits, retention, snapshots.
 /// \param Now the present time.
@@ -175,11 +206,19 @@
 /// \param[out] Actions gains what is due.
 void onOwnerTick(instant Now, shard_owner &Owner, action_list &Actions);
 
-/// Looks whether another instance has taken the shard, where there is reason
-/// to think so.
-/// \param Owner the hold.
-/// \param[out] Actions gains the read of the next entry.
-void verifyOwnership(const shard_owner &Owner, action_list &Actions);
+/// Looks whether another instance has taken the shard: where there is reason to
+/// think so, and before answers that come from the state alone.
+/// \param[in,out] Owner the hold.
+/// \param[out] Actions gains the look at the next entry.
+void verifyOwnership(shard_owner &Owner, action_list &Actions);
+
+/// Takes the platform's answer to a look_ahead action.
+/// \param Number the entry that was looked for.
+/// \param Read what the platform answered.
+/// \param[in,out] Owner the hold.
+/// \param[out] Actions gains the answers that waited.
+void onLookedAhead(entry_number Number, const entry_read &Read,
+                   shard_owner &Owner, action_list &Actions);
 
 /// Takes the platform's answer to a read_horizon action.
 /// \param Number entry of the latest snapshot, or nothing if the read failed.
--- a/src/decision/shard_state.cpp
+++ b/src/decision/shard_state.cpp
@@ -47,6 +47,7 @@
     Call.Run = run_state::OutcomeUnknown;
     Call.Service = Record.Service;
     Call.RequestKey = Record.RequestKey;
+    Call.Request = Record.Request;
     Call.Entry = Entry;
     Program.Calls.push_back(std::move(Call));
     ++State.LiveTurns[Entry];
@@ -109,6 +110,8 @@
     Call.Run = Record.Run;
     Call.Status = Record.Status;
     Call.Entry = Entry;
+    Call.Loaded = true;
+    Call.Request = Record.Request;
     Call.Response = Record.Response;
     ++State.LiveTurns[Entry];
   }
@@ -212,7 +215,7 @@
     auto State = Handle.get().as<shard_state>();
     for (auto &[Id, Program] : State.Programs) {
       for (call_history &Call : Program.Calls)
-        Call.Loaded = Call.Progress == call_progress::Intended;
+        Call.Loaded = false;
     }
     return State;
   } catch (const msgpack::unpack_error &Error) {
@@ -245,16 +248,19 @@
 } // namespace
 
 void loadTexts(const journal_entry &Entry, shard_state &State) {
-  for (const journal_record &Record : Entry.Records) {
+  // From the last record, since a later one of the same call goes before.
+  for (auto Next = Entry.Records.rbegin(); Next != Entry.Records.rend();
+       ++Next) {
+    const journal_record &Record = *Next;
     if (const auto *Done = std::get_if<call_completed>(&Record)) {
       if (auto *Call = findCall(Done->Program, Done->Call, State))
         copyTexts(Entry.Number, Done->Request, Done->Response, *Call);
     } else if (const auto *Known = std::get_if<outcome_resolved>(&Record)) {
       if (auto *Call = findCall(Known->Program, Known->Call, State))
-        copyTexts(Entry.Number, std::string(), Known->Response, *Call);
+        copyTexts(Entry.Number, Known->Request, Known->Response, *Call);
     } else if (const auto *Intent = std::get_if<call_intended>(&Record)) {
       if (auto *Call = findCall(Intent->Program, Intent->Call, State))
-        copyTexts(Entry.Number, std::string(), std::string(), *Call);
+        copyTexts(Entry.Number, Intent->Request, std::string(), *Call);
     }
   }
 }
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -11,13 +11,8 @@
 namespace {
 
 constexpr std::size_t InstanceCount = 3;
-constexpr std::size_t ProgramCount = 3;
 constexpr milliseconds TickInterval{100};
 constexpr milliseconds BeliefInterval{400};
-constexpr milliseconds StoreLeast{1};
-constexpr milliseconds StoreMost{30};
-constexpr milliseconds StoreTimeout{700};
-constexpr milliseconds ServiceNetworkMost{200};
 constexpr seconds FaultTime{25};
 constexpr seconds HealTime{45};
 constexpr milliseconds SweepInterval{2'000};
@@ -171,6 +166,19 @@
               });
 }
 
+void world::sweepCaches() {
+  const std::vector<program_id> Sessions(Runners.Caches.begin(),
+                                         Runners.Caches.end());
+  for (std::size_t Index = 0; Index < Instances.size(); ++Index) {
+    onInstance(Index, [this, Index, Sessions] {
+      action_list Actions;
+      onCacheListed("engine", Sessions, Instances[Index].Owner, Actions);
+      perform(Index, Actions);
+    });
+  }
+  Clock.after(SweepInterval, [this] { sweepCaches(); });
+}
+
 void world::perform(std::size_t Index, action_list &Actions) {
   for (action &Action : Actions)
     performOne(Index, Action);
@@ -181,6 +189,8 @@
     performWrite(Index, *Write);
   } else if (const auto *Read = std::get_if<read_entry>(&Action)) {
     performRead(Index, *Read);
+  } else if (const auto *Look = std::get_if<look_ahead>(&Action)) {
+    performLook(Index, *Look);
   } else if (std::holds_alternative<read_journal>(Action)) {
     performReadJournal(Index);
   } else if (std::holds_alternative<read_horizon>(Action)) {
@@ -312,6 +322,7 @@
   for (std::size_t Index = 0; Index < Instances.size(); ++Index)
     startInstance(Index);
   refreshBeliefs();
+  sweepCaches();
   for (std::size_t Program = 0; Program < Programs.size(); ++Program)
     Clock.after(Choice.between(milliseconds(0), seconds(3)),
                 [this, Program] { createProgram(Program); });
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -62,6 +62,7 @@
   void performOne(std::size_t Index, action &Action);
   void onPhase(std::size_t Index);
   void offerShard(const std::string &Name);
+  void sweepCaches();
   std::size_t indexOf(const std::string &Name) const;
 
   // Faults.
@@ -75,10 +76,12 @@
   // The platform.
   void performWrite(std::size_t Index, const write_entry &Write);
   void performRead(std::size_t Index, const read_entry &Read);
+  void performLook(std::size_t Index, const look_ahead &Look);
   void performReadJournal(std::size_t Index);
   void performReadHorizon(std::size_t Index);
   void performSnapshot(std::size_t Index, const write_snapshot &Snapshot);
   bool storeFails();
+  entry_read readFromStore(shard_index Shard, entry_number Number);
 
   // The runners.
   void performAttempt(std::size_t Index, const start_attempt &Start);
--- a/src/explore/world_peers.cpp
+++ b/src/explore/world_peers.cpp
@@ -90,25 +90,51 @@
   });
 }
 
+entry_read world::readFromStore(shard_index Shard, entry_number Number) {
+  entry_read Result;
+  if (storeFails())
+    return Result;
+  const auto Entry = findEntry(Shard, Number, Store);
+  Result.Status = Entry ? read_status::Found : read_status::Absent;
+  if (Entry)
+    Result.Entry = *Entry;
+  return Result;
+}
+
+void world::performLook(std::size_t Index, const look_ahead &Look) {
+  const std::uint64_t Life = Instances[Index].Life;
+  Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life, Look] {
+    const entry_read Result = readFromStore(Look.Shard, Look.Number);
+    Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life, Look,
+                                                        Result] {
+      if (Instances[Index].Life != Life)
+        return;
+      onInstance(Index, [this, Index, Look, Result] {
+        action_list Actions;
+        onLookedAhead(Look.Number, Result, Instances[Index].Owner, Actions);
+        perform(Index, Actions);
+      });
+    });
+  });
+}
+
 void world::performRead(std::size_t Index, const read_entry &Read) {
   const std::uint64_t Life = Instances[Index].Life;
   Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life, Read] {
-    std::optional<journal_entry> Entry;
-    if (!storeFails())
-      Entry = findEntry(Read.Shard, Read.Number, Store);
+    entry_read Result = readFromStore(Read.Shard, Read.Number);
     if (Instances[Index].Life != Life)
       return;
-    onInstance(Index, [this, Index, Read, Entry]() mutable {
+    onInstance(Index, [this, Index, Read, Result]() mutable {
       shard_owner &Owner = Instances[Index].Owner;
       const bool Forge = Settings.Planted == planted_fault::NoNonceCheck &&
-                         Entry && Owner.Sealed &&
+                         Result.Status == read_status::Found && Owner.Sealed &&
                          Owner.Sealed->Number == Read.Number;
       if (Forge) {
-        Entry->Writer = Owner.Self;
-        Entry->Nonce = Owner.Sealed->Nonce;
+        Result.Entry.Writer = Owner.Self;
+        Result.Entry.Nonce = Owner.Sealed->Nonce;
       }
       action_list Actions;
-      onEntryRead(Read.Number, Entry, Clock.now(), Owner, Actions);
+      onEntryRead(Read.Number, Result, Clock.now(), Owner, Actions);
       perform(Index, Actions);
     });
   });
@@ -351,8 +377,10 @@
     }
     onInstance(Index, [this, Index, Deliver, Answer] {
       action_list Actions;
-      onResultDelivered(Deliver.Call.Program, Answer.Code == error_code::None,
-                        Instances[Index].Owner, Actions);
+      const bool Durable = Answer.Code == error_code::None &&
+                           Answer.CommittedThrough >= Deliver.Call.Call;
+      onResultDelivered(Deliver.Call.Program, Durable, Instances[Index].Owner,
+                        Actions);
       perform(Index, Actions);
     });
   };
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -51,8 +51,9 @@
   std::uint64_t BodyHash = 0;
   std::string Service;
   std::string RequestKey; ///< Idempotency key that the service receives.
+  std::string Request;
 
-  MSGPACK_DEFINE(Program, Call, BodyHash, Service, RequestKey)
+  MSGPACK_DEFINE(Program, Call, BodyHash, Service, RequestKey, Request)
 };
 
 /// Tokens were set aside before an attempt of a model call.
@@ -92,8 +93,10 @@
   std::string Response;
   std::string ResolvedBy;
   std::string Reason;
+  std::string Request{}; ///< Filled in by the owner; stays readable.
 
-  MSGPACK_DEFINE(Program, Call, Run, Status, Response, ResolvedBy, Reason)
+  MSGPACK_DEFINE(Program, Call, Run, Status, Response, ResolvedBy, Reason,
+                 Request)
 };
 
 /// A program accepts no further call.
--- a/src/platform/journal_store.cpp
+++ b/src/platform/journal_store.cpp
@@ -48,19 +48,19 @@
   }
 }
 
-std::optional<journal_entry> readEntry(shard_index Shard, entry_number Number,
-                                       object_store &Store) {
+entry_read readEntry(shard_index Shard, entry_number Number,
+                     object_store &Store) {
   try {
     const auto Object = Store.read(entryKey(Shard, Number));
     if (!Object)
-      return std::nullopt;
-    return decodeEntry(Object->Value);
+      return {read_status::Absent, {}};
+    return {read_status::Found, decodeEntry(Object->Value)};
   } catch (const std::runtime_error &Error) {
     logEvent(log_level::Warning, "journal_read_failed",
              {{"shard", std::to_string(Shard)},
               {"entry", std::to_string(Number)},
               {"reason", Error.what()}});
-    return std::nullopt;
+    return {};
   }
 }
 
--- a/src/platform/journal_store.h
+++ b/src/platform/journal_store.h
@@ -23,9 +23,9 @@
 /// \param Shard the shard.
 /// \param Number the entry's number.
 /// \param Store the platform.
-/// \returns the entry, or nothing if it is absent or can't be read.
-std::optional<journal_entry> readEntry(shard_index Shard, entry_number Number,
-                                       object_store &Store);
+/// \returns the entry, or why there is none.
+entry_read readEntry(shard_index Shard, entry_number Number,
+                     object_store &Store);
 
 /// Stores a snapshot, in parts of at most the platform's value limit.
 /// \param Snapshot the snapshot.
