--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -194,7 +194,7 @@
     onEntryRead(Read->Number, Read->Read, Now, Owners.at(Read->Shard),
                 Actions);
   } else if (const auto *Looked = std::get_if<looked_ahead>(&Event)) {
-    onLookedAhead(Looked->Number, Looked->Read, Owners.at(Looked->Shard),
+    onLookedAhead(Looked->Number, Looked->Read, Now, Owners.at(Looked->Shard),
                   Actions);
   } else if (auto *Loaded = std::get_if<journal_loaded>(&Event)) {
     onJournalLoaded(*Loaded, Now);
@@ -223,7 +223,7 @@
     if (Owner.Phase == owner_phase::Idle)
       beginRecovery(Now, Owner, Actions);
     else
-      verifyOwnership(Owner, Actions);
+      verifyOwnership(Now, Owner, Actions);
   } else if (const auto *Cached = std::get_if<cache_listed>(&Event)) {
     for (const auto &[Shard, Owner] : Owners)
       onCacheListed(Cached->Runner, Cached->Sessions, Owner, Actions);
@@ -439,7 +439,7 @@
   } else if (const auto *Look = std::get_if<look_ahead>(&Action)) {
     submitPlatformJob([this, Entry = *Look] {
       post(looked_ahead{Entry.Shard, Entry.Number,
-                        readEntry(Entry.Shard, Entry.Number, Store)});
+                        lookAhead(Entry, Store)});
     });
   } else if (const auto *Journal = std::get_if<read_journal>(&Action)) {
     submitPlatformJob([this, Shard = Journal->Shard] {
--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -107,6 +107,8 @@
 struct look_ahead {
   shard_index Shard = 0;
   entry_number Number = 0;
+  bool CheckSnapshots = false; ///< The entry may have been deleted since; look
+                               ///< afterwards whether a snapshot covers it.
 };
 
 /// Whatever a decision asks the process to do.
--- a/src/decision/call_flow.cpp
+++ b/src/decision/call_flow.cpp
@@ -110,8 +110,7 @@
   const bool WindowOpen = Request.Kind == call_kind::ExclusiveService &&
                           Owner.Doubtful.count(Request.Program) != 0 &&
                           Now.Steady < Owner.SideEffectsAfter;
-  if (WindowOpen ||
-      (isModel(Request) && !requireTexts(Program, Owner, Actions))) {
+  if (WindowOpen) {
     hold(Request, Ticket, Now, Owner);
     return;
   }
@@ -229,6 +228,11 @@
   Owner.HeldOutcomes.clear();
   for (const held_outcome &Outcome : Outcomes)
     onOutcomeKnown(Outcome.Outcome, Outcome.Ticket, Now, Owner, Actions);
+  for (const program_id &Id : activePrograms(Owner)) {
+    const auto Active = Owner.Active.find(Id);
+    if (Active != Owner.Active.end() && Active->second.NeedsTexts)
+      resumePrepared(Id, Active->second, Now, Owner, Actions);
+  }
   if (Owner.Held.empty())
     return;
   const auto Held = std::move(Owner.Held);
--- a/src/decision/call_results.cpp
+++ b/src/decision/call_results.cpp
@@ -91,7 +91,9 @@
 void settleExclusive(const attempt_result &Result, instant Now,
                      const program_state &Program, active_call &Call,
                      shard_owner &Owner, action_list &Actions) {
-  if (!hasOpenIntent(Program)) {
+  const bool Open = hasOpenIntent(Program) &&
+                    Program.Calls.back().Call == Call.Request.Call;
+  if (!Open) {
     if (Result.Run == run_state::Ran)
       onOutcomeKnown({Program.Program, Call.Request.Call, Result.Run,
                       Result.Status, Result.Response, Owner.Self, "late"},
@@ -132,10 +134,15 @@
   Lost.Status = httpStatus(Lost.Code);
   Lost.Response = "the former owner did not deliver the result";
   if (hasOpenIntent(*Program)) {
+    if (!Program->Calls.back().Loaded) {
+      loadEntry(Program->Calls.back().Entry, Owner, Actions);
+      return;
+    }
     Lost.Code = error_code::OutcomeUnknown;
     Lost.Run = run_state::OutcomeUnknown;
     Call.Request.Kind = call_kind::ExclusiveService;
     Call.BodyHash = Program->Calls.back().BodyHash;
+    Call.Request.Body = Program->Calls.back().Request;
     completeCall(Lost, Now, Call, Owner, Actions);
     return;
   }
@@ -166,6 +173,16 @@
   }
 }
 
+} // namespace
+
+std::vector<program_id> activePrograms(const shard_owner &Owner) {
+  std::vector<program_id> Programs;
+  Programs.reserve(Owner.Active.size());
+  for (const auto &[Program, Call] : Owner.Active)
+    Programs.push_back(Program);
+  return Programs;
+}
+
 void resumePrepared(const program_id &Id, active_call &Call, instant Now,
                     shard_owner &Owner, action_list &Actions) {
   const program_state *Program = findProgram(Id, Owner);
@@ -190,13 +207,7 @@
                Now, Call, Owner, Actions);
 }
 
-std::vector<program_id> activePrograms(const shard_owner &Owner) {
-  std::vector<program_id> Programs;
-  Programs.reserve(Owner.Active.size());
-  for (const auto &[Program, Call] : Owner.Active)
-    Programs.push_back(Program);
-  return Programs;
-}
+namespace {
 
 void answerTickets(const call_answer &Answer, active_call &Call,
                    action_list &Actions) {
--- a/src/decision/call_steps.cpp
+++ b/src/decision/call_steps.cpp
@@ -68,6 +68,15 @@
                   shard_owner &Owner, action_list &Actions) {
   if (!planTokens(Program, Owner.Settings, Call))
     return false;
+  const bool Waited = Call.NeedsTexts;
+  Call.NeedsTexts = !requireTexts(Program, Owner, Actions);
+  if (Call.NeedsTexts) {
+    Call.Stage = call_stage::Preparing;
+    Call.WaitEntry = 0;
+    if (!Waited)
+      Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
+    return true;
+  }
   startModel(Program, Call, Now, Owner, Actions);
   return true;
 }
@@ -102,7 +111,7 @@
   }
   Owner.Unproven.push_back(
       {std::move(Told), Now.Steady + Owner.Settings.CommitPatience});
-  verifyOwnership(Owner, Actions);
+  verifyOwnership(Now, Owner, Actions);
 }
 
 call_answer refuseNotOwner(const shard_owner &Owner) {
--- a/src/decision/call_steps.h
+++ b/src/decision/call_steps.h
@@ -68,7 +68,8 @@
 entry_number appendReservation(const tokens_reserved &Record,
                                shard_owner &Owner);
 
-/// Bounds a model call's tokens and starts it, reserving first if it must.
+/// Bounds a model call's tokens and starts it; loads the history or reserves
+/// first if it must.
 /// \param Program the program.
 /// \param[in,out] Call the call.
 /// \param Now the present time.
@@ -78,6 +79,19 @@
 bool prepareModel(const program_state &Program, active_call &Call, instant Now,
                   shard_owner &Owner, action_list &Actions);
 
+/// \param Owner a shard's owner.
+/// \returns the programs that have a call under way.
+std::vector<program_id> activePrograms(const shard_owner &Owner);
+
+/// Goes on with a call in stage Preparing that has what it waited for.
+/// \param Id the program.
+/// \param[in,out] Call the call.
+/// \param Now the present time.
+/// \param[in,out] Owner the shard's owner.
+/// \param[out] Actions gains the attempt or the write.
+void resumePrepared(const program_id &Id, active_call &Call, instant Now,
+                    shard_owner &Owner, action_list &Actions);
+
 /// Withdraws the intent of a call that was never sent.
 /// \param Refusal what its callers are told.
 /// \param Now the present time.
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -196,7 +196,7 @@
       --Owner.CoveredByLook;
   }
   if (!Owner.Unproven.empty())
-    verifyOwnership(Owner, Actions);
+    verifyOwnership(Now, Owner, Actions);
 }
 
 void expireHeld(instant Now, shard_owner &Owner, action_list &Actions) {
--- a/src/decision/shard_owner.cpp
+++ b/src/decision/shard_owner.cpp
@@ -139,7 +139,7 @@
     leaveOwning(Owner, Actions);
   sealBatch(Now, Owner, Actions);
   if (!Owner.Unproven.empty())
-    verifyOwnership(Owner, Actions);
+    verifyOwnership(Now, Owner, Actions);
 }
 
 void confirmCommit(instant Now, shard_owner &Owner, action_list &Actions) {
@@ -356,12 +356,14 @@
   retryHeldCalls(Now, Owner, Actions);
 }
 
-void verifyOwnership(shard_owner &Owner, action_list &Actions) {
+void verifyOwnership(instant Now, shard_owner &Owner, action_list &Actions) {
   if (Owner.Phase != owner_phase::Owning || Owner.Looking || Owner.Sealed)
     return;
   Owner.Looking = true;
+  Owner.LookedAt = Now.Steady;
   Owner.CoveredByLook = Owner.Unproven.size();
-  Actions.push_back(look_ahead{Owner.Shard, Owner.Committed + 1});
+  Actions.push_back(look_ahead{Owner.Shard, Owner.Committed + 1,
+                               needsHorizonCheck(Now, Owner)});
 }
 
 namespace {
@@ -383,22 +385,25 @@
 } // namespace
 
 void onLookedAhead(entry_number Number, const entry_read &Read,
-                   shard_owner &Owner, action_list &Actions) {
+                   instant Now, shard_owner &Owner, action_list &Actions) {
   if (!Owner.Looking)
     return;
   Owner.Looking = false;
   if (Owner.Phase != owner_phase::Owning || Read.Status == read_status::Failed)
     return;
-  const bool Foreign = Read.Status == read_status::Found &&
-                       Number > Owner.Committed &&
-                       !isOwnEntry(Read.Entry, Owner);
-  if (Foreign) {
-    depose(Read.Entry.Writer, Owner, Actions);
+  if (Read.Status == read_status::Found) {
+    // An own entry proves nothing: it may be a deleted one created anew. Its
+    // commit will tell.
+    const bool Foreign =
+        Number > Owner.Committed && !isOwnEntry(Read.Entry, Owner);
+    if (Foreign)
+      depose(Read.Entry.Writer, Owner, Actions);
     return;
   }
+  Owner.ProvenAt = std::max(Owner.ProvenAt, Owner.LookedAt);
   answerCovered(Owner, Actions);
   if (!Owner.Unproven.empty())
-    verifyOwnership(Owner, Actions);
+    verifyOwnership(Now, Owner, Actions);
 }
 
 void onHorizonRead(std::optional<entry_number> Number, instant Now,
@@ -413,9 +418,9 @@
     finishCommit(Now, Owner, Actions);
     return;
   }
-  const std::string Revived = entryKey(Owner.Shard, Owner.Sealed->Number);
+  // Either the entry had been deleted and was created anew, or a successor has
+  // taken a snapshot since. The entry stays, as the successor may need it.
   depose(std::string(), Owner, Actions);
-  Actions.push_back(delete_object{Owner.Shard, Revived});
 }
 
 void onSnapshotWritten(entry_number Number, shard_owner &Owner) {
--- a/src/decision/shard_owner.h
+++ b/src/decision/shard_owner.h
@@ -50,6 +50,7 @@
   std::uint64_t PromptBound = 0;
   std::uint64_t MaxTokens = 0;
   attempt_result Result;         ///< Set from stage Committing on.
+  bool NeedsTexts = false;       ///< Waits for the history to be loaded.
   bool EndAfterwards = false;    ///< End the program when the call is done.
   end_reason EndReason = end_reason::Caller;
   std::set<call_ticket> EndTickets;
@@ -141,6 +142,7 @@
   std::vector<held_outcome> HeldOutcomes;
   std::vector<unproven_answer> Unproven; ///< Wait for a look at the journal.
   std::size_t CoveredByLook = 0; ///< How many of them the present look covers.
+  microseconds LookedAt{0};      ///< When the present look began.
   bool Looking = false;          ///< A look at the journal is under way.
   std::set<entry_number> Loading;      ///< Entries being read for their texts.
   std::map<program_id, std::uint32_t> Durable; ///< Last durable call.
@@ -208,16 +210,19 @@
 
 /// Looks whether another instance has taken the shard: where there is reason to
 /// think so, and before answers that come from the state alone.
+/// \param Now the present time.
 /// \param[in,out] Owner the hold.
 /// \param[out] Actions gains the look at the next entry.
-void verifyOwnership(shard_owner &Owner, action_list &Actions);
+void verifyOwnership(instant Now, shard_owner &Owner, action_list &Actions);
 
 /// Takes the platform's answer to a look_ahead action.
 /// \param Number the entry that was looked for.
-/// \param Read what the platform answered.
+/// \param Read what the platform answered; Found, with no writer, if a snapshot
+/// covers the entry.
+/// \param Now the present time.
 /// \param[in,out] Owner the hold.
 /// \param[out] Actions gains the answers that waited.
-void onLookedAhead(entry_number Number, const entry_read &Read,
+void onLookedAhead(entry_number Number, const entry_read &Read, instant Now,
                    shard_owner &Owner, action_list &Actions);
 
 /// Takes the platform's answer to a read_horizon action.
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -160,7 +160,7 @@
                   if (Owner.Phase == owner_phase::Idle)
                     beginRecovery(Clock.now(), Owner, Actions);
                   else
-                    verifyOwnership(Owner, Actions);
+                    verifyOwnership(Clock.now(), Owner, Actions);
                   perform(Index, Actions);
                 });
               });
@@ -356,7 +356,30 @@
   }
 }
 
+/// Notes what each instance still has to do.
+void world::noteLeftovers() {
+  for (const model_instance &Instance : Instances) {
+    const shard_owner &Owner = Instance.Owner;
+    note(fmt::format("{} phase {} entry {} pending {} sealed {} held {}",
+                     Instance.Name, static_cast<int>(Owner.Phase),
+                     Owner.Committed, Owner.Pending.size(),
+                     Owner.Sealed.has_value(), Owner.Held.size()));
+    for (const auto &[Id, Program] : Owner.State.Programs) {
+      for (const call_history &Call : Program.Calls)
+        note(fmt::format("  {} call {} entry {} loaded {} stored {}",
+                         formatProgramId(Id), Call.Call, Call.Entry,
+                         Call.Loaded,
+                         findEntry(0, Call.Entry, Store).has_value()));
+    }
+    for (const auto &[Id, Call] : Owner.Active)
+      note(fmt::format("  active {} call {} stage {} waits for {}",
+                       formatProgramId(Id), Call.Request.Call,
+                       static_cast<int>(Call.Stage), Call.WaitEntry));
+  }
+}
+
 void world::checkAtTheEnd() {
+  noteLeftovers();
   if (!allFinished())
     breach("a program did not come to its end once the faults were over");
   if (!Runners.Caches.empty())
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -114,6 +114,7 @@
   // Checks.
   void checkPromises();
   void checkAtTheEnd();
+  void noteLeftovers();
   void breach(std::string Text);
   void note(const std::string &Text);
 
--- a/src/explore/world_peers.cpp
+++ b/src/explore/world_peers.cpp
@@ -104,14 +104,20 @@
 void world::performLook(std::size_t Index, const look_ahead &Look) {
   const std::uint64_t Life = Instances[Index].Life;
   Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life, Look] {
-    const entry_read Result = readFromStore(Look.Shard, Look.Number);
+    entry_read Result = readFromStore(Look.Shard, Look.Number);
+    const bool Covered = Look.CheckSnapshots &&
+                         Settings.Planted != planted_fault::NoHorizonCheck &&
+                         latestSnapshot(Look.Shard, Store) >= Look.Number;
+    if (Covered && Result.Status == read_status::Absent)
+      Result.Status = read_status::Found;
     Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life, Look,
                                                         Result] {
       if (Instances[Index].Life != Life)
         return;
       onInstance(Index, [this, Index, Look, Result] {
         action_list Actions;
-        onLookedAhead(Look.Number, Result, Instances[Index].Owner, Actions);
+        onLookedAhead(Look.Number, Result, Clock.now(),
+                      Instances[Index].Owner, Actions);
         perform(Index, Actions);
       });
     });
@@ -259,8 +265,9 @@
   Done.UsageKnown = true;
   const program_id Program = Start.Call.Program;
   Runners.SpentTokens[Program] += Done.PromptTokens + Done.GeneratedTokens;
-  note(fmt::format("the engine runs call {} of {} for {}", Start.Call.Call,
-                   formatProgramId(Program), Instances[Index].Name));
+  note(fmt::format("the engine runs call {} of {} for {} after [{}]",
+                   Start.Call.Call, formatProgramId(Program),
+                   Instances[Index].Name, Start.History));
   const auto Truth = Store.Truth.Programs.find(Program);
   const bool Over = Truth != Store.Truth.Programs.end() && Truth->second.Ended;
   if (!Over)
--- a/src/platform/journal_store.cpp
+++ b/src/platform/journal_store.cpp
@@ -122,6 +122,18 @@
   }
 }
 
+entry_read lookAhead(const look_ahead &Look, object_store &Store) {
+  entry_read Read = readEntry(Look.Shard, Look.Number, Store);
+  if (Read.Status != read_status::Absent || !Look.CheckSnapshots)
+    return Read;
+  const auto Horizon = readHorizon(Look.Shard, Store);
+  if (!Horizon)
+    Read.Status = read_status::Failed;
+  else if (*Horizon >= Look.Number)
+    Read.Status = read_status::Found;
+  return Read;
+}
+
 std::optional<entry_number> readHorizon(shard_index Shard,
                                         object_store &Store) {
   try {
