Follow side effects of an earlier hold apart from the present call

Change: only the call that the handover left running here is taken up; older side effects are followed as strays whose late answers resolve the outcome. Budgets are checked whenever a record is applied.

--- a/src/decision/call_results.cpp
+++ b/src/decision/call_results.cpp
@@ -357,9 +357,33 @@
     settleFailedIdempotent(Result, Now, *Program, Call, Owner, Actions);
 }
 
+namespace {
+
+/// Takes the result of a side effect whose call was settled as unknown.
+void settleStray(const call_request &Call, const attempt_result &Result,
+                 instant Now, shard_owner &Owner, action_list &Actions) {
+  if (Result.Run != run_state::Ran)
+    return;
+  if (Owner.Phase == owner_phase::Owning)
+    onOutcomeKnown({Call.Program, Call.Call, Result.Run, Result.Status,
+                    Result.Response, Owner.Self, "late answer"},
+                   0, Now, Owner, Actions);
+  else
+    Actions.push_back(deliver_result{Call, Owner.Successor, Result});
+}
+
+} // namespace
+
 void onAttemptResult(const program_id &Program, const std::string &AttemptId,
                      const attempt_result &Result, instant Now,
                      shard_owner &Owner, action_list &Actions) {
+  const auto Stray = Owner.Strays.find(AttemptId);
+  if (Stray != Owner.Strays.end()) {
+    const active_call Call = std::move(Stray->second);
+    Owner.Strays.erase(Stray);
+    settleStray(Call.Request, Result, Now, Owner, Actions);
+    return;
+  }
   const auto Found = Owner.Active.find(Program);
   if (Found == Owner.Active.end() || Found->second.AttemptId != AttemptId ||
       Found->second.Stage != call_stage::Running)
@@ -511,20 +535,49 @@
 
 namespace {
 
+/// The call that a program has under way if it has one.
+std::uint32_t presentCall(const program_state &Program) {
+  return hasOpenIntent(Program) ? Program.Calls.back().Call
+                                : nextCall(Program);
+}
+
+/// \returns whether the call is the one that the handover left running here.
+bool isStillOurs(bool Clean, const active_call &Call,
+                 const shard_owner &Owner) {
+  const auto Found = Owner.State.Programs.find(Call.Request.Program);
+  return Clean && Found != Owner.State.Programs.end() &&
+         Owner.State.InFlight.count(Call.Request.Program) != 0 &&
+         Call.Request.Call == presentCall(Found->second);
+}
+
+/// Follows a side effect whose call has been settled without it, so that its
+/// outcome can still become known.
+void makeStray(active_call Call, instant Now, shard_owner &Owner,
+               action_list &Actions) {
+  answerTickets(lostOwnership(run_state::OutcomeUnknown, Owner), Call, Actions);
+  if (Call.Stage == call_stage::Running)
+    Owner.Strays[Call.AttemptId] = std::move(Call);
+  else
+    settleStray(Call.Request, Call.Result, Now, Owner, Actions);
+}
+
 /// Settles what an earlier hold of this instance left running.
 void resumeOwnCalls(bool Clean, instant Now, shard_owner &Owner,
                     action_list &Actions) {
   for (const program_id &Id : activePrograms(Owner)) {
     active_call &Call = Owner.Active.find(Id)->second;
-    const bool Exclusive = Call.Request.Kind == call_kind::ExclusiveService;
-    const bool Kept =
-        Exclusive || (Clean && Owner.State.InFlight.count(Id) != 0);
-    if (!Kept) {
-      Actions.push_back(cancel_attempt{Id, Call.AttemptId});
-      dropCall(Id, lostOwnership(run_state::Ran, Owner), Now, Owner, Actions);
-    } else if (Call.Stage == call_stage::Delivering) {
+    if (isStillOurs(Clean, Call, Owner)) {
+      if (Call.Stage != call_stage::Delivering)
+        continue;
       Call.Stage = call_stage::Running;
       settleAttempt(attempt_result(Call.Result), Now, Call, Owner, Actions);
+    } else if (Call.Request.Kind == call_kind::ExclusiveService) {
+      active_call Moved = std::move(Call);
+      Owner.Active.erase(Id);
+      makeStray(std::move(Moved), Now, Owner, Actions);
+    } else {
+      Actions.push_back(cancel_attempt{Id, Call.AttemptId});
+      dropCall(Id, lostOwnership(run_state::Ran, Owner), Now, Owner, Actions);
     }
   }
 }
@@ -537,9 +590,7 @@
   if (Owner.State.InFlight.count(Id) != 0) {
     active_call Call;
     Call.Request.Program = Id;
-    Call.Request.Call = hasOpenIntent(Program)
-                            ? Program.Calls.back().Call
-                            : nextCall(Program);
+    Call.Request.Call = presentCall(Program);
     Call.Stage = call_stage::Remote;
     Call.Deadline = Now.Steady + Owner.Settings.RemoteTimeout;
     Owner.Active.emplace(Id, std::move(Call));
@@ -567,6 +618,9 @@
 }
 
 void expireCalls(instant Now, shard_owner &Owner, action_list &Actions) {
+  std::erase_if(Owner.Strays, [&](const auto &Item) {
+    return Now.Steady >= Item.second.Deadline + Owner.Settings.RunGrace;
+  });
   for (const program_id &Id : activePrograms(Owner)) {
     const auto Found = Owner.Active.find(Id);
     if (Found != Owner.Active.end())
--- a/src/decision/program_state.cpp
+++ b/src/decision/program_state.cpp
@@ -11,9 +11,13 @@
 
 } // namespace
 
+std::uint64_t usedTokens(const program_state &Program) {
+  return Program.SpentTokens + Program.LostTokens + Program.ReservedTokens +
+         Program.CarvedTokens;
+}
+
 std::uint64_t freeTokens(const program_state &Program) {
-  const std::uint64_t Used = Program.SpentTokens + Program.LostTokens +
-                             Program.ReservedTokens + Program.CarvedTokens;
+  const std::uint64_t Used = usedTokens(Program);
   assert(Used <= Program.Budget.Tokens);
   return Program.Budget.Tokens - Used;
 }
--- a/src/decision/program_state.h
+++ b/src/decision/program_state.h
@@ -61,6 +61,10 @@
                  LastRunner)
 };
 
+/// \param Program the program.
+/// \returns the tokens that are spent, lost, reserved or carved out.
+std::uint64_t usedTokens(const program_state &Program);
+
 /// \param Program the program.
 /// \returns the tokens that nothing has spent, reserved or carved out.
 std::uint64_t freeTokens(const program_state &Program);
--- a/src/decision/shard_owner.h
+++ b/src/decision/shard_owner.h
@@ -138,6 +138,8 @@
   microseconds ProvenAt{0};            ///< Start of the last durable write.
   std::map<program_id, token_grant> Grants;
   std::map<program_id, active_call> Active;
+  std::map<std::string, active_call> Strays; ///< Side effects of an earlier
+                                             ///< hold, by their attempt.
   std::map<std::pair<program_id, std::uint32_t>, held_call> Held;
   std::vector<held_outcome> HeldOutcomes;
   std::vector<unproven_answer> Unproven; ///< Wait for a look at the journal.
--- a/src/decision/shard_state.cpp
+++ b/src/decision/shard_state.cpp
@@ -29,8 +29,11 @@
     Program.Budget = Record.Budget;
     Program.CreatedUnixMs = Record.CreatedUnixMs;
     Program.ReservedTokens = Record.ReservedTokens;
-    if (Record.HasParent)
-      find(Record.Parent).CarvedTokens += Record.Budget.Tokens;
+    if (Record.HasParent) {
+      program_state &Parent = find(Record.Parent);
+      Parent.CarvedTokens += Record.Budget.Tokens;
+      requireBudget(Parent);
+    }
     if (!State.Programs.emplace(Record.Program, std::move(Program)).second)
       throw corrupt_entry(fmt::format("program {} is created twice",
                                       formatProgramId(Record.Program)));
@@ -57,6 +60,7 @@
     program_state &Program = find(Record.Program);
     Program.LostTokens += Record.LostTokens;
     Program.ReservedTokens = Record.Tokens;
+    requireBudget(Program);
     State.InFlight.erase(Record.Program);
   }
 
@@ -85,6 +89,7 @@
     State.InFlight.erase(Record.Program);
     Program.SpentTokens += Record.PromptTokens + Record.GeneratedTokens;
     Program.ReservedTokens = Record.ReservedTokens;
+    requireBudget(Program);
     if (Record.Kind == call_kind::Model && !Record.Runner.empty()) {
       Program.CacheRunners.insert(Record.Runner);
       Program.LastRunner = Record.Runner;
@@ -157,6 +162,12 @@
                                       formatProgramId(Program.Program), Call));
   }
 
+  void requireBudget(const program_state &Program) const {
+    if (usedTokens(Program) > Program.Budget.Tokens)
+      throw corrupt_entry(fmt::format("entry {} overspends program {}", Entry,
+                                      formatProgramId(Program.Program)));
+  }
+
   void releaseTurn(const call_history &Call) {
     const auto Found = State.LiveTurns.find(Call.Entry);
     if (Found != State.LiveTurns.end() && --Found->second == 0)
@@ -169,8 +180,7 @@
     const auto Parent = State.Programs.find(Program.Parent);
     if (Parent == State.Programs.end())
       return;
-    const std::uint64_t Used = Program.Budget.Tokens - freeTokens(Program);
-    Parent->second.CarvedTokens -= Program.Budget.Tokens - Used;
+    Parent->second.CarvedTokens -= freeTokens(Program);
   }
 
   /// The former owner may have sent any reserved attempt and any intent.
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -328,10 +328,14 @@
                 [this, Program] { createProgram(Program); });
   Clock.after(milliseconds(500), [this] { scheduleFaults(); });
   const microseconds Limit = FaultsEnd + HealTime;
-  while (Clock.now().Steady < Limit && Result.Breaches.empty() &&
-         Clock.step()) {
-    ++Result.Events;
-    checkPromises();
+  try {
+    while (Clock.now().Steady < Limit && Result.Breaches.empty() &&
+           Clock.step()) {
+      ++Result.Events;
+      checkPromises();
+    }
+  } catch (const corrupt_entry &Error) {
+    breach(std::string("an owner contradicts itself: ") + Error.what());
   }
   if (Result.Breaches.empty())
     checkAtTheEnd();
--- a/src/explore/world_peers.cpp
+++ b/src/explore/world_peers.cpp
@@ -222,6 +222,9 @@
 
 void world::performAttempt(std::size_t Index, const start_attempt &Start) {
   const std::uint64_t Life = Instances[Index].Life;
+  const bool PausedBeforeSend = FaultsOn && Choice.chance(40);
+  if (PausedBeforeSend)
+    pauseFor(Index, Choice.between(milliseconds(500), milliseconds(8'000)));
   Clock.after(Choice.between(milliseconds(0), milliseconds(5)),
               [this, Index, Life, Start] {
                 if (Instances[Index].Life != Life)
@@ -287,6 +290,9 @@
   const bool Late = Start.HasSendBy &&
                     Clock.now().Steady >= Start.SendBy.Steady &&
                     Settings.Planted != planted_fault::NoSendBy;
+  if (Late || (Start.HasSendBy && Clock.now().Steady >= Start.SendBy.Steady))
+    note(fmt::format("{} is late with call {} of {}", Instances[Index].Name,
+                     Start.Call.Call, formatProgramId(Start.Call.Program)));
   attempt_result NotSent;
   NotSent.Code = error_code::RunnerFailed;
   NotSent.Run = run_state::NotRun;
