Vary the callers' patience in the explorer

Cause: the planted fault no_send_by was never found: all callers waited longer than most pauses, so no program went on while its former owner slept. Change: patience from 0.8 to 7 s.

--- a/bin/lentilhoist_explore.cpp
+++ b/bin/lentilhoist_explore.cpp
@@ -11,7 +11,7 @@
 DEFINE_uint64(seeds, 1000, "number of seeds");
 DEFINE_int32(threads, 8, "threads to use");
 DEFINE_string(planted, "none", "fault to put in on purpose");
-DEFINE_bool(steps, false, "print the steps of the first breach");
+DEFINE_bool(steps, false, "print the steps of the least seed with a breach, or of the first");
 
 namespace {
 
@@ -73,13 +73,14 @@
   fmt::print("seeds {} events {} calls {} takeovers {} breached {}\n",
              FLAGS_seeds, Totals.Events.load(), Totals.Calls.load(),
              Totals.Takeovers.load(), Totals.Breached.load());
-  if (Totals.Breached == 0)
-    return 0;
-  fmt::print("least seed {}: {}\n", Totals.LeastSeed, Totals.Breach);
+  const bool Breached = Totals.Breached != 0;
+  if (Breached)
+    fmt::print("least seed {}: {}\n", Totals.LeastSeed, Totals.Breach);
   if (FLAGS_steps) {
-    const auto Result = lentilhoist::explore({Totals.LeastSeed, Planted, true});
+    const std::uint64_t Seed = Breached ? Totals.LeastSeed : FLAGS_first;
+    const auto Result = lentilhoist::explore({Seed, Planted, true});
     for (const std::string &Step : Result.Steps)
       fmt::print("{}\n", Step);
   }
-  return ExitBreach;
+  return Breached ? ExitBreach : 0;
 }
--- a/src/explore/world_callers.cpp
+++ b/src/explore/world_callers.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr milliseconds AnswerPatience{7'000};
+constexpr milliseconds LeastPatience{800};
+constexpr milliseconds MostPatience{7'000};
 constexpr milliseconds NetworkMost{20};
 constexpr milliseconds RetryLeast{20};
 constexpr milliseconds RetryMost{500};
@@ -84,7 +85,7 @@
                         answer_handler OnAnswer) {
   const call_ticket Ticket = NextTicket++;
   Tickets[Ticket] = std::move(OnAnswer);
-  Clock.after(AnswerPatience, [this, Ticket] {
+  Clock.after(Choice.between(LeastPatience, MostPatience), [this, Ticket] {
     const auto Found = Tickets.find(Ticket);
     if (Found == Tickets.end())
       return;
