--- a/bin/lentilhoist_explore.cpp
+++ b/bin/lentilhoist_explore.cpp
@@ -11,7 +11,8 @@
 DEFINE_uint64(seeds, 1000, "number of seeds");
 DEFINE_int32(threads, 8, "threads to use");
 DEFINE_string(planted, "none", "fault to put in on purpose");
-DEFINE_bool(steps, false, "print the steps of the least seed with a breach, or of the first");
+DEFINE_bool(steps, false,
+            "print the steps of the least seed with a breach, or of the first");
 
 namespace {
 
@@ -66,8 +67,7 @@
   const std::uint64_t End = FLAGS_first + FLAGS_seeds;
   std::vector<std::thread> Threads;
   for (int Index = 0; Index < std::max(1, FLAGS_threads); ++Index)
-    Threads.emplace_back(
-        [&] { exploreSeeds(Planted, Next, End, Totals); });
+    Threads.emplace_back([&] { exploreSeeds(Planted, Next, End, Totals); });
   for (std::thread &Thread : Threads)
     Thread.join();
   fmt::print("seeds {} events {} calls {} takeovers {} breached {}\n",
--- a/src/call/caller_request.cpp
+++ b/src/call/caller_request.cpp
@@ -21,8 +21,8 @@
       &readAlternative<Indexes>...};
 }
 
-constexpr auto Readers = makeReaders(
-    std::make_index_sequence<std::variant_size_v<owner_request>>());
+constexpr auto Readers =
+    makeReaders(std::make_index_sequence<std::variant_size_v<owner_request>>());
 
 /// Finds the program in each kind of request.
 struct program_finder {
--- a/src/call/caller_request.h
+++ b/src/call/caller_request.h
@@ -33,9 +33,9 @@
 
 /// Whatever is asked of a shard's owner. The order of the alternatives is
 /// part of the protocol between instances: append only.
-using owner_request = std::variant<create_request, call_request, end_request,
-                                   history_request, result_request,
-                                   outcome_resolved>;
+using owner_request =
+    std::variant<create_request, call_request, end_request, history_request,
+                 result_request, outcome_resolved>;
 
 /// \param Request a request.
 /// \returns the program that it is about.
--- a/src/call/token_hub.cpp
+++ b/src/call/token_hub.cpp
@@ -33,8 +33,8 @@
   Channel.Text.clear();
 }
 
-void token_hub::addText(const program_id &Program,
-                        const std::string &AttemptId, std::string_view Text) {
+void token_hub::addText(const program_id &Program, const std::string &AttemptId,
+                        std::string_view Text) {
   const std::lock_guard Lock(Mutex);
   const auto Found = Channels.find(Program);
   if (Found == Channels.end() || Found->second.AttemptId != AttemptId)
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -117,8 +117,7 @@
     return "model must be a string";
   if (Json.contains("stream") && !Json["stream"].is_boolean())
     return "stream must be true or false";
-  if (Json.contains("max_tokens") &&
-      !Json["max_tokens"].is_number_unsigned())
+  if (Json.contains("max_tokens") && !Json["max_tokens"].is_number_unsigned())
     return "max_tokens must be a whole number";
   Call.Kind = call_kind::Model;
   Call.Model = Json.value("model", std::string());
@@ -164,18 +163,18 @@
 }
 
 nlohmann::json describeCompletion(const call_answer &Answer) {
-  return {{"object", "chat.completion"},
-          {"choices",
-           {{{"index", 0},
-             {"message",
-              {{"role", "assistant"},
-               {"content", assistantContent(Answer.Body)}}},
-             {"finish_reason", "stop"}}}},
-          {"usage",
-           {{"prompt_tokens", Answer.PromptTokens},
-            {"completion_tokens", Answer.GeneratedTokens},
-            {"total_tokens", Answer.PromptTokens + Answer.GeneratedTokens}}},
-          {"lentilhoist", {{"committed_through", Answer.CommittedThrough}}}};
+  return {
+      {"object", "chat.completion"},
+      {"choices",
+       {{{"index", 0},
+         {"message",
+          {{"role", "assistant"}, {"content", assistantContent(Answer.Body)}}},
+         {"finish_reason", "stop"}}}},
+      {"usage",
+       {{"prompt_tokens", Answer.PromptTokens},
+        {"completion_tokens", Answer.GeneratedTokens},
+        {"total_tokens", Answer.PromptTokens + Answer.GeneratedTokens}}},
+      {"lentilhoist", {{"committed_through", Answer.CommittedThrough}}}};
 }
 
 /// State of one streamed answer; lives as long as its connection needs it.
@@ -283,8 +282,8 @@
   bool Stream = false;
   std::string Problem = readCallHeaders(Request, Call);
   if (Problem.empty())
-    Problem = readModelBody(
-        nlohmann::json::parse(Request.body, nullptr, false), Call, Stream);
+    Problem = readModelBody(nlohmann::json::parse(Request.body, nullptr, false),
+                            Call, Stream);
   if (!Problem.empty()) {
     answerBadRequest(Problem, Response);
     return;
--- a/src/caller/caller_server.h
+++ b/src/caller/caller_server.h
@@ -41,8 +41,7 @@
                    httplib::Response &Response);
   void readHistory(const httplib::Request &Request,
                    httplib::Response &Response);
-  void endProgram(const httplib::Request &Request,
-                  httplib::Response &Response);
+  void endProgram(const httplib::Request &Request, httplib::Response &Response);
 
   const daemon_settings &Settings;
   request_router &Router;
--- a/src/caller/stream_writer.cpp
+++ b/src/caller/stream_writer.cpp
@@ -11,9 +11,9 @@
 }
 
 std::string contentEvent(const std::string &Content) {
-  return makeEvent({{"object", "chat.completion.chunk"},
-                    {"choices",
-                     {{{"index", 0}, {"delta", {{"content", Content}}}}}}});
+  return makeEvent(
+      {{"object", "chat.completion.chunk"},
+       {"choices", {{{"index", 0}, {"delta", {{"content", Content}}}}}}});
 }
 
 bool startsWith(const std::string &Text, const std::string &Prefix) {
--- a/src/caller/stream_writer.h
+++ b/src/caller/stream_writer.h
@@ -23,8 +23,8 @@
 private:
   std::string emitNew();
 
-  std::string Sent;            ///< What the caller has seen.
-  std::string Current;         ///< Text of the present attempt so far.
+  std::string Sent;    ///< What the caller has seen.
+  std::string Current; ///< Text of the present attempt so far.
   std::uint32_t Attempt = 0;
 };
 
--- a/src/core/instant.h
+++ b/src/core/instant.h
@@ -31,7 +31,7 @@
 /// \param Start the instant to advance.
 /// \param Amount the time to add.
 /// \returns the later instant.
-inline instant advance(instant Start, microseconds Amount) {
+inline instant later(instant Start, microseconds Amount) {
   return {Start.Steady + Amount,
           Start.Unix + std::chrono::duration_cast<milliseconds>(Amount)};
 }
--- a/src/core/program_id.h
+++ b/src/core/program_id.h
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace lentilhoist {
 
@@ -18,7 +18,10 @@
   shard_index Shard = 0; ///< Partition that orders the program's calls.
   std::uint64_t Key = 0; ///< Unique in the shard.
 
-  auto operator<=>(const program_id &) const = default;
+  bool operator==(const program_id &) const = default;
+  bool operator<(const program_id &Other) const {
+    return std::tie(Shard, Key) < std::tie(Other.Shard, Other.Key);
+  }
   MSGPACK_DEFINE(Shard, Key)
 };
 
--- a/src/daemon/daemon_event.h
+++ b/src/daemon/daemon_event.h
@@ -109,7 +109,6 @@
     std::variant<request_arrived, write_finished, entry_loaded, journal_loaded,
                  horizon_loaded, snapshot_stored, attempt_finished,
                  result_delivered, cache_dropped, outcome_found, load_reported,
-                 shard_offered, inspection, cache_listed,
-                 looked_ahead>;
+                 shard_offered, inspection, cache_listed, looked_ahead>;
 
 } // namespace lentilhoist
--- a/src/daemon/request_router.cpp
+++ b/src/daemon/request_router.cpp
@@ -30,8 +30,7 @@
     : Settings(GivenSettings), Members(GivenMembers), Link(GivenLink),
       Local(GivenLocal) {}
 
-void request_router::send(const owner_request &Request,
-                          const std::string &Hint,
+void request_router::send(const owner_request &Request, const std::string &Hint,
                           std::shared_ptr<answer_sink> Sink) {
   const auto View = Members.view();
   const shard_index Shard = programOf(Request).Shard;
--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -84,8 +84,8 @@
 void scheduler::start(peer_link &GivenLink, blocking_router GivenRoute) {
   Link = &GivenLink;
   Route = std::move(GivenRoute);
-  PlatformWorkers = std::make_unique<worker_threads>(Settings.PlatformThreads,
-                                                     JobCapacity);
+  PlatformWorkers =
+      std::make_unique<worker_threads>(Settings.PlatformThreads, JobCapacity);
   AttemptWorkers =
       std::make_unique<worker_threads>(Settings.AttemptThreads, JobCapacity);
   ChoreWorkers = std::make_unique<worker_threads>(ChoreThreads, JobCapacity);
@@ -115,7 +115,7 @@
   }
 }
 
-void scheduler::post(daemon_event Event) {
+void scheduler::post(const daemon_event &Event) {
   while (!Stopping) {
     if (Events.push(Event))
       return;
@@ -124,15 +124,14 @@
 }
 
 void scheduler::submit(owner_request Request,
-                       std::shared_ptr<answer_sink> Sink) {
+                       const std::shared_ptr<answer_sink> &Sink) {
   if (!Events.push(request_arrived{std::move(Request), Sink}))
     Sink->finish(refuse(error_code::Overloaded, "the instance is overloaded"));
 }
 
 void scheduler::offerShard(shard_index Shard) { post(shard_offered{Shard}); }
 
-void scheduler::reportLoad(const std::string &Runner,
-                           const runner_load &Load) {
+void scheduler::reportLoad(const std::string &Runner, const runner_load &Load) {
   post(load_reported{Runner, Load});
 }
 
@@ -191,8 +190,7 @@
     onWriteResult(Written->Number, Written->Status, Now,
                   Owners.at(Written->Shard), Actions);
   } else if (const auto *Read = std::get_if<entry_loaded>(&Event)) {
-    onEntryRead(Read->Number, Read->Read, Now, Owners.at(Read->Shard),
-                Actions);
+    onEntryRead(Read->Number, Read->Read, Now, Owners.at(Read->Shard), Actions);
   } else if (const auto *Looked = std::get_if<looked_ahead>(&Event)) {
     onLookedAhead(Looked->Number, Looked->Read, Now, Owners.at(Looked->Shard),
                   Actions);
@@ -237,8 +235,7 @@
 void scheduler::onRequest(request_arrived &Arrived, instant Now) {
   const program_id Program = programOf(Arrived.Request);
   if (Owners.count(Program.Shard) == 0) {
-    Arrived.Sink->finish(
-        refuse(error_code::UnknownProgram, "no such shard"));
+    Arrived.Sink->finish(refuse(error_code::UnknownProgram, "no such shard"));
     return;
   }
   const call_ticket Ticket = NextTicket++;
@@ -303,8 +300,8 @@
       Note.NextReviewAt = Now.Steady + ReviewInterval;
       reviewShard(Owner, Now);
     }
-    const bool Late = !Note.Parked.empty() &&
-                      Now.Steady >= Note.Parked.front().Deadline;
+    const bool Late =
+        !Note.Parked.empty() && Now.Steady >= Note.Parked.front().Deadline;
     if (Late)
       releaseParked(Shard, Now);
   }
@@ -344,8 +341,8 @@
     releaseParked(Owner.Shard, Now);
 }
 
-void scheduler::considerHandover(shard_owner &Owner,
-                                 const std::string &Desired, instant Now) {
+void scheduler::considerHandover(shard_owner &Owner, const std::string &Desired,
+                                 instant Now) {
   shard_notes &Note = Notes[Owner.Shard];
   if (Desired.empty() || Desired == Settings.Identity.Id) {
     Note.MisplacedSince = microseconds(0);
@@ -417,7 +414,7 @@
     performOne(Action, Now);
 }
 
-void scheduler::submitPlatformJob(std::function<void()> Job) {
+void scheduler::submitPlatformJob(const std::function<void()> &Job) {
   while (!PlatformWorkers->submit(Job) && !Stopping)
     std::this_thread::sleep_for(PostRetry);
 }
@@ -438,8 +435,7 @@
     });
   } else if (const auto *Look = std::get_if<look_ahead>(&Action)) {
     submitPlatformJob([this, Entry = *Look] {
-      post(looked_ahead{Entry.Shard, Entry.Number,
-                        lookAhead(Entry, Store)});
+      post(looked_ahead{Entry.Shard, Entry.Number, lookAhead(Entry, Store)});
     });
   } else if (const auto *Journal = std::get_if<read_journal>(&Action)) {
     submitPlatformJob([this, Shard = Journal->Shard] {
@@ -461,9 +457,8 @@
         post(snapshot_stored{Bytes.Shard, Bytes.Number});
     });
   } else if (const auto *Delete = std::get_if<delete_object>(&Action)) {
-    submitPlatformJob([this, Object = *Delete] {
-      deleteJournalObject(Object, Store);
-    });
+    submitPlatformJob(
+        [this, Object = *Delete] { deleteJournalObject(Object, Store); });
   } else if (auto *Start = std::get_if<start_attempt>(&Action)) {
     startQueued(*Start, Now);
   } else if (const auto *Cancel = std::get_if<cancel_attempt>(&Action)) {
@@ -546,8 +541,7 @@
   attempt_result Result;
   if (Attempt.Call.Kind == call_kind::Model) {
     Result = runModelAttempt(
-        Placed, Settings.Engine,
-        [&] { return isCancelled(Attempt.AttemptId); },
+        Placed, Settings.Engine, [&] { return isCancelled(Attempt.AttemptId); },
         [&](std::string_view Text) {
           Hub.addText(Program, Attempt.AttemptId, Text);
         });
@@ -689,16 +683,16 @@
 nlohmann::json scheduler::describeRunners() const {
   nlohmann::json All = nlohmann::json::array();
   for (const auto &[Name, Runner] : Runners.Runners) {
-    All.push_back({{"runner", Name},
-                   {"pool", Runner.Settings.Pool},
-                   {"domain", Runner.Settings.Domain},
-                   {"reachable", Runner.Load.Reachable},
-                   {"running", Runner.Load.Running},
-                   {"waiting", Runner.Load.Waiting},
-                   {"slots", Runner.Settings.Slots},
-                   {"in_flight_here", Runner.InFlight},
-                   {"draining",
-                    Runner.Load.Draining || Runner.DrainedByOperator}});
+    All.push_back(
+        {{"runner", Name},
+         {"pool", Runner.Settings.Pool},
+         {"domain", Runner.Settings.Domain},
+         {"reachable", Runner.Load.Reachable},
+         {"running", Runner.Load.Running},
+         {"waiting", Runner.Load.Waiting},
+         {"slots", Runner.Settings.Slots},
+         {"in_flight_here", Runner.InFlight},
+         {"draining", Runner.Load.Draining || Runner.DrainedByOperator}});
   }
   return All;
 }
--- a/src/daemon/scheduler.h
+++ b/src/daemon/scheduler.h
@@ -23,8 +23,8 @@
 
 /// Routes a request to the owner of its program and waits; used to deliver
 /// results to the new owner of a shard.
-using blocking_router =
-    std::function<call_answer(const owner_request &, std::chrono::milliseconds)>;
+using blocking_router = std::function<call_answer(const owner_request &,
+                                                  std::chrono::milliseconds)>;
 
 /// The thread that decides: it holds this instance's shards and runners, feeds
 /// the decision library and hands its actions to the threads that perform
@@ -52,7 +52,7 @@
   /// Passes a request to the shard that this instance holds.
   /// \param Request the request.
   /// \param Sink where the answer goes.
-  void submit(owner_request Request, std::shared_ptr<answer_sink> Sink);
+  void submit(owner_request Request, const std::shared_ptr<answer_sink> &Sink);
 
   /// Tells that a shard may wait for this instance.
   /// \param Shard the shard.
@@ -148,8 +148,8 @@
   void deliver(const deliver_result &Deliver);
   void release(const release_cache &Release);
   void query(const query_outcome &Query);
-  void submitPlatformJob(std::function<void()> Job);
-  void post(daemon_event Event);
+  void submitPlatformJob(const std::function<void()> &Job);
+  void post(const daemon_event &Event);
   bool isCancelled(const std::string &AttemptId);
   void publishGauges();
 
--- a/src/decision/action.h
+++ b/src/decision/action.h
@@ -49,13 +49,13 @@
   std::string Tenant;
   std::string Class;
   std::string AttemptId;
-  std::string RequestKey;         ///< Idempotency key for a service.
-  std::string History;            ///< Messages of earlier model calls.
-  std::string PreferredRunner;    ///< Holds the prefix, or empty.
+  std::string RequestKey;      ///< Idempotency key for a service.
+  std::string History;         ///< Messages of earlier model calls.
+  std::string PreferredRunner; ///< Holds the prefix, or empty.
   std::uint64_t AttainedTokens = 0;
-  std::uint64_t PromptBound = 0;  ///< Upper bound of the prompt's tokens.
+  std::uint64_t PromptBound = 0; ///< Upper bound of the prompt's tokens.
   std::uint64_t MaxTokens = 0;
-  instant SendBy;                 ///< Latest time to send.
+  instant SendBy; ///< Latest time to send.
   bool HasSendBy = false;
   microseconds Timeout{0};
 };
--- a/src/decision/call_flow.cpp
+++ b/src/decision/call_flow.cpp
@@ -73,9 +73,9 @@
   if (Program.Ended)
     return refuse(error_code::ProgramEnded, "the program has ended");
   if (Call.Call > Program.Budget.Turns)
-    return refuse(error_code::BudgetExhausted,
-                  fmt::format("the program may issue {} calls",
-                              Program.Budget.Turns));
+    return refuse(
+        error_code::BudgetExhausted,
+        fmt::format("the program may issue {} calls", Program.Budget.Turns));
   if (wallTimeSpent(Program, Now))
     return refuse(error_code::BudgetExhausted, "the program's time is over");
   if (uncommittedBytes(Owner) > Owner.Settings.MaxUncommittedBytes)
@@ -86,9 +86,9 @@
 
 void startExclusive(const program_state &Program, active_call &Call,
                     instant Now, shard_owner &Owner, action_list &Actions) {
-  Call.RequestKey = fmt::format("{}/{}/{:016x}",
-                                formatProgramId(Program.Program),
-                                Call.Request.Call, Owner.Random());
+  Call.RequestKey =
+      fmt::format("{}/{}/{:016x}", formatProgramId(Program.Program),
+                  Call.Request.Call, Owner.Random());
   Call.Stage = call_stage::Preparing;
   Call.IntentAt = Now;
   Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
@@ -208,9 +208,8 @@
   }
   const auto Found = Owner.State.Programs.find(Request.Program);
   if (Found == Owner.State.Programs.end()) {
-    answerProven(Ticket,
-                 refuse(error_code::UnknownProgram, "no such program"), Now,
-                 Owner, Actions);
+    answerProven(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+                 Now, Owner, Actions);
     return;
   }
   if (Request.Call == 0) {
--- a/src/decision/call_request.h
+++ b/src/decision/call_request.h
@@ -18,10 +18,10 @@
   program_id Program;
   std::uint32_t Call = 0;
   call_kind Kind = call_kind::Model;
-  std::string Service;               ///< Empty for a model call.
-  std::string Model;                 ///< Empty for a service call.
-  std::string Body;                  ///< Messages or service payload.
-  std::uint64_t MaxTokens = 0;       ///< 0 takes the default.
+  std::string Service;                   ///< Empty for a model call.
+  std::string Model;                     ///< Empty for a service call.
+  std::string Body;                      ///< Messages or service payload.
+  std::uint64_t MaxTokens = 0;           ///< 0 takes the default.
   std::uint64_t TimeoutMilliseconds = 0; ///< 0 takes the default.
 
   MSGPACK_DEFINE(Program, Call, Kind, Service, Model, Body, MaxTokens,
@@ -45,10 +45,10 @@
   error_code Code = error_code::None;
   run_state Run = run_state::Ran;
   int Status = 200;
-  std::string Body;                      ///< Response, or the error's detail.
+  std::string Body; ///< Response, or the error's detail.
   std::uint64_t PromptTokens = 0;
   std::uint64_t GeneratedTokens = 0;
-  std::uint32_t CommittedThrough = 0;    ///< Last call that is durable.
+  std::uint32_t CommittedThrough = 0; ///< Last call that is durable.
   std::uint64_t RetryAfterMilliseconds = 0;
   std::string Owner; ///< Set with error_code::NotOwner: where to ask next.
 
--- a/src/decision/call_results.cpp
+++ b/src/decision/call_results.cpp
@@ -57,8 +57,7 @@
       std::min(Result.UsageKnown ? Reported : drawnTokens(Call), Available);
   const std::uint64_t Reserve =
       reserveAfter(Program, Lost, promptBound(Program, 0), Owner.Settings);
-  Call.WaitEntry =
-      appendReservation({Program.Program, Reserve, Lost}, Owner);
+  Call.WaitEntry = appendReservation({Program.Program, Reserve, Lost}, Owner);
 }
 
 bool mayRetry(const active_call &Call, instant Now, const shard_owner &Owner) {
@@ -91,8 +90,8 @@
 void settleExclusive(const attempt_result &Result, instant Now,
                      const program_state &Program, active_call &Call,
                      shard_owner &Owner, action_list &Actions) {
-  const bool Open = hasOpenIntent(Program) &&
-                    Program.Calls.back().Call == Call.Request.Call;
+  const bool Open =
+      hasOpenIntent(Program) && Program.Calls.back().Call == Call.Request.Call;
   if (!Open) {
     if (Result.Run == run_state::Ran)
       onOutcomeKnown({Program.Program, Call.Request.Call, Result.Run,
@@ -247,10 +246,10 @@
         deliver_result{Call.Request, Owner.Successor, Call.Result});
     return true;
   case call_stage::Preparing:
-    answerTickets(lostOwnership(Call.Attempts == 0 ? run_state::NotRun
-                                                   : run_state::Ran,
-                                Owner),
-                  Call, Actions);
+    answerTickets(
+        lostOwnership(Call.Attempts == 0 ? run_state::NotRun : run_state::Ran,
+                      Owner),
+        Call, Actions);
     return false;
   case call_stage::Remote:
     answerTickets(lostOwnership(run_state::OutcomeUnknown, Owner), Call,
@@ -262,14 +261,15 @@
 
 void expireCall(const program_id &Id, active_call &Call, instant Now,
                 shard_owner &Owner, action_list &Actions) {
-  const call_answer Late = refuse(error_code::StoreUnavailable,
-                                  "the platform does not answer");
+  const call_answer Late =
+      refuse(error_code::StoreUnavailable, "the platform does not answer");
   switch (Call.Stage) {
   case call_stage::Committing:
     if (Now.Steady >= Call.PatienceAt && !Call.Tickets.empty())
-      answerTickets(answerFromResult(Call.Result,
-                                     durableCall(*findProgram(Id, Owner), Owner)),
-                    Call, Actions);
+      answerTickets(
+          answerFromResult(Call.Result,
+                           durableCall(*findProgram(Id, Owner), Owner)),
+          Call, Actions);
     return;
   case call_stage::Preparing:
     if (Now.Steady < Call.Deadline && Now.Steady < Call.PatienceAt)
@@ -327,8 +327,7 @@
   Record.Runner = Result.Runner;
   Record.ReservedTokens = Program.ReservedTokens;
   if (Record.Kind == call_kind::Model)
-    Record.ReservedTokens =
-        reserveAfter(Program, Used, Used, Owner.Settings);
+    Record.ReservedTokens = reserveAfter(Program, Used, Used, Owner.Settings);
   Call.Stage = call_stage::Committing;
   Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
   Call.WaitEntry = appendRecord(Record, Owner);
@@ -337,9 +336,8 @@
   sealBatch(Now, Owner, Actions);
 }
 
-void settleAttempt(const attempt_result &Result, instant Now,
-                   active_call &Call, shard_owner &Owner,
-                   action_list &Actions) {
+void settleAttempt(const attempt_result &Result, instant Now, active_call &Call,
+                   shard_owner &Owner, action_list &Actions) {
   const program_state *Program = findProgram(Call.Request.Program, Owner);
   if (Program == nullptr) {
     dropCall(Call.Request.Program, answerFromResult(Result, 0), Now, Owner,
@@ -537,8 +535,7 @@
 
 /// The call that a program has under way if it has one.
 std::uint32_t presentCall(const program_state &Program) {
-  return hasOpenIntent(Program) ? Program.Calls.back().Call
-                                : nextCall(Program);
+  return hasOpenIntent(Program) ? Program.Calls.back().Call : nextCall(Program);
 }
 
 /// \returns whether the call is the one that the handover left running here.
@@ -606,8 +603,7 @@
 void resumeAfterTakeover(bool Clean, instant Now, shard_owner &Owner,
                          action_list &Actions) {
   Owner.SideEffectsAfter =
-      Clean ? Now.Steady
-            : Now.Steady + Owner.Settings.SendWindow * 5 / 4;
+      Clean ? Now.Steady : Now.Steady + Owner.Settings.SendWindow * 5 / 4;
   resumeOwnCalls(Clean, Now, Owner, Actions);
   if (!Clean)
     return;
--- a/src/decision/call_steps.cpp
+++ b/src/decision/call_steps.cpp
@@ -153,8 +153,7 @@
 
 bool wallTimeSpent(const program_state &Program, instant Now) {
   const auto Age = static_cast<std::uint64_t>(std::max<std::int64_t>(
-      0, Now.Unix.count() -
-             static_cast<std::int64_t>(Program.CreatedUnixMs)));
+      0, Now.Unix.count() - static_cast<std::int64_t>(Program.CreatedUnixMs)));
   return Age >= Program.Budget.WallMilliseconds;
 }
 
@@ -197,9 +196,9 @@
                   shard_owner &Owner, action_list &Actions) {
   ++Call.Attempts;
   Call.Stage = call_stage::Running;
-  Call.AttemptId = fmt::format("{}/{}/{:016x}",
-                               formatProgramId(Program.Program),
-                               Call.Request.Call, Owner.Random());
+  Call.AttemptId =
+      fmt::format("{}/{}/{:016x}", formatProgramId(Program.Program),
+                  Call.Request.Call, Owner.Random());
   start_attempt Start;
   Start.Call = Call.Request;
   Start.Tenant = Program.Tenant;
@@ -216,13 +215,13 @@
   }
   if (Call.Request.Kind == call_kind::ExclusiveService) {
     Start.HasSendBy = true;
-    Start.SendBy = advance(Call.IntentAt, Owner.Settings.SendWindow);
+    Start.SendBy = later(Call.IntentAt, Owner.Settings.SendWindow);
   }
   Actions.push_back(std::move(Start));
 }
 
-void dropCall(const program_id &Program, const call_answer &Answer,
-              instant Now, shard_owner &Owner, action_list &Actions) {
+void dropCall(const program_id &Program, const call_answer &Answer, instant Now,
+              shard_owner &Owner, action_list &Actions) {
   const auto Found = Owner.Active.find(Program);
   if (Found == Owner.Active.end())
     return;
--- a/src/decision/call_steps.h
+++ b/src/decision/call_steps.h
@@ -116,8 +116,8 @@
 /// \param Now the present time.
 /// \param[in,out] Owner the shard's owner.
 /// \param[out] Actions gains the answers and what was waiting.
-void dropCall(const program_id &Program, const call_answer &Answer,
-              instant Now, shard_owner &Owner, action_list &Actions);
+void dropCall(const program_id &Program, const call_answer &Answer, instant Now,
+              shard_owner &Owner, action_list &Actions);
 
 /// Appends the completion of a call and waits for it to be durable.
 /// \param Result the result.
@@ -158,8 +158,7 @@
 /// \param[in,out] Call the call.
 /// \param[in,out] Owner the shard's owner.
 /// \param[out] Actions gains what follows.
-void settleAttempt(const attempt_result &Result, instant Now,
-                   active_call &Call, shard_owner &Owner,
-                   action_list &Actions);
+void settleAttempt(const attempt_result &Result, instant Now, active_call &Call,
+                   shard_owner &Owner, action_list &Actions);
 
 } // namespace lentilhoist
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -58,8 +58,8 @@
 }
 
 /// Cancels a model or idempotent call of a program that ends.
-void cancelActive(const program_state &Program, instant Now,
-                  shard_owner &Owner, action_list &Actions) {
+void cancelActive(const program_state &Program, instant Now, shard_owner &Owner,
+                  action_list &Actions) {
   const auto Found = Owner.Active.find(Program.Program);
   if (Found == Owner.Active.end())
     return;
@@ -135,8 +135,8 @@
           {"calls", Calls}};
 }
 
-void sweepProgram(const program_state &Program, instant Now,
-                  shard_owner &Owner, action_list &Actions) {
+void sweepProgram(const program_state &Program, instant Now, shard_owner &Owner,
+                  action_list &Actions) {
   if (!Program.Ended) {
     if (wallTimeSpent(Program, Now))
       onEnd(Program.Program, end_reason::WallTime, 0, Now, Owner, Actions);
@@ -187,8 +187,8 @@
     return;
   while (!Owner.Unproven.empty() &&
          Now.Steady >= Owner.Unproven.front().Deadline) {
-    call_answer Late = refuse(error_code::StoreUnavailable,
-                              "the platform does not answer");
+    call_answer Late =
+        refuse(error_code::StoreUnavailable, "the platform does not answer");
     Late.Run = run_state::OutcomeUnknown;
     answer(Owner.Unproven.front().Told.Ticket, Late, Actions);
     Owner.Unproven.erase(Owner.Unproven.begin());
@@ -264,9 +264,8 @@
   }
   const auto Found = Owner.State.Programs.find(Id);
   if (Found == Owner.State.Programs.end()) {
-    answerProven(Ticket,
-                 refuse(error_code::UnknownProgram, "no such program"), Now,
-                 Owner, Actions);
+    answerProven(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+                 Now, Owner, Actions);
     return;
   }
   program_state &Program = Found->second;
@@ -283,9 +282,9 @@
     onEnd(Child, end_reason::Parent, 0, Now, Owner, Actions);
   if (Program.ReservedTokens != 0)
     appendReservation({Id, 0, 0}, Owner);
-  appendRecord(program_ended{Id, Reason,
-                             static_cast<std::uint64_t>(Now.Unix.count())},
-               Owner);
+  appendRecord(
+      program_ended{Id, Reason, static_cast<std::uint64_t>(Now.Unix.count())},
+      Owner);
   action_list Releases;
   requestReleases(Program, Releases);
   for (action &Release : Releases)
@@ -302,9 +301,8 @@
   }
   const auto Found = Owner.State.Programs.find(Id);
   if (Found == Owner.State.Programs.end()) {
-    answerProven(Ticket,
-                 refuse(error_code::UnknownProgram, "no such program"), Now,
-                 Owner, Actions);
+    answerProven(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+                 Now, Owner, Actions);
     return;
   }
   if (!requireTexts(Found->second, Owner, Actions)) {
--- a/src/decision/program_state.h
+++ b/src/decision/program_state.h
@@ -24,10 +24,10 @@
   int Status = 200;
   std::uint64_t PromptTokens = 0;
   std::uint64_t GeneratedTokens = 0;
-  std::string Service;     ///< Set for an exclusive service call.
-  std::string RequestKey;  ///< Set for an exclusive service call.
-  entry_number Entry = 0;  ///< Entry that holds the texts.
-  bool Loaded = true;      ///< Whether the texts are in memory.
+  std::string Service;    ///< Set for an exclusive service call.
+  std::string RequestKey; ///< Set for an exclusive service call.
+  entry_number Entry = 0; ///< Entry that holds the texts.
+  bool Loaded = true;     ///< Whether the texts are in memory.
   std::string Request;
   std::string Response;
 
@@ -51,9 +51,9 @@
   bool Ended = false;
   end_reason Reason = end_reason::Caller;
   std::uint64_t EndedUnixMs = 0;
-  std::vector<call_history> Calls;       ///< Ordered by call number, from 1.
-  std::set<std::string> CacheRunners;    ///< Runners that may hold cache.
-  std::string LastRunner;                ///< Runner of the last model call.
+  std::vector<call_history> Calls;    ///< Ordered by call number, from 1.
+  std::set<std::string> CacheRunners; ///< Runners that may hold cache.
+  std::string LastRunner;             ///< Runner of the last model call.
 
   MSGPACK_DEFINE(Program, Tenant, Class, HasParent, Parent, Budget,
                  CreatedUnixMs, SpentTokens, LostTokens, ReservedTokens,
--- a/src/decision/runner_table.cpp
+++ b/src/decision/runner_table.cpp
@@ -67,9 +67,9 @@
       BestCost = Cost;
     }
   }
-  const bool Elsewhere =
-      Best != nullptr && !Queued.Attempt.PreferredRunner.empty() &&
-      Best->Settings.Name != Queued.Attempt.PreferredRunner;
+  const bool Elsewhere = Best != nullptr &&
+                         !Queued.Attempt.PreferredRunner.empty() &&
+                         Best->Settings.Name != Queued.Attempt.PreferredRunner;
   if (Elsewhere && shouldWaitForPrefix(Queued, Now, Table))
     return nullptr;
   return Best;
@@ -89,8 +89,8 @@
                 std::vector<refused_attempt> &Refused) {
   const auto IsLate = [&](const queued_attempt &Queued) {
     const microseconds Waited = Now.Steady - Queued.QueuedAt;
-    const bool PastWindow = Queued.Attempt.HasSendBy &&
-                            Now.Steady >= Queued.Attempt.SendBy.Steady;
+    const bool PastWindow =
+        Queued.Attempt.HasSendBy && Now.Steady >= Queued.Attempt.SendBy.Steady;
     return PastWindow || Waited >= Queued.Attempt.Timeout ||
            Waited >= Table.Settings.MaxQueueWait;
   };
--- a/src/decision/runner_table.h
+++ b/src/decision/runner_table.h
@@ -21,9 +21,9 @@
   std::string Pool;    ///< Model or service that callers ask for.
   std::string Address; ///< IP number.
   int Port = 0;
-  std::string Domain;  ///< Failure domain.
-  std::uint32_t Slots = 16; ///< Requests that it runs well at once.
-  bool KnowsKeys = true;    ///< A service that can be asked for outcomes.
+  std::string Domain;         ///< Failure domain.
+  std::uint32_t Slots = 16;   ///< Requests that it runs well at once.
+  bool KnowsKeys = true;      ///< A service that can be asked for outcomes.
   bool ChecksFencing = false; ///< An engine that refuses old orders.
 };
 
@@ -40,20 +40,20 @@
 struct runner_state {
   runner_settings Settings;
   runner_load Load;
-  std::uint32_t InFlight = 0;       ///< Attempts of this instance.
+  std::uint32_t InFlight = 0; ///< Attempts of this instance.
   std::uint32_t InFlightAtReport = 0;
-  std::uint32_t Failures = 0;       ///< In a row.
+  std::uint32_t Failures = 0; ///< In a row.
   microseconds EjectedUntil{0};
   bool DrainedByOperator = false;
 };
 
 /// Settings of the dispatcher.
 struct dispatch_settings {
-  std::size_t MaxQueue = 2'000;            ///< Attempts that wait; then shed.
-  microseconds MaxQueueWait{seconds(30)};  ///< Then refused as not run.
-  double AgingTokensPerSecond = 2'000;     ///< Waiting counts against service.
-  double CrossDomainTokens = 200;          ///< Cost of leaving the domain.
-  double QueueTokens = 4'000;              ///< Cost of a full runner.
+  std::size_t MaxQueue = 2'000;           ///< Attempts that wait; then shed.
+  microseconds MaxQueueWait{seconds(30)}; ///< Then refused as not run.
+  double AgingTokensPerSecond = 2'000;    ///< Waiting counts against service.
+  double CrossDomainTokens = 200;         ///< Cost of leaving the domain.
+  double QueueTokens = 4'000;             ///< Cost of a full runner.
   microseconds AffinityWait{milliseconds(400)}; ///< Wait for the prefix holder.
   std::uint32_t FailuresToEject = 3;
   microseconds Ejection{seconds(5)};
@@ -99,8 +99,9 @@
 /// \param[in,out] Table the runners.
 /// \param[out] Refused gains the attempts that waited too long.
 /// \returns the attempts to send.
-std::vector<placed_attempt> placeAttempts(instant Now, runner_table &Table,
-                                          std::vector<refused_attempt> &Refused);
+std::vector<placed_attempt>
+placeAttempts(instant Now, runner_table &Table,
+              std::vector<refused_attempt> &Refused);
 
 /// Removes a waiting attempt.
 /// \param AttemptId the attempt.
--- a/src/decision/shard_owner.cpp
+++ b/src/decision/shard_owner.cpp
@@ -33,15 +33,15 @@
 /// A claimant may have read the journal between a snapshot and the deletions
 /// that it allowed, so it always checks.
 bool needsHorizonCheck(instant Now, const shard_owner &Owner) {
-  return Owner.Phase == owner_phase::Claiming || Now.Steady - Owner.ProvenAt >= Owner.Settings.CollectDelay / 2;
+  return Owner.Phase == owner_phase::Claiming ||
+         Now.Steady - Owner.ProvenAt >= Owner.Settings.CollectDelay / 2;
 }
 
 void scheduleRetry(instant Now, sealed_batch &Sealed,
                    const owner_settings &Settings) {
   Sealed.Waiting = false;
-  Sealed.RetryDelay =
-      std::clamp(Sealed.RetryDelay * 2, Settings.WriteRetryMin,
-                 Settings.WriteRetryMax);
+  Sealed.RetryDelay = std::clamp(Sealed.RetryDelay * 2, Settings.WriteRetryMin,
+                                 Settings.WriteRetryMax);
   Sealed.RetryAt = Now.Steady + Sealed.RetryDelay;
 }
 
@@ -374,8 +374,8 @@
 }
 
 void answerCovered(shard_owner &Owner, action_list &Actions) {
-  const auto End = Owner.Unproven.begin() +
-                   static_cast<std::ptrdiff_t>(Owner.CoveredByLook);
+  const auto End =
+      Owner.Unproven.begin() + static_cast<std::ptrdiff_t>(Owner.CoveredByLook);
   for (auto Next = Owner.Unproven.begin(); Next != End; ++Next)
     Actions.push_back(std::move(Next->Told));
   Owner.Unproven.erase(Owner.Unproven.begin(), End);
@@ -384,8 +384,8 @@
 
 } // namespace
 
-void onLookedAhead(entry_number Number, const entry_read &Read,
-                   instant Now, shard_owner &Owner, action_list &Actions) {
+void onLookedAhead(entry_number Number, const entry_read &Read, instant Now,
+                   shard_owner &Owner, action_list &Actions) {
   if (!Owner.Looking)
     return;
   Owner.Looking = false;
--- a/src/decision/shard_owner.h
+++ b/src/decision/shard_owner.h
@@ -41,17 +41,17 @@
   call_stage Stage = call_stage::Preparing;
   std::set<call_ticket> Tickets; ///< Callers that wait for the answer.
   std::string AttemptId;
-  std::string RequestKey;        ///< Idempotency key of an exclusive call.
+  std::string RequestKey; ///< Idempotency key of an exclusive call.
   std::uint32_t Attempts = 0;
-  entry_number WaitEntry = 0;    ///< Entry that must be durable to go on.
-  instant IntentAt;              ///< When the intent was appended.
-  microseconds Deadline{0};      ///< Steady end of the whole call.
-  microseconds PatienceAt{0};    ///< Answer now even if not durable.
+  entry_number WaitEntry = 0; ///< Entry that must be durable to go on.
+  instant IntentAt;           ///< When the intent was appended.
+  microseconds Deadline{0};   ///< Steady end of the whole call.
+  microseconds PatienceAt{0}; ///< Answer now even if not durable.
   std::uint64_t PromptBound = 0;
   std::uint64_t MaxTokens = 0;
-  attempt_result Result;         ///< Set from stage Committing on.
-  bool NeedsTexts = false;       ///< Waits for the history to be loaded.
-  bool EndAfterwards = false;    ///< End the program when the call is done.
+  attempt_result Result;      ///< Set from stage Committing on.
+  bool NeedsTexts = false;    ///< Waits for the history to be loaded.
+  bool EndAfterwards = false; ///< End the program when the call is done.
   end_reason EndReason = end_reason::Caller;
   std::set<call_ticket> EndTickets;
 };
@@ -97,11 +97,11 @@
   std::uint64_t Nonce = 0;
   std::string Bytes;
   journal_batch Batch;
-  bool Waiting = false;     ///< An answer of the platform is outstanding.
+  bool Waiting = false; ///< An answer of the platform is outstanding.
   microseconds RetryAt{0};
   microseconds RetryDelay{0};
   microseconds SealedAt{0};
-  std::string Snapshot;     ///< Set if a snapshot is due at this entry.
+  std::string Snapshot; ///< Set if a snapshot is due at this entry.
 };
 
 /// What this owner knows of an entry that may be deleted one day.
@@ -128,14 +128,14 @@
   std::string Self;
   owner_settings Settings;
   owner_phase Phase = owner_phase::Idle;
-  shard_state State;                   ///< Includes records not yet durable.
-  entry_number Committed = 0;          ///< Last durable entry.
-  entry_number Snapshot = 0;           ///< Last entry covered by a snapshot.
-  std::deque<journal_batch> Pending;   ///< Batches not yet sealed.
+  shard_state State;                 ///< Includes records not yet durable.
+  entry_number Committed = 0;        ///< Last durable entry.
+  entry_number Snapshot = 0;         ///< Last entry covered by a snapshot.
+  std::deque<journal_batch> Pending; ///< Batches not yet sealed.
   std::optional<sealed_batch> Sealed;
-  double WriteCredit = 0;              ///< Writes that the budget allows now.
-  microseconds CreditAt{0};            ///< When the credit was last topped up.
-  microseconds ProvenAt{0};            ///< Start of the last durable write.
+  double WriteCredit = 0;   ///< Writes that the budget allows now.
+  microseconds CreditAt{0}; ///< When the credit was last topped up.
+  microseconds ProvenAt{0}; ///< Start of the last durable write.
   std::map<program_id, token_grant> Grants;
   std::map<program_id, active_call> Active;
   std::map<std::string, active_call> Strays; ///< Side effects of an earlier
@@ -143,18 +143,18 @@
   std::map<std::pair<program_id, std::uint32_t>, held_call> Held;
   std::vector<held_outcome> HeldOutcomes;
   std::vector<unproven_answer> Unproven; ///< Wait for a look at the journal.
-  std::size_t CoveredByLook = 0; ///< How many of them the present look covers.
-  microseconds LookedAt{0};      ///< When the present look began.
-  bool Looking = false;          ///< A look at the journal is under way.
-  std::set<entry_number> Loading;      ///< Entries being read for their texts.
+  std::size_t CoveredByLook = 0;  ///< How many of them the present look covers.
+  microseconds LookedAt{0};       ///< When the present look began.
+  bool Looking = false;           ///< A look at the journal is under way.
+  std::set<entry_number> Loading; ///< Entries being read for their texts.
   std::map<program_id, std::uint32_t> Durable; ///< Last durable call.
-  std::set<program_id> Doubtful;       ///< Had an open intent at the takeover.
-  microseconds SideEffectsAfter{0};    ///< End of the former owner's window.
+  std::set<program_id> Doubtful;    ///< Had an open intent at the takeover.
+  microseconds SideEffectsAfter{0}; ///< End of the former owner's window.
   std::map<entry_number, seen_entry> Collectable; ///< Entries by number.
-  std::vector<std::string> OldSnapshots; ///< Keys to delete.
-  microseconds NextSweepAt{0};         ///< Next look at every program.
-  std::string Successor;               ///< Target of a handover.
-  std::mt19937_64 Random;              ///< Source of nonces.
+  std::vector<std::string> OldSnapshots;          ///< Keys to delete.
+  microseconds NextSweepAt{0}; ///< Next look at every program.
+  std::string Successor;       ///< Target of a handover.
+  std::mt19937_64 Random;      ///< Source of nonces.
 };
 
 /// Starts to read the journal, to claim the shard or to learn who owns it.
--- a/src/decision/shard_state.cpp
+++ b/src/decision/shard_state.cpp
@@ -8,8 +8,8 @@
 
 /// Applies each kind of record; one overload a kind.
 struct record_applier {
-  entry_number Entry;  ///< Entry that holds the record.
-  shard_state &State;  ///< State to change.
+  entry_number Entry; ///< Entry that holds the record.
+  shard_state &State; ///< State to change.
 
   program_state &find(const program_id &Program) {
     const auto Found = State.Programs.find(Program);
--- a/src/decision/shard_state.h
+++ b/src/decision/shard_state.h
@@ -12,14 +12,15 @@
 /// State of one shard: what replaying its journal yields.
 struct shard_state {
   shard_index Shard = 0;
-  entry_number LastEntry = 0;         ///< Last entry that has been applied.
-  std::string Owner;                  ///< Instance that took the shard last.
-  std::string HandedTo;               ///< Successor named by a handover.
-  std::set<program_id> InFlight;      ///< Calls left running by a handover.
+  entry_number LastEntry = 0;    ///< Last entry that has been applied.
+  std::string Owner;             ///< Instance that took the shard last.
+  std::string HandedTo;          ///< Successor named by a handover.
+  std::set<program_id> InFlight; ///< Calls left running by a handover.
   std::map<program_id, program_state> Programs;
   std::map<entry_number, std::uint32_t> LiveTurns; ///< Turns held per entry.
 
-  MSGPACK_DEFINE(Shard, LastEntry, Owner, HandedTo, InFlight, Programs, LiveTurns)
+  MSGPACK_DEFINE(Shard, LastEntry, Owner, HandedTo, InFlight, Programs,
+                 LiveTurns)
 };
 
 /// Applies one record. Deterministic: equal journals give equal states.
--- a/src/explore/model_runners.cpp
+++ b/src/explore/model_runners.cpp
@@ -7,8 +7,7 @@
 namespace lentilhoist {
 
 std::string modelAnswer(const std::string &History, const std::string &Body) {
-  return fmt::format(R"(["{:016x}"])",
-                     stableHash(Body, stableHash(History)));
+  return fmt::format(R"(["{:016x}"])", stableHash(Body, stableHash(History)));
 }
 
 std::string runSideEffect(const start_attempt &Start, model_runners &Runners) {
@@ -19,12 +18,12 @@
     Runners.Breaches.push_back(fmt::format("call {} of {} ran {} times", Call,
                                            formatProgramId(Program), Count));
   if (Runners.LastRun[Program] > Call)
-    Runners.Breaches.push_back(
-        fmt::format("call {} of {} ran after call {}", Call,
-                    formatProgramId(Program), Runners.LastRun[Program]));
+    Runners.Breaches.push_back(fmt::format("call {} of {} ran after call {}",
+                                           Call, formatProgramId(Program),
+                                           Runners.LastRun[Program]));
   Runners.LastRun[Program] = Call;
-  const std::string Response = fmt::format(
-      R"({{"receipt":"{}/{}"}})", formatProgramId(Program), Call);
+  std::string Response =
+      fmt::format(R"({{"receipt":"{}/{}"}})", formatProgramId(Program), Call);
   Runners.Outcomes[Start.RequestKey] = Response;
   return Response;
 }
--- a/src/explore/model_runners.h
+++ b/src/explore/model_runners.h
@@ -17,9 +17,9 @@
 /// The engine and the service as structs, with what they ran.
 struct model_runners {
   std::map<program_id, std::uint64_t> SpentTokens;
-  std::set<program_id> Caches;             ///< Programs that the engine caches.
+  std::set<program_id> Caches; ///< Programs that the engine caches.
   std::map<std::string, std::string> Outcomes; ///< Responses by request key.
-  std::map<call_key, int> Runs;            ///< Executions of side effects.
+  std::map<call_key, int> Runs;                ///< Executions of side effects.
   std::map<program_id, std::uint32_t> LastRun; ///< Last call with one.
   std::vector<std::string> Breaches;
 };
--- a/src/explore/model_store.cpp
+++ b/src/explore/model_store.cpp
@@ -14,9 +14,8 @@
   try {
     applyEntry(Entry, Store.Truth);
   } catch (const corrupt_entry &Error) {
-    Store.Corruptions.push_back(
-        fmt::format("entry {} by {}: {}", Entry.Number, Entry.Writer,
-                    Error.what()));
+    Store.Corruptions.push_back(fmt::format("entry {} by {}: {}", Entry.Number,
+                                            Entry.Writer, Error.what()));
   }
   for (const journal_record &Record : Entry.Records)
     Store.Takeovers += std::holds_alternative<shard_taken>(Record) ? 1U : 0U;
--- a/src/explore/virtual_clock.h
+++ b/src/explore/virtual_clock.h
@@ -17,8 +17,7 @@
   /// \param Delay from now.
   /// \param Event what to run.
   void after(microseconds Delay, std::function<void()> Event) {
-    Events.emplace(std::make_pair(Now + Delay, NextOrder++),
-                   std::move(Event));
+    Events.emplace(std::make_pair(Now + Delay, NextOrder++), std::move(Event));
   }
 
   /// Runs the next event.
@@ -35,7 +34,7 @@
   /// \returns the present time; the wall clock starts at an arbitrary date.
   instant now() const {
     constexpr milliseconds WallStart{1'700'000'000'000};
-    return advance({microseconds(0), WallStart}, Now);
+    return later({microseconds(0), WallStart}, Now);
   }
 
 private:
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -52,10 +52,9 @@
 
 void world::note(const std::string &Text) {
   if (Settings.KeepSteps)
-    Result.Steps.push_back(
-        fmt::format("{:>9.3f} {}",
-                    std::chrono::duration<double>(Clock.now().Steady).count(),
-                    Text));
+    Result.Steps.push_back(fmt::format(
+        "{:>9.3f} {}",
+        std::chrono::duration<double>(Clock.now().Steady).count(), Text));
 }
 
 void world::breach(std::string Text) {
@@ -152,18 +151,17 @@
   const std::size_t Index = indexOf(Name);
   if (Index == Instances.size() || (FaultsOn && Choice.chance(100)))
     return;
-  Clock.after(Choice.between(milliseconds(1), milliseconds(20)),
-              [this, Index] {
-                onInstance(Index, [this, Index] {
-                  action_list Actions;
-                  shard_owner &Owner = Instances[Index].Owner;
-                  if (Owner.Phase == owner_phase::Idle)
-                    beginRecovery(Clock.now(), Owner, Actions);
-                  else
-                    verifyOwnership(Clock.now(), Owner, Actions);
-                  perform(Index, Actions);
-                });
-              });
+  Clock.after(Choice.between(milliseconds(1), milliseconds(20)), [this, Index] {
+    onInstance(Index, [this, Index] {
+      action_list Actions;
+      shard_owner &Owner = Instances[Index].Owner;
+      if (Owner.Phase == owner_phase::Idle)
+        beginRecovery(Clock.now(), Owner, Actions);
+      else
+        verifyOwnership(Clock.now(), Owner, Actions);
+      perform(Index, Actions);
+    });
+  });
 }
 
 void world::sweepCaches() {
@@ -355,8 +353,8 @@
     if (Spent != Runners.SpentTokens.end() &&
         Spent->second > Program.Create.Budget.Tokens)
       breach(fmt::format("{} spent {} of {} tokens",
-                         formatProgramId(Program.Create.Program),
-                         Spent->second, Program.Create.Budget.Tokens));
+                         formatProgramId(Program.Create.Program), Spent->second,
+                         Program.Create.Budget.Tokens));
   }
 }
 
--- a/src/explore/world.h
+++ b/src/explore/world.h
@@ -18,10 +18,10 @@
   std::string Name;
   bool Up = true;
   bool Paused = false;
-  std::uint64_t Life = 0;      ///< Grows with each restart.
+  std::uint64_t Life = 0; ///< Grows with each restart.
   shard_owner Owner;
   std::vector<std::function<void()>> Deferred; ///< Events during a pause.
-  std::map<std::string, bool> Believed; ///< Whom it believes alive.
+  std::map<std::string, bool> Believed;        ///< Whom it believes alive.
   std::string Desired; ///< Whom it believes to be the right owner.
 };
 
@@ -29,14 +29,14 @@
 struct model_program {
   create_request Create;
   std::vector<call_request> Calls;
-  std::size_t Next = 0;        ///< Call to issue next.
+  std::size_t Next = 0; ///< Call to issue next.
   bool Created = false;
   bool Finished = false;
   bool Ended = false;
-  std::string History;         ///< Joined messages of accepted model calls.
+  std::string History; ///< Joined messages of accepted model calls.
   std::vector<std::string> Responses; ///< Accepted, by call.
-  std::vector<run_state> Runs; ///< Accepted, by call.
-  std::uint64_t Issue = 0;     ///< Latest issue of the present call.
+  std::vector<run_state> Runs;        ///< Accepted, by call.
+  std::uint64_t Issue = 0;            ///< Latest issue of the present call.
   std::set<std::uint64_t> OpenIssues; ///< Issues not refused as not run.
 };
 
@@ -129,7 +129,7 @@
   std::map<call_ticket, answer_handler> Tickets;
   call_ticket NextTicket = 1;
   std::uint64_t NextIssue = 1;
-  std::size_t Rotation = 0;     ///< Changes which instance should own.
+  std::size_t Rotation = 0; ///< Changes which instance should own.
   bool FaultsOn = true;
   bool Outage = false;
   bool ServiceKnowsKeys = true;
--- a/src/explore/world_callers.cpp
+++ b/src/explore/world_callers.cpp
@@ -98,21 +98,19 @@
   const bool Lost = FaultsOn && Choice.chance(30);
   if (Lost)
     return;
-  Clock.after(
-      Choice.between(milliseconds(0), NetworkMost),
-      [this, Index, Request, Ticket] {
-        onInstance(Index, [this, Index, Request, Ticket] {
-          action_list Actions;
-          shard_owner &Owner = Instances[Index].Owner;
-          std::visit(request_feeder{Ticket, Clock.now(), Owner, Actions},
-                     Request);
-          const auto *Call = std::get_if<call_request>(&Request);
-          if (Call != nullptr &&
-              Settings.Planted == planted_fault::SendBeforeIntent)
-            sendBeforeIntent(Index, *Call);
-          perform(Index, Actions);
-        });
-      });
+  Clock.after(Choice.between(milliseconds(0), NetworkMost), [this, Index,
+                                                             Request, Ticket] {
+    onInstance(Index, [this, Index, Request, Ticket] {
+      action_list Actions;
+      shard_owner &Owner = Instances[Index].Owner;
+      std::visit(request_feeder{Ticket, Clock.now(), Owner, Actions}, Request);
+      const auto *Call = std::get_if<call_request>(&Request);
+      if (Call != nullptr &&
+          Settings.Planted == planted_fault::SendBeforeIntent)
+        sendBeforeIntent(Index, *Call);
+      perform(Index, Actions);
+    });
+  });
 }
 
 void world::createProgram(std::size_t Index) {
@@ -229,8 +227,8 @@
     return;
   }
   const call_history &Call = Found->second.Calls[Program.Next];
-  const bool Same = Call.Response == Answer.Body ||
-                    Answer.Run == run_state::OutcomeUnknown;
+  const bool Same =
+      Call.Response == Answer.Body || Answer.Run == run_state::OutcomeUnknown;
   if (!Same)
     breach(fmt::format("call {} of {} was answered with another response",
                        Program.Next + 1,
--- a/src/explore/world_peers.cpp
+++ b/src/explore/world_peers.cpp
@@ -42,9 +42,7 @@
 
 } // namespace
 
-bool world::storeFails() {
-  return Outage || (FaultsOn && Choice.chance(30));
-}
+bool world::storeFails() { return Outage || (FaultsOn && Choice.chance(30)); }
 
 void world::performWrite(std::size_t Index, const write_entry &Write) {
   const std::uint64_t Life = Instances[Index].Life;
@@ -110,17 +108,17 @@
                          latestSnapshot(Look.Shard, Store) >= Look.Number;
     if (Covered && Result.Status == read_status::Absent)
       Result.Status = read_status::Found;
-    Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life, Look,
-                                                        Result] {
-      if (Instances[Index].Life != Life)
-        return;
-      onInstance(Index, [this, Index, Look, Result] {
-        action_list Actions;
-        onLookedAhead(Look.Number, Result, Clock.now(),
-                      Instances[Index].Owner, Actions);
-        perform(Index, Actions);
-      });
-    });
+    Clock.after(Choice.between(StoreLeast, StoreMost),
+                [this, Index, Life, Look, Result] {
+                  if (Instances[Index].Life != Life)
+                    return;
+                  onInstance(Index, [this, Index, Look, Result] {
+                    action_list Actions;
+                    onLookedAhead(Look.Number, Result, Clock.now(),
+                                  Instances[Index].Owner, Actions);
+                    perform(Index, Actions);
+                  });
+                });
   });
 }
 
@@ -168,17 +166,17 @@
     }
     if (Settings.Planted == planted_fault::RerunIntent)
       forgetIntents(State);
-    Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life,
-                                                        State, Snapshot] {
-      if (Instances[Index].Life != Life)
-        return;
-      onInstance(Index, [this, Index, State, Snapshot] {
-        action_list Actions;
-        onJournalRead(State, Snapshot, Clock.now(), Instances[Index].Owner,
-                      Actions);
-        perform(Index, Actions);
-      });
-    });
+    Clock.after(Choice.between(StoreLeast, StoreMost),
+                [this, Index, Life, State, Snapshot] {
+                  if (Instances[Index].Life != Life)
+                    return;
+                  onInstance(Index, [this, Index, State, Snapshot] {
+                    action_list Actions;
+                    onJournalRead(State, Snapshot, Clock.now(),
+                                  Instances[Index].Owner, Actions);
+                    perform(Index, Actions);
+                  });
+                });
   });
 }
 
@@ -202,22 +200,22 @@
 
 void world::performSnapshot(std::size_t Index, const write_snapshot &Snapshot) {
   const std::uint64_t Life = Instances[Index].Life;
-  Clock.after(Choice.between(StoreLeast, StoreMost), [this, Index, Life,
-                                                      Snapshot] {
-    if (storeFails())
-      return;
-    const std::string Bytes =
-        Settings.Planted == planted_fault::SnapshotDropsTail
-            ? dropLastCall(Snapshot.Bytes)
-            : Snapshot.Bytes;
-    Store.Objects.emplace(snapshotKey(0, Snapshot.Number), Bytes);
-    note(fmt::format("snapshot at entry {}", Snapshot.Number));
-    if (Instances[Index].Life != Life)
-      return;
-    onInstance(Index, [this, Index, Snapshot] {
-      onSnapshotWritten(Snapshot.Number, Instances[Index].Owner);
-    });
-  });
+  Clock.after(Choice.between(StoreLeast, StoreMost),
+              [this, Index, Life, Snapshot] {
+                if (storeFails())
+                  return;
+                const std::string Bytes =
+                    Settings.Planted == planted_fault::SnapshotDropsTail
+                        ? dropLastCall(Snapshot.Bytes)
+                        : Snapshot.Bytes;
+                Store.Objects.emplace(snapshotKey(0, Snapshot.Number), Bytes);
+                note(fmt::format("snapshot at entry {}", Snapshot.Number));
+                if (Instances[Index].Life != Life)
+                  return;
+                onInstance(Index, [this, Index, Snapshot] {
+                  onSnapshotWritten(Snapshot.Number, Instances[Index].Owner);
+                });
+              });
 }
 
 void world::performAttempt(std::size_t Index, const start_attempt &Start) {
@@ -319,7 +317,8 @@
   }
   const bool AnswerLost = FaultsOn && Choice.chance(80);
   if (!Lost && !AnswerLost) {
-    finishAttempt(Index, Start, Done, Choice.between(milliseconds(1), WorkMost));
+    finishAttempt(Index, Start, Done,
+                  Choice.between(milliseconds(1), WorkMost));
     return;
   }
   attempt_result Unknown;
@@ -332,44 +331,42 @@
 
 void world::performQuery(std::size_t Index, const query_outcome &Query) {
   const std::uint64_t Life = Instances[Index].Life;
-  Clock.after(Choice.between(milliseconds(1), NetworkMost),
-              [this, Index, Life, Query] {
-                const auto Found = Runners.Outcomes.find(Query.RequestKey);
-                const bool Known = ServiceKnowsKeys &&
-                                   Found != Runners.Outcomes.end() &&
-                                   Instances[Index].Life == Life;
-                if (!Known)
-                  return;
-                const outcome_resolved Outcome{
-                    Query.Program, Query.Call, run_state::Ran, 200,
-                    Found->second, "service",  "asked by key"};
-                onInstance(Index, [this, Index, Outcome] {
-                  action_list Actions;
-                  onOutcomeKnown(Outcome, 0, Clock.now(),
-                                 Instances[Index].Owner, Actions);
-                  perform(Index, Actions);
-                });
-              });
-}
-
-void world::performRelease(std::size_t Index, const release_cache &Release) {
-  if (FaultsOn && Choice.chance(200))
-    return;
-  const std::uint64_t Life = Instances[Index].Life;
   Clock.after(Choice.between(milliseconds(1), NetworkMost), [this, Index, Life,
-                                                             Release] {
-    Runners.Caches.erase(Release.Program);
-    if (Instances[Index].Life != Life)
+                                                             Query] {
+    const auto Found = Runners.Outcomes.find(Query.RequestKey);
+    const bool Known = ServiceKnowsKeys && Found != Runners.Outcomes.end() &&
+                       Instances[Index].Life == Life;
+    if (!Known)
       return;
-    onInstance(Index, [this, Index, Release] {
+    const outcome_resolved Outcome{Query.Program, Query.Call,    run_state::Ran,
+                                   200,           Found->second, "service",
+                                   "asked by key"};
+    onInstance(Index, [this, Index, Outcome] {
       action_list Actions;
-      onCacheReleased(Release.Program, Release.Runner, Clock.now(),
-                      Instances[Index].Owner, Actions);
+      onOutcomeKnown(Outcome, 0, Clock.now(), Instances[Index].Owner, Actions);
       perform(Index, Actions);
     });
   });
 }
 
+void world::performRelease(std::size_t Index, const release_cache &Release) {
+  if (FaultsOn && Choice.chance(200))
+    return;
+  const std::uint64_t Life = Instances[Index].Life;
+  Clock.after(Choice.between(milliseconds(1), NetworkMost),
+              [this, Index, Life, Release] {
+                Runners.Caches.erase(Release.Program);
+                if (Instances[Index].Life != Life)
+                  return;
+                onInstance(Index, [this, Index, Release] {
+                  action_list Actions;
+                  onCacheReleased(Release.Program, Release.Runner, Clock.now(),
+                                  Instances[Index].Owner, Actions);
+                  perform(Index, Actions);
+                });
+              });
+}
+
 void world::performDelivery(std::size_t Index, const deliver_result &Deliver,
                             int Tries) {
   const std::uint64_t Life = Instances[Index].Life;
@@ -402,10 +399,9 @@
 
 void world::sendBeforeIntent(std::size_t Index, const call_request &Request) {
   const auto Active = Instances[Index].Owner.Active.find(Request.Program);
-  const bool Preparing =
-      Active != Instances[Index].Owner.Active.end() &&
-      Active->second.Stage == call_stage::Preparing &&
-      Request.Kind == call_kind::ExclusiveService;
+  const bool Preparing = Active != Instances[Index].Owner.Active.end() &&
+                         Active->second.Stage == call_stage::Preparing &&
+                         Request.Kind == call_kind::ExclusiveService;
   if (!Preparing)
     return;
   start_attempt Early;
--- a/src/http/http_client_pool.cpp
+++ b/src/http/http_client_pool.cpp
@@ -54,8 +54,7 @@
 endpoint parseEndpoint(const std::string &Text) {
   const auto Colon = Text.rfind(':');
   if (Colon == std::string::npos || Colon == 0)
-    throw std::invalid_argument(
-        fmt::format("'{}' is not ADDRESS:PORT", Text));
+    throw std::invalid_argument(fmt::format("'{}' is not ADDRESS:PORT", Text));
   endpoint Parsed;
   Parsed.Address = Text.substr(0, Colon);
   const char *Begin = Text.data() + Colon + 1;
--- a/src/http/http_client_pool.h
+++ b/src/http/http_client_pool.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lentilhoist {
@@ -15,7 +16,10 @@
   std::string Address;
   int Port = 0;
 
-  auto operator<=>(const endpoint &) const = default;
+  bool operator==(const endpoint &) const = default;
+  bool operator<(const endpoint &Other) const {
+    return std::tie(Address, Port) < std::tie(Other.Address, Other.Port);
+  }
 };
 
 /// Limits of each wait of a client.
@@ -44,8 +48,7 @@
   /// Takes back a client whose last request was answered whole.
   /// \param Target the server.
   /// \param Client the client.
-  void release(const endpoint &Target,
-               std::unique_ptr<httplib::Client> Client);
+  void release(const endpoint &Target, std::unique_ptr<httplib::Client> Client);
 
 private:
   http_timeouts Timeouts;
--- a/src/http/worker_pool.cpp
+++ b/src/http/worker_pool.cpp
@@ -31,9 +31,8 @@
   Lane.Tasks.push_back(std::move(Task));
   const bool Short = Lane.Idle < Lane.Tasks.size();
   if (Short && Lane.Threads.size() < Lane.MaxThreads)
-    Lane.Threads.emplace_back([this, MustRefuse, &Lane] {
-      run(MustRefuse, Lane);
-    });
+    Lane.Threads.emplace_back(
+        [this, MustRefuse, &Lane] { run(MustRefuse, Lane); });
 }
 
 void worker_pool::run(bool MustRefuse, lane &Lane) {
--- a/src/instance/peer_connection.cpp
+++ b/src/instance/peer_connection.cpp
@@ -18,8 +18,8 @@
 } // namespace
 
 peer_connection::peer_connection(asio::ip::tcp::socket Given)
-    : Socket(std::move(Given)),
-      LastReceived(std::chrono::steady_clock::now()) {}
+    : Socket(std::move(Given)), LastReceived(std::chrono::steady_clock::now()) {
+}
 
 void peer_connection::setHandlers(message_handler MessageHandler,
                                   close_handler CloseHandler) {
@@ -88,9 +88,9 @@
                      }
                      Self->LastReceived = std::chrono::steady_clock::now();
                      try {
-                       peer_message Message = decodeFrame(Self->Body);
+                       const peer_message Message = decodeFrame(Self->Body);
                        if (Self->OnMessage)
-                         Self->OnMessage(std::move(Message));
+                         Self->OnMessage(Message);
                      } catch (const std::invalid_argument &Malformed) {
                        logEvent(log_level::Warning, "peer_frame_rejected",
                                 {{"reason", Malformed.what()}});
--- a/src/instance/peer_connection.h
+++ b/src/instance/peer_connection.h
@@ -15,7 +15,7 @@
 /// thread.
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
-  using message_handler = std::function<void(peer_message)>;
+  using message_handler = std::function<void(const peer_message &)>;
   using close_handler = std::function<void()>;
 
   /// \param Socket the socket, connected or about to be.
--- a/src/instance/peer_link.cpp
+++ b/src/instance/peer_link.cpp
@@ -122,9 +122,9 @@
   const std::weak_ptr<peer_connection> Weak = Connection;
   const auto Trusted = std::make_shared<bool>(Settings.Token.empty());
   Connection->setHandlers(
-      [this, Weak, Trusted](peer_message Message) {
+      [this, Weak, Trusted](const peer_message &Message) {
         if (const auto Live = Weak.lock())
-          onIncoming(Live, Trusted, std::move(Message));
+          onIncoming(Live, Trusted, Message);
       },
       [this, Key = Connection.get()] { Incoming.erase(Key); });
   Connection->start();
@@ -132,7 +132,7 @@
 
 void peer_link::onIncoming(const std::shared_ptr<peer_connection> &Connection,
                            const std::shared_ptr<bool> &Trusted,
-                           peer_message Message) {
+                           const peer_message &Message) {
   if (Message.Kind == peer_kind::Hello) {
     *Trusted = Message.Payload == Settings.Token;
     if (!*Trusted)
@@ -174,8 +174,8 @@
     return Peer;
   auto Connection = std::make_shared<peer_connection>(tcp::socket(Context));
   Connection->setHandlers(
-      [this, Id = To.Id](peer_message Message) {
-        onOutgoing(Id, std::move(Message));
+      [this, Id = To.Id](const peer_message &Message) {
+        onOutgoing(Id, Message);
       },
       [this, Id = To.Id, Key = Connection.get()] { dropOutgoing(Id, Key); });
   Peer.Connection = Connection;
@@ -188,7 +188,7 @@
   return Peer;
 }
 
-void peer_link::onOutgoing(const std::string &Id, peer_message Message) {
+void peer_link::onOutgoing(const std::string &Id, const peer_message &Message) {
   const auto Peer = Outgoing.find(Id);
   if (Peer == Outgoing.end())
     return;
--- a/src/instance/peer_link.h
+++ b/src/instance/peer_link.h
@@ -77,9 +77,10 @@
   void accept();
   void serve(const std::shared_ptr<peer_connection> &Connection);
   void onIncoming(const std::shared_ptr<peer_connection> &Connection,
-                  const std::shared_ptr<bool> &Trusted, peer_message Message);
+                  const std::shared_ptr<bool> &Trusted,
+                  const peer_message &Message);
   outgoing &connectionTo(const member_identity &To);
-  void onOutgoing(const std::string &Id, peer_message Message);
+  void onOutgoing(const std::string &Id, const peer_message &Message);
   void dropOutgoing(const std::string &Id, const peer_connection *Connection);
   void beat();
   void afterDelay(const std::string &ToDomain, std::function<void()> Task);
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -22,8 +22,8 @@
 
 /// Limits that a program may never exceed.
 struct program_budget {
-  std::uint64_t Tokens = 0;       ///< Prompt and generated tokens together.
-  std::uint32_t Turns = 0;        ///< Number of calls.
+  std::uint64_t Tokens = 0;           ///< Prompt and generated tokens together.
+  std::uint32_t Turns = 0;            ///< Number of calls.
   std::uint64_t WallMilliseconds = 0; ///< Time from creation to forced end.
 
   MSGPACK_DEFINE(Tokens, Turns, WallMilliseconds)
@@ -35,7 +35,7 @@
   std::string Tenant;
   std::string Class;
   bool HasParent = false;
-  program_id Parent;               ///< Valid if HasParent.
+  program_id Parent; ///< Valid if HasParent.
   program_budget Budget;
   std::uint64_t CreatedUnixMs = 0;
   std::uint64_t ReservedTokens = 0; ///< Reserved for the first call.
--- a/src/load/load_balancer.cpp
+++ b/src/load/load_balancer.cpp
@@ -12,8 +12,7 @@
                                       std::chrono::milliseconds(500)};
 
 bool isReady(const endpoint &Instance) {
-  const auto Answer =
-      makeHttpClient(Instance, ProbeTimeouts)->Get("/healthz");
+  const auto Answer = makeHttpClient(Instance, ProbeTimeouts)->Get("/healthz");
   return Answer && Answer->status == 200;
 }
 
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -1,6 +1,7 @@
 #include "load/load_run.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 #include <fstream>
 #include <mutex>
@@ -22,9 +23,9 @@
   if (Values.empty())
     return 0;
   std::sort(Values.begin(), Values.end());
-  const auto Index = static_cast<std::size_t>(
-      Share * static_cast<double>(Values.size() - 1) + 0.5);
-  return Values[Index];
+  const auto Index =
+      std::lround(Share * static_cast<double>(Values.size() - 1));
+  return Values[static_cast<std::size_t>(Index)];
 }
 
 std::string describeQuantiles(const std::vector<double> &Values) {
@@ -100,6 +101,7 @@
     }
   };
   std::vector<std::thread> Workers;
+  Workers.reserve(static_cast<std::size_t>(Settings.Concurrency));
   for (int Worker = 0; Worker < Settings.Concurrency; ++Worker)
     Workers.emplace_back(Work, Worker);
   for (std::thread &Worker : Workers)
@@ -113,7 +115,8 @@
 std::size_t countBreaches(const load_result &Result) {
   std::size_t Count = Result.Records.Breaches.size();
   for (const program_report &Report : Result.Reports)
-    Count += Report.Breaches.size() + static_cast<std::size_t>(Report.CutStreams);
+    Count +=
+        Report.Breaches.size() + static_cast<std::size_t>(Report.CutStreams);
   return Count;
 }
 
@@ -135,8 +138,8 @@
                                 Report.CutStreams));
   }
   std::string Text;
-  for (std::size_t Index = 0;
-       Index < std::min(All.size(), MaxListedBreaches); ++Index)
+  for (std::size_t Index = 0; Index < std::min(All.size(), MaxListedBreaches);
+       ++Index)
     Text += "  breach: " + All[Index] + "\n";
   return Text;
 }
@@ -177,13 +180,13 @@
                         describeQuantiles(Group.FirstTokens));
   }
   for (const auto &[Code, Count] : Refusals)
-    Text += fmt::format("  refused {:<20} {}\n", Code.empty() ? "-" : Code,
-                        Count);
-  Text += fmt::format("  prompt tokens {} computed {}; caches held after the "
-                      "end {}\n",
-                      Result.Records.PromptTokens,
-                      Result.Records.ComputedTokens,
-                      Result.Records.HeldSessions);
+    Text +=
+        fmt::format("  refused {:<20} {}\n", Code.empty() ? "-" : Code, Count);
+  Text +=
+      fmt::format("  prompt tokens {} computed {}; caches held after the "
+                  "end {}\n",
+                  Result.Records.PromptTokens, Result.Records.ComputedTokens,
+                  Result.Records.HeldSessions);
   Text += listBreaches(Result);
   Text += fmt::format("  breaches {}\n", countBreaches(Result));
   return Text;
--- a/src/load/load_settings.h
+++ b/src/load/load_settings.h
@@ -12,15 +12,15 @@
 struct load_class {
   std::string Tenant = "gaisa-loki";
   std::string Class = "customer";
-  double Share = 1.0;            ///< Weight among the classes.
+  double Share = 1.0; ///< Weight among the classes.
   int MinTurns = 3;
   int MaxTurns = 8;
-  int PromptWords = 40;          ///< Words that each turn adds.
+  int PromptWords = 40; ///< Words that each turn adds.
   int MaxTokens = 24;
-  int MinPauseMilliseconds = 5;  ///< Tool pause between turns.
+  int MinPauseMilliseconds = 5; ///< Tool pause between turns.
   int MaxPauseMilliseconds = 40;
-  double SideEffectShare = 0.3;  ///< Turns followed by an exclusive call.
-  double SubAgentShare = 0.15;   ///< Turns that run a sub-agent.
+  double SideEffectShare = 0.3; ///< Turns followed by an exclusive call.
+  double SubAgentShare = 0.15;  ///< Turns that run a sub-agent.
 };
 
 /// Settings of one run of the load tool.
--- a/src/load/program_runner.cpp
+++ b/src/load/program_runner.cpp
@@ -52,8 +52,8 @@
 }
 
 void program_runner::pause() {
-  std::this_thread::sleep_for(std::chrono::milliseconds(randomBetween(
-      Class.MinPauseMilliseconds, Class.MaxPauseMilliseconds)));
+  std::this_thread::sleep_for(std::chrono::milliseconds(
+      randomBetween(Class.MinPauseMilliseconds, Class.MaxPauseMilliseconds)));
 }
 
 program_report program_runner::run(const std::string &Parent) {
@@ -133,8 +133,8 @@
   for (int Try = 0; Try < MaxTries; ++Try) {
     Answer = send(Method, Path, Body, Stream);
     const bool Started = Answer.Status == 200 && !Answer.Body.empty();
-    const bool Cut = Stream && Started &&
-                     Answer.Body.find("[DONE]") == std::string::npos;
+    const bool Cut =
+        Stream && Started && Answer.Body.find("[DONE]") == std::string::npos;
     if (Cut && Answer.Port != Settings.KilledPort)
       ++Report.CutStreams;
     const bool Final = Answer.Complete && !Cut && Answer.Status != 503 &&
@@ -155,12 +155,11 @@
 
 bool program_runner::create(const std::string &Parent) {
   Report.TokenBudget = Parent.empty() ? TokenBudget : ChildTokenBudget;
-  nlohmann::json Body = {{"tenant", Class.Tenant},
-                         {"class", Class.Class},
-                         {"budget",
-                          {{"tokens", Report.TokenBudget},
-                           {"turns", 400},
-                           {"wall_ms", 600'000}}}};
+  nlohmann::json Body = {
+      {"tenant", Class.Tenant},
+      {"class", Class.Class},
+      {"budget",
+       {{"tokens", Report.TokenBudget}, {"turns", 400}, {"wall_ms", 600'000}}}};
   if (!Parent.empty())
     Body["parent"] = Parent;
   const auto Answer =
@@ -238,9 +237,9 @@
                                   const nlohmann::json &Messages) {
   if (Answer.Status != 200) {
     noteRefusal(Answer.Body);
-    Report.Breaches.push_back(fmt::format(
-        "call {} ended with status {}: {}", NextCall, Answer.Status,
-        Answer.Body.substr(0, 200)));
+    Report.Breaches.push_back(fmt::format("call {} ended with status {}: {}",
+                                          NextCall, Answer.Status,
+                                          Answer.Body.substr(0, 200)));
     return false;
   }
   const std::string Text = readStream(Answer.Body).Text;
@@ -256,8 +255,8 @@
 
 void program_runner::callService() {
   side_effect Effect;
-  Effect.Body = nlohmann::json{{"booking", fmt::format("{}/{}", Report.Program,
-                                                       NextCall)}}
+  Effect.Body = nlohmann::json{{"booking",
+                                fmt::format("{}/{}", Report.Program, NextCall)}}
                     .dump();
   const auto Answer = callUntilCommitted("/v1/services/" + Settings.Service,
                                          Effect.Body, false);
--- a/src/load/program_runner.h
+++ b/src/load/program_runner.h
@@ -33,9 +33,9 @@
   std::chrono::microseconds FirstToken{0}; ///< Of the first model call.
   std::vector<std::chrono::microseconds> FirstTokens; ///< Of each model call.
   std::vector<side_effect> SideEffects;
-  std::map<std::string, int> Refusals;   ///< By error code.
-  std::vector<std::string> Breaches;     ///< Promises that did not hold.
-  int CutStreams = 0;       ///< Streams without an end, killed ones apart.
+  std::map<std::string, int> Refusals; ///< By error code.
+  std::vector<std::string> Breaches;   ///< Promises that did not hold.
+  int CutStreams = 0; ///< Streams without an end, killed ones apart.
   int Retries = 0;
   int Uncommitted = 0; ///< Answers that were not durable when they came.
   bool Finished = false;
--- a/src/load/promise_check.cpp
+++ b/src/load/promise_check.cpp
@@ -44,8 +44,8 @@
     for (const side_effect &Effect : Report.SideEffects) {
       const int Count = Runs.count(Effect.Body) != 0 ? Runs[Effect.Body] : 0;
       if (Effect.Outcome == load_outcome::Answered && Count != 1)
-        Summary.Breaches.push_back(
-            fmt::format("{} was answered but ran {} times", Effect.Body, Count));
+        Summary.Breaches.push_back(fmt::format(
+            "{} was answered but ran {} times", Effect.Body, Count));
       if (Effect.Outcome == load_outcome::NotRun && Count != 0)
         Summary.Breaches.push_back(
             fmt::format("{} was refused as not run but ran", Effect.Body));
@@ -67,10 +67,9 @@
   }
   for (const program_report &Report : Reports) {
     if (Spent[Report.Program] > Report.TokenBudget)
-      Summary.Breaches.push_back(fmt::format("{} spent {} of {} tokens",
-                                             Report.Program,
-                                             Spent[Report.Program],
-                                             Report.TokenBudget));
+      Summary.Breaches.push_back(
+          fmt::format("{} spent {} of {} tokens", Report.Program,
+                      Spent[Report.Program], Report.TokenBudget));
   }
 }
 
@@ -103,8 +102,8 @@
       return;
     std::this_thread::sleep_for(CacheCheckInterval);
   }
-  Summary.Breaches.push_back(fmt::format(
-      "{} caches are held by ended programs", Summary.HeldSessions));
+  Summary.Breaches.push_back(fmt::format("{} caches are held by ended programs",
+                                         Summary.HeldSessions));
 }
 
 } // namespace
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -78,8 +78,8 @@
   State.Thread.join();
   const std::uint64_t Dropped = State.Dropped;
   if (Dropped != 0)
-    writeLine(fmt::format(R"({{"event":"log_lines_dropped","count":{}}})",
-                          Dropped));
+    writeLine(
+        fmt::format(R"({{"event":"log_lines_dropped","count":{}}})", Dropped));
 }
 
 void logEvent(log_level Level, std::string_view Event,
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -14,7 +14,8 @@
 constexpr int PausePeriods = 3;
 
 double logOfSize(const membership &Group) {
-  return std::max(1.0, std::log2(static_cast<double>(Group.Members.size() + 1)));
+  return std::max(1.0,
+                  std::log2(static_cast<double>(Group.Members.size() + 1)));
 }
 
 std::uint32_t retransmitLimit(const membership &Group) {
@@ -94,9 +95,10 @@
     if (Record.Transmissions < Limit)
       Fresh.push_back(&Record);
   }
-  std::sort(Fresh.begin(), Fresh.end(), [](const auto *Left, const auto *Right) {
-    return Left->Transmissions < Right->Transmissions;
-  });
+  std::sort(Fresh.begin(), Fresh.end(),
+            [](const auto *Left, const auto *Right) {
+              return Left->Transmissions < Right->Transmissions;
+            });
   for (member_record *Record : Fresh) {
     if (Updates.size() >= Group.Settings.MaxUpdates)
       break;
@@ -135,7 +137,7 @@
 std::string nextTarget(membership &Group) {
   for (int Round = 0; Round < 2; ++Round) {
     while (!Group.ProbeOrder.empty()) {
-      const std::string Id = Group.ProbeOrder.back();
+      std::string Id = Group.ProbeOrder.back();
       Group.ProbeOrder.pop_back();
       const auto Found = Group.Members.find(Id);
       const bool Probed = Found != Group.Members.end() &&
@@ -166,8 +168,7 @@
                         std::vector<outgoing_datagram> &Datagrams) {
   std::vector<std::string> Relays;
   for (const auto &[Id, Record] : Group.Members) {
-    if (Id != Group.Probe->Target &&
-        Record.News.Status == member_status::Alive)
+    if (Id != Group.Probe->Target && Record.News.Status == member_status::Alive)
       Relays.push_back(Id);
   }
   std::shuffle(Relays.begin(), Relays.end(), Group.Random);
@@ -297,6 +298,8 @@
   if (Identity.Id == Group.Self.Id || Group.Members.count(Identity.Id) != 0)
     return;
   setNews({Identity, 0, member_status::Alive, false}, Now, Group);
+  // All read the same list, so this is no news to anyone.
+  Group.Members[Identity.Id].Transmissions = retransmitLimit(Group) + 1;
 }
 
 void onMembershipTick(instant Now, membership &Group,
@@ -380,6 +383,7 @@
       Candidates.emplace(Id, Record.News.Identity);
   }
   std::vector<member_identity> Ordered;
+  Ordered.reserve(Candidates.size());
   for (auto &[Id, Identity] : Candidates)
     Ordered.push_back(std::move(Identity));
   return Ordered;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -14,13 +14,13 @@
 
 /// Settings of failure detection.
 struct membership_settings {
-  microseconds Period{milliseconds(300)};      ///< One probe in each.
-  microseconds AckTimeout{milliseconds(100)};  ///< Before indirect probes.
+  microseconds Period{milliseconds(300)};     ///< One probe in each.
+  microseconds AckTimeout{milliseconds(100)}; ///< Before indirect probes.
   std::uint32_t IndirectProbes = 3;
-  double SuspicionPeriods = 2.0;    ///< Times log2 of the group's size.
-  std::uint32_t MaxUpdates = 8;     ///< Piggybacked on one message.
-  double RetransmitFactor = 3.0;    ///< Times log2 of the group's size.
-  std::uint32_t MaxHealthScore = 4; ///< Bound of the local slow-down.
+  double SuspicionPeriods = 2.0;           ///< Times log2 of the group's size.
+  std::uint32_t MaxUpdates = 8;            ///< Piggybacked on one message.
+  double RetransmitFactor = 3.0;           ///< Times log2 of the group's size.
+  std::uint32_t MaxHealthScore = 4;        ///< Bound of the local slow-down.
   microseconds DeadRetention{seconds(30)}; ///< Keeps news of the dead.
   std::size_t MaxDatagramBytes = 1'400;
 };
--- a/src/metrics/metrics.cpp
+++ b/src/metrics/metrics.cpp
@@ -39,9 +39,8 @@
                       const std::string &Class,
                       std::chrono::microseconds Latency) {
   const double Seconds = std::chrono::duration<double>(Latency).count();
-  const std::string Labels =
-      fmt::format(R"(tenant="{}",class="{}")", escapeLabel(Tenant),
-                  escapeLabel(Class));
+  const std::string Labels = fmt::format(
+      R"(tenant="{}",class="{}")", escapeLabel(Tenant), escapeLabel(Class));
   const std::lock_guard Lock(Mutex);
   histogram &Histogram = Histograms[Name][Labels];
   Histogram.Values(Seconds);
@@ -65,8 +64,8 @@
         Text += fmt::format("{}_bucket{{{},le=\"{}\"}} {}\n", Name, Labels,
                             BucketSeconds[Index], Histogram.Buckets[Index]);
       const auto Count = acc::count(Histogram.Values);
-      Text += fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", Name, Labels,
-                          Count);
+      Text +=
+          fmt::format("{}_bucket{{{},le=\"+Inf\"}} {}\n", Name, Labels, Count);
       Text += fmt::format("{}_sum{{{}}} {}\n", Name, Labels,
                           acc::sum(Histogram.Values));
       Text += fmt::format("{}_count{{{}}} {}\n", Name, Labels, Count);
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -44,8 +44,8 @@
 private:
   using accumulator = boost::accumulators::accumulator_set<
       double, boost::accumulators::stats<
-                  boost::accumulators::tag::count, boost::accumulators::tag::sum,
-                  boost::accumulators::tag::max,
+                  boost::accumulators::tag::count,
+                  boost::accumulators::tag::sum, boost::accumulators::tag::max,
                   boost::accumulators::tag::extended_p_square_quantile>>;
   static constexpr std::array<double, 10> BucketSeconds{
       0.001, 0.0025, 0.005, 0.01, 0.025, 0.1, 0.33, 1, 5, 30};
--- a/src/operator/operator_server.cpp
+++ b/src/operator/operator_server.cpp
@@ -91,9 +91,8 @@
   Methods.addMethod("show", [this](const auto &Parameters) {
     return showProgram(Parameters);
   });
-  Methods.addMethod("end", [this](const auto &Parameters) {
-    return endProgram(Parameters);
-  });
+  Methods.addMethod(
+      "end", [this](const auto &Parameters) { return endProgram(Parameters); });
   Methods.addMethod("resolve", [this](const auto &Parameters) {
     return resolveOutcome(Parameters);
   });
@@ -105,8 +104,8 @@
   });
 }
 
-std::string operator_server::inspectJson(
-    const std::function<nlohmann::json()> &Describe) {
+std::string
+operator_server::inspectJson(const std::function<nlohmann::json()> &Describe) {
   nlohmann::json Result;
   if (!Decisions.inspect([&] { Result["items"] = Describe(); }))
     throw rpc_failure("the scheduler did not answer in time");
--- a/src/operator/rpc_dispatcher.cpp
+++ b/src/operator/rpc_dispatcher.cpp
@@ -45,8 +45,8 @@
     try {
       Result = Send(Message);
     } catch (const rpc_failure &Failure) {
-      throw jsonrpc::JsonRpcException(
-          jsonrpc::Errors::ERROR_CLIENT_CONNECTOR, Failure.what());
+      throw jsonrpc::JsonRpcException(jsonrpc::Errors::ERROR_CLIENT_CONNECTOR,
+                                      Failure.what());
     }
   }
 
@@ -80,8 +80,8 @@
   void HandleMethodCall(jsonrpc::Procedure &Procedure, const Json::Value &Input,
                         Json::Value &Output) override {
     try {
-      Output = readJson(
-          Methods.at(Procedure.GetProcedureName())(writeJson(Input)));
+      Output =
+          readJson(Methods.at(Procedure.GetProcedureName())(writeJson(Input)));
     } catch (const rpc_failure &Failure) {
       throw jsonrpc::JsonRpcException(MethodFailedCode, Failure.what());
     }
--- a/src/platform/journal_store.cpp
+++ b/src/platform/journal_store.cpp
@@ -77,9 +77,9 @@
                  std::to_string(Parts));
     return true;
   } catch (const platform_error &Error) {
-    logEvent(log_level::Warning, "snapshot_write_failed",
-             {{"shard", std::to_string(Snapshot.Shard)},
-              {"reason", Error.what()}});
+    logEvent(
+        log_level::Warning, "snapshot_write_failed",
+        {{"shard", std::to_string(Snapshot.Shard)}, {"reason", Error.what()}});
     return false;
   }
 }
@@ -89,8 +89,7 @@
     Store.remove(Delete.Key);
     if (Delete.Key.rfind(snapshotPrefix(Delete.Shard), 0) != 0)
       return;
-    const std::string Parts =
-        partKey(Delete.Shard, numberInKey(Delete.Key), 0);
+    const std::string Parts = partKey(Delete.Shard, numberInKey(Delete.Key), 0);
     const std::string Prefix = Parts.substr(0, Parts.rfind('/') + 1);
     for (const std::string &Key : Store.listKeys(Prefix))
       Store.remove(Key);
@@ -109,13 +108,11 @@
     const auto Head = Store.read(Keys.back());
     if (!Head)
       throw platform_error("the latest snapshot has just been replaced");
-    Stored.State =
-        decodeSnapshot(readParts(Shard, Number, Head->Value, Store));
+    Stored.State = decodeSnapshot(readParts(Shard, Number, Head->Value, Store));
     Stored.SnapshotNumber = Number;
   }
   for (;;) {
-    const auto Object =
-        Store.read(entryKey(Shard, Stored.State.LastEntry + 1));
+    const auto Object = Store.read(entryKey(Shard, Stored.State.LastEntry + 1));
     if (!Object)
       return Stored;
     applyEntry(decodeEntry(Object->Value), Stored.State);
--- a/src/platform/journal_store.h
+++ b/src/platform/journal_store.h
@@ -10,8 +10,8 @@
 
 /// A shard as the platform holds it.
 struct stored_shard {
-  shard_state State;                ///< Snapshot with later entries applied.
-  entry_number SnapshotNumber = 0;  ///< Entry that the snapshot covers.
+  shard_state State;               ///< Snapshot with later entries applied.
+  entry_number SnapshotNumber = 0; ///< Entry that the snapshot covers.
 };
 
 /// Creates an entry.
@@ -56,7 +56,6 @@
 /// \param Store the platform.
 /// \returns the number of the latest snapshot, 0 if there is none; nothing if
 /// the platform does not answer.
-std::optional<entry_number> readHorizon(shard_index Shard,
-                                        object_store &Store);
+std::optional<entry_number> readHorizon(shard_index Shard, object_store &Store);
 
 } // namespace lentilhoist
--- a/src/platform/object_store.cpp
+++ b/src/platform/object_store.cpp
@@ -32,8 +32,8 @@
   auto Client = Clients.acquire(Target);
   auto Answer = Client->Get(Path);
   if (!Answer)
-    throw platform_error(fmt::format("GET {}: {}", Path,
-                                     httplib::to_string(Answer.error())));
+    throw platform_error(
+        fmt::format("GET {}: {}", Path, httplib::to_string(Answer.error())));
   Clients.release(Target, std::move(Client));
   return Answer;
 }
@@ -45,8 +45,8 @@
   const auto Answer = Client->Put("/objects/" + Key, Condition, Value,
                                   "application/octet-stream");
   if (!Answer)
-    throw platform_error(fmt::format("PUT {}: {}", Key,
-                                     httplib::to_string(Answer.error())));
+    throw platform_error(
+        fmt::format("PUT {}: {}", Key, httplib::to_string(Answer.error())));
   Clients.release(Target, std::move(Client));
   if (Answer->status == StatusConflict)
     return update_status::Conflict;
@@ -90,7 +90,8 @@
   std::vector<std::string> Keys;
   std::string Last = After;
   for (bool More = true; More;) {
-    const auto Answer = get("/objects?prefix=" + Prefix + "&after=" + Last);
+    const auto Answer =
+        get(fmt::format("/objects?prefix={}&after={}", Prefix, Last));
     if (!isSuccess(Answer->status))
       failStatus("list " + Prefix, Answer->status);
     const auto Json = parseAnswer(Answer->body);
--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -166,10 +166,11 @@
 
 } // namespace
 
-attempt_result runModelAttempt(
-    const placed_attempt &Placed, const model_client_settings &Settings,
-    const std::function<bool()> &IsCancelled,
-    const std::function<void(std::string_view)> &OnText) {
+attempt_result
+runModelAttempt(const placed_attempt &Placed,
+                const model_client_settings &Settings,
+                const std::function<bool()> &IsCancelled,
+                const std::function<void(std::string_view)> &OnText) {
   using clock = std::chrono::steady_clock;
   const auto Deadline = clock::now() + Placed.Attempt.Timeout;
   const runner_settings &Runner = Placed.Runner;
@@ -210,22 +211,19 @@
 }
 
 void cancelStream(const endpoint &Engine, const std::string &AttemptId) {
-  auto Client =
-      makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
+  auto Client = makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
   if (!Client->Delete("/v1/streams?id=" + AttemptId))
     logEvent(log_level::Warning, "cancel_failed", {{"attempt", AttemptId}});
 }
 
 bool releaseSession(const endpoint &Engine, const std::string &Session) {
-  auto Client =
-      makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
+  auto Client = makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
   const auto Answer = Client->Delete("/v1/cache?session=" + Session);
   return Answer && Answer->status == StatusOk;
 }
 
 std::optional<std::vector<program_id>> listSessions(const endpoint &Engine) {
-  auto Client =
-      makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
+  auto Client = makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
   const auto Answer = Client->Get("/v1/cache");
   if (!Answer || Answer->status != StatusOk)
     return std::nullopt;
@@ -242,8 +240,7 @@
 }
 
 runner_load readLoad(const endpoint &Runner, instant Now) {
-  auto Client =
-      makeHttpClient(Runner, {ControlWait, ControlWait, ControlWait});
+  auto Client = makeHttpClient(Runner, {ControlWait, ControlWait, ControlWait});
   runner_load Load;
   const auto Answer = Client->Get("/load");
   if (!Answer || Answer->status != StatusOk)
--- a/src/runner/model_client.h
+++ b/src/runner/model_client.h
@@ -15,7 +15,7 @@
 struct model_client_settings {
   std::chrono::milliseconds Connect{500};
   std::chrono::milliseconds StreamGap{2'000}; ///< Then the stream is resumed.
-  std::uint32_t MaxResumes = 8; ///< In a row without a new token.
+  std::uint32_t MaxResumes = 8;               ///< In a row without a new token.
 };
 
 /// Runs one attempt of a model call at an engine that speaks the chat
@@ -26,10 +26,11 @@
 /// \param IsCancelled asked between tokens.
 /// \param OnText takes the generated text.
 /// \returns the result.
-attempt_result runModelAttempt(
-    const placed_attempt &Placed, const model_client_settings &Settings,
-    const std::function<bool()> &IsCancelled,
-    const std::function<void(std::string_view)> &OnText);
+attempt_result
+runModelAttempt(const placed_attempt &Placed,
+                const model_client_settings &Settings,
+                const std::function<bool()> &IsCancelled,
+                const std::function<void(std::string_view)> &OnText);
 
 /// Tells an engine to stop a stream.
 /// \param Engine the engine.
--- a/src/runner/service_client.cpp
+++ b/src/runner/service_client.cpp
@@ -47,10 +47,9 @@
   auto Client = makeHttpClient({Placed.Runner.Address, Placed.Runner.Port},
                                {ConnectWait, Limit, Limit});
   Client->set_keep_alive(false);
-  httplib::Headers Headers{
-      {"X-Program", formatProgramId(Attempt.Call.Program)},
-      {"X-Call", std::to_string(Attempt.Call.Call)},
-      {"X-Attempt-Id", Attempt.AttemptId}};
+  httplib::Headers Headers{{"X-Program", formatProgramId(Attempt.Call.Program)},
+                           {"X-Call", std::to_string(Attempt.Call.Call)},
+                           {"X-Attempt-Id", Attempt.AttemptId}};
   if (!Attempt.RequestKey.empty())
     Headers.emplace("Idempotency-Key", Attempt.RequestKey);
   const bool TooLate =
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -45,8 +45,7 @@
   Reader.text("log_level", Settings.LogLevel);
   Reader.whole("max_connections", 4, MaxThreads, Settings.MaxConnections);
   Reader.whole("attempt_threads", 1, MaxThreads, Settings.AttemptThreads);
-  Reader.time("route_wait", milliseconds(100), minutes(5),
-              Settings.RouteWait);
+  Reader.time("route_wait", milliseconds(100), minutes(5), Settings.RouteWait);
   Reader.time("drain_time", seconds(1), hours(1), Settings.DrainTime);
   Reader.time("simulated_link_delay", milliseconds(0), seconds(1),
               Settings.SimulatedLinkDelay);
@@ -70,10 +69,8 @@
 void readShards(table_reader Reader, daemon_settings &Settings) {
   owner_settings &Owner = Settings.Owner;
   Reader.whole("count", 1, MaxShards, Settings.Shards);
-  Reader.time("settle_time", milliseconds(0), minutes(1),
-              Settings.SettleTime);
-  Reader.time("send_window", milliseconds(100), minutes(1),
-              Owner.SendWindow);
+  Reader.time("settle_time", milliseconds(0), minutes(1), Settings.SettleTime);
+  Reader.time("send_window", milliseconds(100), minutes(1), Owner.SendWindow);
   Reader.time("commit_patience", milliseconds(10), minutes(1),
               Owner.CommitPatience);
   Reader.time("retention", seconds(1), hours(24 * 30), Owner.Retention);
@@ -169,9 +166,8 @@
   try {
     Document = toml::parse(Text, Name);
   } catch (const toml::parse_error &Error) {
-    throw settings_error(fmt::format("{}:{}: {}", Name,
-                                     Error.source().begin.line,
-                                     Error.description()));
+    throw settings_error(fmt::format(
+        "{}:{}: {}", Name, Error.source().begin.line, Error.description()));
   }
   daemon_settings Settings;
   table_reader Root(Document, Name, "");
@@ -232,8 +228,8 @@
     throw settings_error(fmt::format("{}: can't be read", Path));
   constexpr unsigned OtherBits = S_IRWXG | S_IRWXO;
   if ((Status.st_mode & OtherBits) != 0)
-    throw settings_error(fmt::format(
-        "{}: expected mode 600, found {:o}", Path, Status.st_mode & 0777U));
+    throw settings_error(fmt::format("{}: expected mode 600, found {:o}", Path,
+                                     Status.st_mode & 0777U));
   std::ifstream File(Path);
   std::string Token;
   std::getline(File, Token);
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -14,20 +14,20 @@
 
 /// Settings of one daemon.
 struct daemon_settings {
-  member_identity Identity;          ///< Name, link address and place.
+  member_identity Identity; ///< Name, link address and place.
   std::string CallerAddress = "127.0.0.1";
   int CallerPort = 8080;
-  std::size_t MaxConnections = 512;  ///< Callers served at once.
+  std::size_t MaxConnections = 512; ///< Callers served at once.
   std::string OperatorAddress = "127.0.0.1";
   int OperatorPort = 8081;
   endpoint Platform;
   http_timeouts PlatformTimeouts{};
   std::size_t PlatformThreads = 16;
-  double WritesPerSecond = 200;      ///< Of the whole fleet, shared by shards.
-  std::string TokenFile;             ///< Shared secret; empty for none.
+  double WritesPerSecond = 200; ///< Of the whole fleet, shared by shards.
+  std::string TokenFile;        ///< Shared secret; empty for none.
   std::uint16_t Shards = 16;
-  std::size_t AttemptThreads = 256;  ///< Attempts that run at once.
-  microseconds RouteWait{seconds(10)}; ///< Search for a shard's owner.
+  std::size_t AttemptThreads = 256;           ///< Attempts that run at once.
+  microseconds RouteWait{seconds(10)};        ///< Search for a shard's owner.
   microseconds SettleTime{milliseconds(500)}; ///< Before a shard is moved.
   microseconds DrainTime{seconds(30)};        ///< Longest graceful shutdown.
   std::chrono::milliseconds SimulatedLinkDelay{0}; ///< For experiments.
--- a/src/settings/table_reader.cpp
+++ b/src/settings/table_reader.cpp
@@ -175,8 +175,7 @@
     const std::string Name(Key.str());
     if (Known.count(Name) == 0)
       throw settings_error(fmt::format("{}:{}: {}: unknown key", File,
-                                       Node.source().begin.line,
-                                       pathOf(Name)));
+                                       Node.source().begin.line, pathOf(Name)));
   }
 }
 
--- a/src/settings/table_reader.h
+++ b/src/settings/table_reader.h
@@ -34,8 +34,7 @@
   /// \param[in,out] Value the default; gains what the file says.
   /// \throws settings_error if the value is no whole number in the range.
   template <typename T>
-  void whole(const char *Key, std::int64_t Least, std::int64_t Most,
-             T &Value) {
+  void whole(const char *Key, std::int64_t Least, std::int64_t Most, T &Value) {
     const std::int64_t Read =
         readWhole(Key, Least, Most, static_cast<std::int64_t>(Value));
     Value = static_cast<T>(Read);
@@ -82,8 +81,8 @@
 
 private:
   const toml::node *find(const char *Key);
-  std::int64_t readWhole(const char *Key, std::int64_t Least,
-                         std::int64_t Most, std::int64_t Default);
+  std::int64_t readWhole(const char *Key, std::int64_t Least, std::int64_t Most,
+                         std::int64_t Default);
   std::chrono::microseconds readTime(const char *Key,
                                      std::chrono::microseconds Least,
                                      std::chrono::microseconds Most,
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -190,7 +190,9 @@
                                 const httplib::Request &Request,
                                 httplib::Response &Response) {
   auto Next = std::make_shared<std::size_t>(From);
-  const httplib::Request Origin = Request;
+  // The provider outlives the request, of which it needs the connection.
+  httplib::Request Origin;
+  Origin.remote_port = Request.remote_port;
   Response.set_chunked_content_provider(
       "text/event-stream",
       [this, Stream, Next, Origin](std::size_t, httplib::DataSink &Sink) {
@@ -206,9 +208,9 @@
                                               clock::time_point Now) const {
   if (!Stream.Admitted || Now < Stream.FirstTokenAt)
     return 0;
-  const auto Elapsed = std::chrono::duration<double, std::micro>(
-                           Now - Stream.FirstTokenAt)
-                           .count();
+  const auto Elapsed =
+      std::chrono::duration<double, std::micro>(Now - Stream.FirstTokenAt)
+          .count();
   const double Count = 1 + Elapsed / std::max(Settings.DecodeMicroseconds, 1.0);
   return std::min<std::uint64_t>(static_cast<std::uint64_t>(Count),
                                  Stream.Tokens.size());
@@ -273,8 +275,8 @@
     Active.push_back(Stream);
   }
   for (auto Next = Streams.begin(); Next != Streams.end();) {
-    const bool Old = Next->second->Done &&
-                     Now - Next->second->Finished > FinishedStreamLife;
+    const bool Old =
+        Next->second->Done && Now - Next->second->Finished > FinishedStreamLife;
     Next = Old ? Streams.erase(Next) : std::next(Next);
   }
 }
@@ -316,12 +318,9 @@
 }
 
 nlohmann::json engine_standin::currentLoad() const {
-  return {{"running", Active.size()},
-          {"waiting", Waiting.size()},
-          {"slots", Settings.Slots},
-          {"model", Settings.Model},
-          {"cache_tokens", CacheUsed},
-          {"draining", Draining}};
+  return {{"running", Active.size()},  {"waiting", Waiting.size()},
+          {"slots", Settings.Slots},   {"model", Settings.Model},
+          {"cache_tokens", CacheUsed}, {"draining", Draining}};
 }
 
 nlohmann::json engine_standin::laggingLoad() {
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -19,12 +19,12 @@
   http_server_settings Server;
   std::string Name = "engine";
   std::string Model = "model";
-  int Slots = 16;                    ///< Streams that run at once.
-  double PrefillMicroseconds = 200;  ///< Per prompt token not in the cache.
+  int Slots = 16;                     ///< Streams that run at once.
+  double PrefillMicroseconds = 200;   ///< Per prompt token not in the cache.
   double DecodeMicroseconds = 25'000; ///< Per generated token.
   std::uint64_t CacheTokens = 200'000;
-  int LoadLagMilliseconds = 200;     ///< Age of the published load report.
-  bool ChecksFencing = true;         ///< Refuses orders with an old number.
+  int LoadLagMilliseconds = 200; ///< Age of the published load report.
+  bool ChecksFencing = true;     ///< Refuses orders with an old number.
   std::uint64_t Seed = 1;
 };
 
@@ -71,8 +71,7 @@
   void complete(const httplib::Request &Request, httplib::Response &Response);
   void resume(const httplib::Request &Request, httplib::Response &Response);
   void sendStream(const stream_pointer &Stream, std::size_t From,
-                  const httplib::Request &Request,
-                  httplib::Response &Response);
+                  const httplib::Request &Request, httplib::Response &Response);
   bool sendToken(stream &Stream, std::size_t Index, httplib::DataSink &Sink);
   std::uint64_t availableTokens(const stream &Stream,
                                 clock::time_point Now) const;
--- a/src/standin/fault_switch.h
+++ b/src/standin/fault_switch.h
@@ -13,12 +13,12 @@
 
 /// Faults that a stand-in shows while they are switched on.
 struct fault_settings {
-  double Refuse = 0;        ///< Share of requests refused with 503.
-  double DropAnswer = 0;    ///< Share answered only after HoldMilliseconds.
+  double Refuse = 0;         ///< Share of requests refused with 503.
+  double DropAnswer = 0;     ///< Share answered only after HoldMilliseconds.
   int DelayMilliseconds = 0; ///< Added to each request.
   int HoldMilliseconds = 4'000;
-  bool Outage = false;      ///< Refuses everything.
-  bool Silent = false;      ///< Connections open at the switch stay mute.
+  bool Outage = false; ///< Refuses everything.
+  bool Silent = false; ///< Connections open at the switch stay mute.
 };
 
 /// Switches the faults of one stand-in over HTTP (`POST /admin/faults`).
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -144,8 +144,8 @@
   const std::lock_guard Lock(Mutex);
   ++Counters["reads"];
   nlohmann::json Keys = nlohmann::json::array();
-  auto Next = After.empty() ? Objects.lower_bound(Prefix)
-                            : Objects.upper_bound(After);
+  auto Next =
+      After.empty() ? Objects.lower_bound(Prefix) : Objects.upper_bound(After);
   bool More = false;
   for (; Next != Objects.end() && startsWith(Next->first, Prefix); ++Next) {
     if (Keys.size() == MaxListed) {
@@ -163,8 +163,8 @@
   const std::string Prefix = Request.get_param_value("prefix");
   const auto Since = static_cast<std::uint64_t>(
       std::atoll(Request.get_param_value("since").c_str()));
-  const int Timeout = std::min(intParam(Request, "timeout_ms", 1'000),
-                               MaxWatchMilliseconds);
+  const int Timeout =
+      std::min(intParam(Request, "timeout_ms", 1'000), MaxWatchMilliseconds);
   std::unique_lock Lock(Mutex);
   ++Counters["reads"];
   ++Counters["watches"];
@@ -228,16 +228,15 @@
              std::chrono::milliseconds(Settings.InstanceLagMilliseconds),
          Id, Json});
   });
-  Routes.Delete(R"(/admin/instances/([^/]+))",
-                [this](const auto &Request, auto &) {
-                  const std::string Id = Request.matches[1];
-                  const std::lock_guard Lock(Mutex);
-                  InstanceChanges.push_back(
-                      {std::chrono::steady_clock::now() +
-                           std::chrono::milliseconds(
-                               Settings.InstanceLagMilliseconds),
-                       Id, nullptr});
-                });
+  Routes.Delete(
+      R"(/admin/instances/([^/]+))", [this](const auto &Request, auto &) {
+        const std::string Id = Request.matches[1];
+        const std::lock_guard Lock(Mutex);
+        InstanceChanges.push_back(
+            {std::chrono::steady_clock::now() +
+                 std::chrono::milliseconds(Settings.InstanceLagMilliseconds),
+             Id, nullptr});
+      });
 }
 
 } // namespace lentilhoist
--- a/src/standin/service_standin.cpp
+++ b/src/standin/service_standin.cpp
@@ -45,8 +45,8 @@
       std::chrono::milliseconds(Settings.WorkMilliseconds));
   const std::lock_guard Lock(Mutex);
   --Running;
-  Done.Response = fmt::format(R"({{"receipt":"{}-{}"}})", Settings.Name,
-                              Executions.size());
+  Done.Response =
+      fmt::format(R"({{"receipt":"{}-{}"}})", Settings.Name, Executions.size());
   ByKey[Done.Key] = Executions.size();
   Executions.push_back(Done);
   Response.set_content(Done.Response, "application/json");
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,167 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "membership/membership.h"
+
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+#include <map>
+
+using namespace lentilhoist;
+
+namespace {
+
+/// A group in virtual time whose datagrams can be lost.
+class group {
+public:
+  group(std::size_t Size, unsigned GivenLossPercent)
+      : LossPercent(GivenLossPercent), Random(7) {
+    for (std::size_t Index = 0; Index < Size; ++Index) {
+      membership Member;
+      Member.Self = {fmt::format("n{}", Index), "127.0.0.1",
+                     static_cast<std::uint16_t>(Index + 1), "d", "r"};
+      Member.Random.seed(Index + 1);
+      Members.push_back(Member);
+      Running.push_back(true);
+    }
+    for (membership &Member : Members) {
+      for (const membership &Other : Members)
+        seedMember(Other.Self, Now, Member);
+    }
+  }
+
+  void runFor(milliseconds Time) {
+    const microseconds End = Now.Steady + Time;
+    while (Now.Steady < End) {
+      for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+        if (!Running[Index])
+          continue;
+        std::vector<outgoing_datagram> Datagrams;
+        onMembershipTick(Now, Members[Index], Datagrams);
+        deliver(Datagrams);
+      }
+      Now = later(Now, milliseconds(10));
+    }
+  }
+
+  std::size_t countAlive(std::size_t Observer, const std::string &Id) const {
+    return isAlive(Id, Members[Observer]) ? 1 : 0;
+  }
+
+  std::size_t believers(const std::string &Id) const {
+    std::size_t Count = 0;
+    for (std::size_t Index = 0; Index < Members.size(); ++Index) {
+      if (Running[Index] && Members[Index].Self.Id != Id)
+        Count += countAlive(Index, Id);
+    }
+    return Count;
+  }
+
+  instant Now{seconds(1), seconds(1'000)};
+  std::vector<membership> Members;
+  std::vector<bool> Running;
+  std::size_t SentBytes = 0;
+  unsigned LossPercent;
+
+private:
+  void deliver(const std::vector<outgoing_datagram> &Datagrams) {
+    for (const outgoing_datagram &Datagram : Datagrams) {
+      SentBytes += Datagram.Bytes.size();
+      const std::size_t To = Datagram.Port - 1U;
+      const bool Lost = Random() % 100 < LossPercent;
+      if (Lost || !Running[To])
+        continue;
+      std::vector<outgoing_datagram> Answers;
+      onDatagram(Datagram.Bytes, Now, Members[To], Answers);
+      deliver(Answers);
+    }
+  }
+
+  std::mt19937_64 Random;
+};
+
+} // namespace
+
+TEST_CASE("a dead instance is noticed by all") {
+  group Group(8, 0);
+  Group.runFor(seconds(3));
+  CHECK(Group.believers("n3") == 7);
+  Group.Running[3] = false;
+  Group.runFor(seconds(6));
+  CHECK(Group.believers("n3") == 0);
+}
+
+TEST_CASE("loss alone kills nobody") {
+  group Group(12, 10);
+  Group.runFor(seconds(60));
+  for (std::size_t Index = 0; Index < 12; ++Index)
+    CHECK(Group.believers(fmt::format("n{}", Index)) == 11);
+}
+
+TEST_CASE("a paused instance comes back with a higher incarnation") {
+  group Group(6, 0);
+  Group.runFor(seconds(2));
+  const std::uint64_t Before = Group.Members[2].Incarnation;
+  Group.Running[2] = false;
+  Group.runFor(seconds(8));
+  CHECK(Group.believers("n2") == 0);
+  Group.Running[2] = true;
+  Group.runFor(seconds(5));
+  CHECK(Group.believers("n2") == 5);
+  CHECK(Group.Members[2].Incarnation > Before);
+  // It must not have taken its own sleep for the silence of the others.
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    CHECK(Group.countAlive(2, fmt::format("n{}", Index)) == 1);
+}
+
+TEST_CASE("a leaving instance is no candidate") {
+  group Group(4, 0);
+  Group.runFor(seconds(2));
+  announceLeaving(Group.Members[1]);
+  Group.runFor(seconds(3));
+  for (std::size_t Index = 0; Index < 4; ++Index) {
+    const auto Candidates = ownerCandidates(Group.Members[Index]);
+    CHECK(Candidates.size() == 3);
+    for (const member_identity &Candidate : Candidates)
+      CHECK(Candidate.Id != "n1");
+  }
+}
+
+TEST_CASE("a halved group heals") {
+  group Group(6, 0);
+  Group.runFor(seconds(2));
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Group.Running[Index] = false;
+  Group.runFor(seconds(10));
+  CHECK(Group.believers("n0") == 0);
+  for (std::size_t Index = 0; Index < 3; ++Index)
+    Group.Running[Index] = true;
+  Group.runFor(seconds(20));
+  for (std::size_t Index = 0; Index < 6; ++Index)
+    CHECK(Group.believers(fmt::format("n{}", Index)) == 5);
+}
+
+TEST_CASE("bad datagrams are counted and dropped") {
+  group Group(2, 0);
+  std::vector<outgoing_datagram> Answers;
+  membership &Member = Group.Members[0];
+  onDatagram("", Group.Now, Member, Answers);
+  onDatagram("\xc1garbage", Group.Now, Member, Answers);
+  probe_message Newer;
+  Newer.Version = 99;
+  Newer.From = "n1";
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Newer);
+  onDatagram({Buffer.data(), Buffer.size()}, Group.Now, Member, Answers);
+  CHECK(Member.RejectedDatagrams == 3);
+  CHECK(Answers.empty());
+}
+
+TEST_CASE("the cost of one instance does not grow with the group") {
+  group Small(8, 0);
+  Small.runFor(seconds(30));
+  group Large(64, 0);
+  Large.runFor(seconds(30));
+  const double PerSmall = static_cast<double>(Small.SentBytes) / 8;
+  const double PerLarge = static_cast<double>(Large.SentBytes) / 64;
+  // Twice the logarithm of the size is allowed.
+  CHECK(PerLarge < 2 * PerSmall);
+}
--- /dev/null
+++ b/tests/runner_test.cpp
@@ -0,0 +1,182 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "runner/event_parser.h"
+#include "runner/model_client.h"
+#include "runner/service_client.h"
+#include "standin/engine_standin.h"
+#include "standin/service_standin.h"
+
+#include <atomic>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace lentilhoist;
+
+namespace {
+
+engine_standin_settings fastEngine() {
+  engine_standin_settings Settings;
+  Settings.DecodeMicroseconds = 2'000;
+  Settings.PrefillMicroseconds = 1;
+  return Settings;
+}
+
+placed_attempt makeAttempt(int Port, std::uint64_t MaxTokens) {
+  placed_attempt Placed;
+  Placed.Runner.Name = "engine";
+  Placed.Runner.Address = "127.0.0.1";
+  Placed.Runner.Port = Port;
+  Placed.Attempt.Call.Program = {1, 2};
+  Placed.Attempt.Call.Call = 1;
+  Placed.Attempt.Call.Body = R"([{"content":"hello","role":"user"}])";
+  Placed.Attempt.AttemptId = "attempt";
+  Placed.Attempt.MaxTokens = MaxTokens;
+  Placed.Attempt.Timeout = seconds(20);
+  return Placed;
+}
+
+void post(int Port, const char *Path, const char *Body) {
+  makeHttpClient({"127.0.0.1", Port}, {})->Post(Path, Body, "application/json");
+}
+
+bool never() { return false; }
+
+} // namespace
+
+TEST_CASE("events are found however the bytes are cut") {
+  const std::string Stream =
+      "data: a\n\n: comment\n\ndata:b\n\ndata: [DONE]\n\n";
+  for (std::size_t Cut = 0; Cut <= Stream.size(); ++Cut) {
+    event_parser Parser;
+    std::vector<std::string> Found;
+    const auto Keep = [&](std::string_view Data) { Found.emplace_back(Data); };
+    Parser.add(std::string_view(Stream).substr(0, Cut), Keep);
+    Parser.add(std::string_view(Stream).substr(Cut), Keep);
+    CHECK(Found == std::vector<std::string>{"a", "b", "[DONE]"});
+  }
+}
+
+TEST_CASE("a model call streams its text and reports its tokens") {
+  engine_standin Engine(fastEngine());
+  Engine.start();
+  std::string Text;
+  const attempt_result Result =
+      runModelAttempt(makeAttempt(Engine.port(), 5), {}, never,
+                      [&](std::string_view Part) { Text += Part; });
+  CHECK(Result.Code == error_code::None);
+  CHECK(Result.GeneratedTokens == 5);
+  CHECK(Result.UsageKnown);
+  CHECK(Result.Response.find(Text) != std::string::npos);
+  Engine.stop();
+}
+
+TEST_CASE("a stream that falls silent is resumed and not run again") {
+  engine_standin_settings Settings = fastEngine();
+  Settings.DecodeMicroseconds = 20'000;
+  engine_standin Engine(Settings);
+  Engine.start();
+  model_client_settings Limits;
+  Limits.StreamGap = std::chrono::milliseconds(300);
+  std::atomic<int> Parts{0};
+  std::string Text;
+  std::thread Silencer([&] {
+    while (Parts < 5)
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    post(Engine.port(), "/admin/faults", R"({"silent":true})");
+  });
+  const attempt_result Result =
+      runModelAttempt(makeAttempt(Engine.port(), 20), Limits, never,
+                      [&](std::string_view Part) {
+                        Text += Part;
+                        ++Parts;
+                      });
+  Silencer.join();
+  post(Engine.port(), "/admin/faults", R"({"silent":false})");
+  CHECK(Result.Code == error_code::None);
+  CHECK(Parts == 20);
+  CHECK(Result.Response.find(Text) != std::string::npos);
+  const auto Record =
+      makeHttpClient({"127.0.0.1", Engine.port()}, {})->Get("/admin/record");
+  const auto Json = nlohmann::json::parse(Record->body);
+  CHECK(Json["counters"]["requests"] == 1);
+  CHECK(Json["counters"]["resumes"].get<int>() >= 1);
+  Engine.stop();
+}
+
+TEST_CASE("an engine that is not there did not run the call") {
+  const attempt_result Result =
+      runModelAttempt(makeAttempt(1, 5), {}, never, [](std::string_view) {});
+  CHECK(Result.Code == error_code::RunnerFailed);
+  CHECK(Result.Run == run_state::NotRun);
+}
+
+TEST_CASE("a draining engine did not run the call") {
+  engine_standin Engine(fastEngine());
+  Engine.start();
+  post(Engine.port(), "/admin/drain", "");
+  const attempt_result Result = runModelAttempt(
+      makeAttempt(Engine.port(), 5), {}, never, [](std::string_view) {});
+  CHECK(Result.Run == run_state::NotRun);
+  Engine.stop();
+}
+
+TEST_CASE("a cancelled stream ends") {
+  engine_standin_settings Settings = fastEngine();
+  Settings.DecodeMicroseconds = 50'000;
+  engine_standin Engine(Settings);
+  Engine.start();
+  std::atomic<bool> Cancelled{false};
+  const attempt_result Result = runModelAttempt(
+      makeAttempt(Engine.port(), 1'000), {}, [&] { return Cancelled.load(); },
+      [&](std::string_view) { Cancelled = true; });
+  CHECK(Result.Code == error_code::ProgramEnded);
+  CHECK(Result.Run == run_state::Ran);
+  cancelStream({"127.0.0.1", Engine.port()}, "attempt");
+  Engine.stop();
+}
+
+TEST_CASE("caches are listed and released") {
+  engine_standin Engine(fastEngine());
+  Engine.start();
+  (void)runModelAttempt(makeAttempt(Engine.port(), 2), {}, never,
+                        [](std::string_view) {});
+  const endpoint Target{"127.0.0.1", Engine.port()};
+  std::vector<program_id> Sessions;
+  while (Sessions.empty())
+    Sessions = listSessions(Target).value();
+  CHECK(Sessions.front() == program_id{1, 2});
+  CHECK(releaseSession(Target, formatProgramId({1, 2})));
+  CHECK(listSessions(Target)->empty());
+  Engine.stop();
+}
+
+TEST_CASE("a service call says whether it ran") {
+  service_standin Service{service_standin_settings()};
+  Service.start();
+  placed_attempt Placed = makeAttempt(Service.port(), 0);
+  Placed.Attempt.Call.Kind = call_kind::ExclusiveService;
+  Placed.Attempt.RequestKey = "key";
+  Placed.Attempt.Timeout = milliseconds(400);
+  const endpoint Target{"127.0.0.1", Service.port()};
+
+  SUBCASE("an answer") {
+    CHECK(runServiceAttempt(Placed).Run == run_state::Ran);
+    CHECK(queryOutcome(Target, "key").has_value());
+    CHECK_FALSE(queryOutcome(Target, "another").has_value());
+  }
+  SUBCASE("an answer that is lost") {
+    post(Service.port(), "/admin/faults", R"({"drop_answer":1,"hold_ms":900})");
+    CHECK(runServiceAttempt(Placed).Run == run_state::OutcomeUnknown);
+    CHECK(queryOutcome(Target, "key").has_value());
+  }
+  SUBCASE("a refusal") {
+    post(Service.port(), "/admin/faults", R"({"refuse":1})");
+    CHECK(runServiceAttempt(Placed).Run == run_state::NotRun);
+  }
+  SUBCASE("too late to be sent") {
+    Placed.Attempt.HasSendBy = true;
+    Placed.Attempt.SendBy = readClock();
+    CHECK(runServiceAttempt(Placed).Run == run_state::NotRun);
+    CHECK_FALSE(queryOutcome(Target, "key").has_value());
+  }
+  Service.stop();
+}
