--- a/scripts/build.sh
+++ b/scripts/build.sh
@@ -5,4 +5,5 @@
 cd "$(dirname "$0")/.."
 build=${BUILD:-build}
 cmake -S . -B "$build" -G Ninja -DLENTILHOIST_SANITIZE="${SANITIZE:-}" >/dev/null
-ninja -C "$build" -k 20
+# shellcheck disable=SC2086
+ninja -C "$build" -k 20 ${TARGETS:-all}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,7 +28,7 @@
 # The explorer's seeds and the daemon's timing run long under a sanitizer, so
 # its tests run there with fewer at once.
 run_sanitized() {
-  SANITIZE=$2 BUILD=$1 scripts/build.sh &&
+  SANITIZE=$2 BUILD=$1 TARGETS=tests/all scripts/build.sh &&
     TSAN_OPTIONS=halt_on_error=1 UBSAN_OPTIONS=halt_on_error=1 \
       ctest --test-dir "$1" --output-on-failure -j 4
 }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -82,8 +82,18 @@
     return;
   }
   const auto Known = Group.Members.find(News.Identity.Id);
-  if (Known == Group.Members.end() || supersedes(News, Known->second.News))
+  if (Known == Group.Members.end()) {
     setNews(News, Now, Group);
+    return;
+  }
+  if (!supersedes(News, Known->second.News))
+    return;
+  const bool ConfirmsList = Known->second.News.Incarnation == 0 &&
+                            News.Status == member_status::Alive &&
+                            !News.Leaving;
+  setNews(News, Now, Group);
+  if (ConfirmsList)
+    Known->second.Transmissions = retransmitLimit(Group) + 1;
 }
 
 /// Chooses the news that were passed on least; own news always travel.
--- /dev/null
+++ b/tests/ctl_test.cpp
@@ -0,0 +1,42 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "ctl/command_table.h"
+
+#include <doctest/doctest.h>
+
+using namespace lentilhoist;
+
+TEST_CASE("arguments are bound by name") {
+  const ctl_command *Resolve = findCommand("resolve");
+  REQUIRE(Resolve != nullptr);
+  const auto Bound = bindArguments(
+      *Resolve, {"000-0000000000000001", "3", "ran", "seen in the till"});
+  CHECK(Bound["program"] == "000-0000000000000001");
+  CHECK(Bound["call"] == 3);
+  CHECK(Bound["reason"] == "seen in the till");
+}
+
+TEST_CASE("missing and surplus arguments are named") {
+  CHECK_THROWS_WITH(bindArguments(*findCommand("show"), {}),
+                    "show: missing argument program");
+  CHECK_THROWS_WITH(bindArguments(*findCommand("status"), {"x"}),
+                    "status: unexpected argument 'x'");
+  CHECK_THROWS_WITH(
+      bindArguments(*findCommand("resolve"), {"p", "three", "ran", "r"}),
+      "call must be a whole number");
+  CHECK(bindArguments(*findCommand("programs"), {}).empty());
+  CHECK(findCommand("destroy") == nullptr);
+}
+
+TEST_CASE("results are rendered as tables") {
+  const auto Result = nlohmann::json::parse(
+      R"({"instance":"a","items":[{"runner":"r1","slots":16}],"none":[]})");
+  const std::string Text = renderTable(Result);
+  CHECK(Text.find("instance: a\n") != std::string::npos);
+  CHECK(Text.find("runner  slots  \nr1      16     \n") != std::string::npos);
+  CHECK(Text.find("none: none\n") != std::string::npos);
+}
+
+TEST_CASE("the completion script names every command") {
+  for (const ctl_command &Command : ctlCommands())
+    CHECK(completionScript().find(Command.Name) != std::string::npos);
+}
