--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -17,6 +17,7 @@
 ENGINE_FLAGS=${ENGINE_FLAGS:---decode_us=2000 --prefill_us=20}
 SHARDS=${SHARDS:-16}
 DAEMON_EXTRA=${DAEMON_EXTRA:-}
+INSTANCE_EXTRA=${INSTANCE_EXTRA:-}
 
 ALL_PIDS=()
 INSTANCE_PIDS=()
@@ -40,6 +41,8 @@
     ;;
   esac
   INSTANCES=${INSTANCE_COUNT:-$INSTANCES}
+  ENGINE_COUNT=${ENGINES_WANTED:-$ENGINE_COUNT}
+  SERVICE_COUNT=${SERVICES_WANTED:-$SERVICE_COUNT}
 }
 
 start_process() { # NAME COMMAND...
@@ -87,6 +90,7 @@
 caller_port = $((BASE_PORT + 400 + i))
 operator_port = $((BASE_PORT + 500 + i))
 simulated_link_delay = "$LINK_DELAY"
+$INSTANCE_EXTRA
 
 [platform]
 endpoint = "$PLATFORM"
