--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -74,8 +74,8 @@
     scheduler Decisions(Settings, Store, Members, Measures);
     peer_link Link(
         linkSettings(Settings, Token),
-        [&](owner_request Request, std::shared_ptr<answer_sink> Sink) {
-          Decisions.submit(std::move(Request), std::move(Sink));
+        [&](owner_request Request, const std::shared_ptr<answer_sink> &Sink) {
+          Decisions.submit(std::move(Request), Sink);
         },
         [&](shard_index Shard) { Decisions.offerShard(Shard); });
     request_router Router(Settings, Members, Link, Decisions);
