--- a/src/daemon/scheduler.h
+++ b/src/daemon/scheduler.h
@@ -125,8 +125,6 @@
   void onRequest(request_arrived &Arrived, instant Now);
   void onJournalLoaded(journal_loaded &Loaded, instant Now);
   void onLoadReported(const load_reported &Reported);
-  void dispatch(const owner_request &Request, call_ticket Ticket, instant Now,
-                action_list &Actions);
   bool mustPark(shard_index Shard) const;
   void reviewShards(instant Now);
   void reviewShard(shard_owner &Owner, instant Now);
--- a/src/decision/owner_settings.h
+++ b/src/decision/owner_settings.h
@@ -25,6 +25,7 @@
   std::uint32_t MaxHeldCalls = 8;      ///< Per program.
   std::size_t MaxBatchBytes = 900'000; ///< Below the platform's value limit.
   std::size_t MaxUncommittedBytes = 8U << 20U; ///< Refuse calls beyond it.
+  std::size_t MaxTextBytes = 8U << 20U;        ///< Histories held in memory.
   entry_number SnapshotInterval = 64;          ///< Entries between snapshots.
   milliseconds Retention{seconds(600)}; ///< Ended programs stay readable.
   std::size_t DeletesPerTick = 4;
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -165,6 +165,26 @@
   }
 }
 
+/// Drops the texts of the programs that have been quiet longest, until the
+/// rest fits. They are read again from the journal when they are needed.
+void boundTexts(shard_owner &Owner) {
+  std::size_t Total = 0;
+  std::vector<std::pair<entry_number, program_id>> Quiet;
+  for (const auto &[Id, Program] : Owner.State.Programs) {
+    Total += textBytes(Program);
+    if (!Program.Calls.empty() && Owner.Active.count(Id) == 0)
+      Quiet.emplace_back(Program.Calls.back().Entry, Id);
+  }
+  if (Total <= Owner.Settings.MaxTextBytes)
+    return;
+  std::sort(Quiet.begin(), Quiet.end());
+  for (const auto &[Entry, Id] : Quiet) {
+    if (Total <= Owner.Settings.MaxTextBytes)
+      return;
+    Total -= dropTexts(Owner.Committed, Owner.State.Programs.at(Id));
+  }
+}
+
 void queryDoubtful(instant Now, shard_owner &Owner, action_list &Actions) {
   if (Owner.Doubtful.empty() || Now.Steady < Owner.SideEffectsAfter)
     return;
@@ -354,6 +374,7 @@
     return;
   Owner.NextSweepAt = Now.Steady + Owner.Settings.SweepInterval;
   sweepPrograms(Now, Owner, Actions);
+  boundTexts(Owner);
   retryHeldCalls(Now, Owner, Actions);
 }
 
--- a/src/decision/shard_state.cpp
+++ b/src/decision/shard_state.cpp
@@ -289,6 +289,13 @@
   return Freed;
 }
 
+std::size_t textBytes(const program_state &Program) {
+  std::size_t Bytes = 0;
+  for (const call_history &Call : Program.Calls)
+    Bytes += Call.Request.size() + Call.Response.size();
+  return Bytes;
+}
+
 entry_number firstUnloadedEntry(const program_state &Program) {
   for (const call_history &Call : Program.Calls) {
     if (!Call.Loaded)
--- a/src/decision/shard_state.h
+++ b/src/decision/shard_state.h
@@ -57,6 +57,10 @@
 /// \returns the bytes freed.
 std::size_t dropTexts(entry_number Committed, program_state &Program);
 
+/// \param Program the program.
+/// \returns the bytes of its texts in memory.
+std::size_t textBytes(const program_state &Program);
+
 /// \param Program the program.
 /// \returns the first entry whose texts are not in memory, or 0 if none.
 entry_number firstUnloadedEntry(const program_state &Program);
--- a/src/explore/world.cpp
+++ b/src/explore/world.cpp
@@ -27,6 +27,7 @@
   Settings.RemoteTimeout = seconds(5);
   Settings.RunGrace = milliseconds(500);
   Settings.SnapshotInterval = 4;
+  Settings.MaxTextBytes = 100;
   Settings.CollectDelay = seconds(4);
   Settings.Retention = seconds(300);
   Settings.DefaultMaxTokens = 40;
--- a/src/explore/world_callers.cpp
+++ b/src/explore/world_callers.cpp
@@ -1,6 +1,7 @@
 /// The callers of an exploration.
 #include "explore/world.h"
 
+#include "call/dispatch_request.h"
 #include "decision/call_flow.h"
 
 #include <fmt/format.h>
@@ -18,33 +19,6 @@
 constexpr std::uint64_t MostCalls = 6;
 constexpr std::uint64_t TokenBudget = 6'000;
 
-/// Feeds each kind of request to the decision library.
-struct request_feeder {
-  call_ticket Ticket;
-  instant Now;
-  shard_owner &Owner;
-  action_list &Actions;
-
-  void operator()(const create_request &Request) const {
-    onCreate(Request, Ticket, Now, Owner, Actions);
-  }
-  void operator()(const call_request &Request) const {
-    onCall(Request, Ticket, Now, Owner, Actions);
-  }
-  void operator()(const end_request &Request) const {
-    onEnd(Request.Program, Request.Reason, Ticket, Now, Owner, Actions);
-  }
-  void operator()(const history_request &Request) const {
-    onReadHistory(Request.Program, Ticket, Now, Owner, Actions);
-  }
-  void operator()(const result_request &Request) const {
-    onRemoteResult(Request.Call, Request.Result, Ticket, Now, Owner, Actions);
-  }
-  void operator()(const outcome_resolved &Request) const {
-    onOutcomeKnown(Request, Ticket, Now, Owner, Actions);
-  }
-};
-
 std::string joinMessages(const std::string &Joined, const std::string &Array) {
   const std::string Elements = Array.substr(1, Array.size() - 2);
   return Joined.empty() ? Elements : Joined + ',' + Elements;
@@ -98,19 +72,19 @@
   const bool Lost = FaultsOn && Choice.chance(30);
   if (Lost)
     return;
-  Clock.after(Choice.between(milliseconds(0), NetworkMost), [this, Index,
-                                                             Request, Ticket] {
-    onInstance(Index, [this, Index, Request, Ticket] {
-      action_list Actions;
-      shard_owner &Owner = Instances[Index].Owner;
-      std::visit(request_feeder{Ticket, Clock.now(), Owner, Actions}, Request);
-      const auto *Call = std::get_if<call_request>(&Request);
-      if (Call != nullptr &&
-          Settings.Planted == planted_fault::SendBeforeIntent)
-        sendBeforeIntent(Index, *Call);
-      perform(Index, Actions);
-    });
-  });
+  Clock.after(Choice.between(milliseconds(0), NetworkMost),
+              [this, Index, Request, Ticket] {
+                onInstance(Index, [this, Index, Request, Ticket] {
+                  action_list Actions;
+                  shard_owner &Owner = Instances[Index].Owner;
+                  dispatchRequest(Request, Ticket, Clock.now(), Owner, Actions);
+                  const auto *Call = std::get_if<call_request>(&Request);
+                  if (Call != nullptr &&
+                      Settings.Planted == planted_fault::SendBeforeIntent)
+                    sendBeforeIntent(Index, *Call);
+                  perform(Index, Actions);
+                });
+              });
 }
 
 void world::createProgram(std::size_t Index) {
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -80,6 +80,7 @@
   Reader.whole("max_batch_bytes", 10'000, 1'000'000, Owner.MaxBatchBytes);
   Reader.whole("max_uncommitted_bytes", 10'000, 1LL << 32U,
                Owner.MaxUncommittedBytes);
+  Reader.whole("max_text_bytes", 0, 1LL << 40U, Owner.MaxTextBytes);
   Reader.finish();
 }
 
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -321,6 +321,30 @@
   CHECK_THROWS_AS(decodeSnapshot("garbage"), corrupt_entry);
 }
 
+TEST_CASE("texts beyond the bound are dropped and read again when needed") {
+  fixture Fixture;
+  Fixture.Owner.Settings.MaxTextBytes = 10;
+  Fixture.create(1, Generous);
+  (void)Fixture.call(1, 1, call_kind::Model);
+  Fixture.finish(Fixture.answerOf(10, 5));
+  Fixture.tick(seconds(2));
+  const call_history &Call = Fixture.Owner.State.Programs.at({0, 1}).Calls[0];
+  CHECK_FALSE(Call.Loaded);
+  (void)Fixture.call(1, 2, call_kind::Model);
+  CHECK(Fixture.Attempts.size() == 1);
+  call_completed Done;
+  Done.Program = {0, 1};
+  Done.Call = 1;
+  Done.Request = R"(["x"])";
+  Done.Response = R"(["answer"])";
+  action_list Actions;
+  onEntryRead(Call.Entry, {read_status::Found, {0, Call.Entry, "a", 1, {Done}}},
+              Fixture.Now, Fixture.Owner, Actions);
+  Fixture.keep(Actions);
+  REQUIRE(Fixture.Attempts.size() == 2);
+  CHECK(Fixture.Attempts.back().History == R"("x","answer")");
+}
+
 TEST_CASE("shards move only with the instance that comes or goes") {
   const std::vector<std::string> Four{"a", "b", "c", "d"};
   const std::vector<std::string> Three{"a", "b", "d"};
