--- a/src/load/load_balancer.cpp
+++ b/src/load/load_balancer.cpp
@@ -42,7 +42,7 @@
   if (!Answer)
     return Found;
   const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
-  if (Json.is_discarded())
+  if (!Json.is_object() || !Json.contains("instances"))
     return Found;
   for (const auto &Item : Json["instances"]) {
     const endpoint Instance{Item.value("address", std::string()),
--- a/src/platform/object_store.cpp
+++ b/src/platform/object_store.cpp
@@ -19,6 +19,23 @@
   return Json;
 }
 
+/// Reads a list of the answer.
+/// \throws platform_error if the answer is not what the protocol says.
+nlohmann::json parseList(const std::string &Body, const char *Field) {
+  auto Json = parseAnswer(Body);
+  if (!Json.is_object() || !Json.contains(Field) || !Json[Field].is_array())
+    throw platform_error(
+        fmt::format("the platform's answer has no list of {}", Field));
+  return Json;
+}
+
+std::string requireText(const nlohmann::json &Item, const char *Field) {
+  if (!Item.is_object() || !Item.contains(Field) || !Item[Field].is_string())
+    throw platform_error(
+        fmt::format("an item of the platform's answer has no {}", Field));
+  return Item[Field].get<std::string>();
+}
+
 [[noreturn]] void failStatus(const std::string &What, int Status) {
   throw platform_error(fmt::format("{}: status {}", What, Status));
 }
@@ -94,10 +111,10 @@
         get(fmt::format("/objects?prefix={}&after={}", Prefix, Last));
     if (!isSuccess(Answer->status))
       failStatus("list " + Prefix, Answer->status);
-    const auto Json = parseAnswer(Answer->body);
-    for (const auto &Item : Json.at("keys"))
-      Keys.push_back(Item.at("key").get<std::string>());
-    More = Json.at("more").get<bool>() && !Keys.empty();
+    const auto Json = parseList(Answer->body, "keys");
+    for (const auto &Item : Json["keys"])
+      Keys.push_back(requireText(Item, "key"));
+    More = Json.value("more", false) && !Keys.empty();
     if (More)
       Last = Keys.back();
   }
@@ -109,14 +126,14 @@
   if (!isSuccess(Answer->status))
     failStatus("list instances", Answer->status);
   std::vector<listed_instance> Instances;
-  const auto Json = parseAnswer(Answer->body);
-  for (const auto &Item : Json.at("instances")) {
+  const auto Json = parseList(Answer->body, "instances");
+  for (const auto &Item : Json["instances"]) {
     listed_instance Instance;
-    Instance.Id = Item.at("id").get<std::string>();
+    Instance.Id = requireText(Item, "id");
     Instance.Domain = Item.value("domain", std::string());
     Instance.Region = Item.value("region", std::string());
-    Instance.Address = Item.at("address").get<std::string>();
-    Instance.LinkPort = Item.at("link_port").get<int>();
+    Instance.Address = requireText(Item, "address");
+    Instance.LinkPort = Item.value("link_port", 0);
     Instance.Leaving = Item.value("state", std::string()) == "leaving";
     Instances.push_back(std::move(Instance));
   }
