Complete the stand-ins; shorten the stop of servers

Change: the missing parts of the stand-ins with tests; idle connections are kept 5 s in place of 60.

--- a/bin/standin_engine.cpp
+++ b/bin/standin_engine.cpp
@@ -13,6 +13,8 @@
 DEFINE_uint64(cache_tokens, 200000, "tokens that the prefix cache holds");
 DEFINE_int32(load_lag_ms, 200, "age of the load report, milliseconds");
 DEFINE_bool(checks_fencing, true, "whether old fencing numbers are refused");
+DEFINE_int32(event_lag_ms, 500, "age of cache events, milliseconds");
+DEFINE_double(event_gap, 0.05, "share of cache events never published");
 DEFINE_uint64(seed, 1, "seed of the random choices of faults");
 
 int main(int ArgumentCount, char **Arguments) {
@@ -31,6 +33,8 @@
   Settings.CacheTokens = FLAGS_cache_tokens;
   Settings.LoadLagMilliseconds = FLAGS_load_lag_ms;
   Settings.ChecksFencing = FLAGS_checks_fencing;
+  Settings.EventLagMilliseconds = FLAGS_event_lag_ms;
+  Settings.EventGap = FLAGS_event_gap;
   Settings.Seed = FLAGS_seed;
   lentilhoist::engine_standin Engine(Settings);
   return lentilhoist::runUntilSignal(Engine);
--- a/bin/standin_platform.cpp
+++ b/bin/standin_platform.cpp
@@ -6,6 +6,8 @@
 DEFINE_string(address, "127.0.0.1", "IP number to serve on");
 DEFINE_int32(port, 7000, "port to serve on");
 DEFINE_int32(instance_lag_ms, 1000, "lag of the instance list, milliseconds");
+DEFINE_double(writes_per_second, 0, "limit of writes; 0 for none");
+DEFINE_double(reads_per_second, 0, "limit of reads; 0 for none");
 DEFINE_uint64(seed, 1, "seed of the random choices of faults");
 
 int main(int ArgumentCount, char **Arguments) {
@@ -18,6 +20,8 @@
   Settings.Server.MaxConnections = 1'024;
   Settings.Server.MaxBodyBytes = 4U << 20U;
   Settings.InstanceLagMilliseconds = FLAGS_instance_lag_ms;
+  Settings.WritesPerSecond = FLAGS_writes_per_second;
+  Settings.ReadsPerSecond = FLAGS_reads_per_second;
   Settings.Seed = FLAGS_seed;
   lentilhoist::platform_standin Platform(Settings);
   return lentilhoist::runUntilSignal(Platform);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -13,7 +13,7 @@
   std::string Address = "127.0.0.1";
   int Port = 0;
   std::size_t MaxConnections = 256; ///< Served at once; more are refused.
-  std::chrono::milliseconds IdleTimeout{60'000};
+  std::chrono::milliseconds IdleTimeout{5'000}; ///< Also bounds stop().
   std::chrono::milliseconds ReadTimeout{10'000};
   std::chrono::milliseconds WriteTimeout{10'000};
   std::size_t MaxBodyBytes = 1U << 20U;
--- a/src/standin/engine_standin.cpp
+++ b/src/standin/engine_standin.cpp
@@ -114,6 +114,35 @@
       Sessions.push_back({{"session", Session}, {"tokens", Line.Tokens}});
     Response.set_content(Sessions.dump(), "application/json");
   });
+  Routes.Get("/v1/cache/events", [this](const auto &Request, auto &Response) {
+    const auto Since = static_cast<std::uint64_t>(
+        std::atoll(Request.get_param_value("since").c_str()));
+    const std::lock_guard Lock(Mutex);
+    Response.set_content(visibleEvents(Since).dump(), "application/json");
+  });
+  Routes.Get("/v1/cache/export", [this](const auto &Request, auto &Response) {
+    const std::string Session = Request.get_param_value("session");
+    const std::lock_guard Lock(Mutex);
+    const auto Found = Cache.find(Session);
+    if (Found == Cache.end()) {
+      answerError(404, "no such session", Response);
+      return;
+    }
+    const nlohmann::json Exported = {{"session", Session},
+                                     {"tokens", Found->second.Tokens}};
+    Response.set_content(Exported.dump(), "application/json");
+  });
+  Routes.Post("/v1/cache/import", [this](const auto &Request, auto &Response) {
+    const auto Json = nlohmann::json::parse(Request.body, nullptr, false);
+    if (!Json.is_object() || !Json.contains("session")) {
+      answerError(400, "malformed cache", Response);
+      return;
+    }
+    const std::lock_guard Lock(Mutex);
+    ++Counters["cache_imports"];
+    touchCache(Json.value("session", std::string()),
+               Json.value("tokens", std::uint64_t(0)));
+  });
   Routes.Post("/v1/orders", [this](const auto &Request, auto &Response) {
     order(Request, Response);
   });
@@ -295,12 +324,37 @@
                                     Settings.DecodeMicroseconds);
 }
 
+void engine_standin::publishEvent(const std::string &Session, bool Held) {
+  constexpr std::size_t MaxEvents = 10'000;
+  const std::uint64_t Number = NextEvent++;
+  if (std::uniform_real_distribution<>(0, 1)(Random) < Settings.EventGap)
+    return;
+  Events.push_back({Number, Session, Held,
+                    clock::now() + std::chrono::milliseconds(
+                                       Settings.EventLagMilliseconds)});
+  if (Events.size() > MaxEvents)
+    Events.pop_front();
+}
+
+nlohmann::json engine_standin::visibleEvents(std::uint64_t Since) const {
+  const auto Now = clock::now();
+  nlohmann::json Visible = nlohmann::json::array();
+  for (const cache_event &Event : Events) {
+    if (Event.Number > Since && Event.VisibleAt <= Now)
+      Visible.push_back({{"number", Event.Number},
+                         {"session", Event.Session},
+                         {"held", Event.Held}});
+  }
+  return Visible;
+}
+
 void engine_standin::touchCache(const std::string &Session,
                                 std::uint64_t Tokens) {
   dropCache(Session);
   Recency.push_front(Session);
   Cache[Session] = {Tokens, Recency.begin()};
   CacheUsed += Tokens;
+  publishEvent(Session, true);
   while (CacheUsed > Settings.CacheTokens && !Recency.empty()) {
     const std::string Oldest = Recency.back();
     ++Counters["cache_evictions"];
@@ -315,6 +369,7 @@
   CacheUsed -= Found->second.Tokens;
   Recency.erase(Found->second.Recent);
   Cache.erase(Found);
+  publishEvent(Session, false);
 }
 
 nlohmann::json engine_standin::currentLoad() const {
--- a/src/standin/engine_standin.h
+++ b/src/standin/engine_standin.h
@@ -23,8 +23,10 @@
   double PrefillMicroseconds = 200;   ///< Per prompt token not in the cache.
   double DecodeMicroseconds = 25'000; ///< Per generated token.
   std::uint64_t CacheTokens = 200'000;
-  int LoadLagMilliseconds = 200; ///< Age of the published load report.
-  bool ChecksFencing = true;     ///< Refuses orders with an old number.
+  int LoadLagMilliseconds = 200;  ///< Age of the published load report.
+  int EventLagMilliseconds = 500; ///< Age of the published cache events.
+  double EventGap = 0.05;         ///< Share of cache events never published.
+  bool ChecksFencing = true;      ///< Refuses orders with an old number.
   std::uint64_t Seed = 1;
 };
 
@@ -47,6 +49,14 @@
 private:
   using clock = std::chrono::steady_clock;
 
+  /// A change of the cache, as published late and with gaps.
+  struct cache_event {
+    std::uint64_t Number = 0;
+    std::string Session;
+    bool Held = false;
+    clock::time_point VisibleAt;
+  };
+
   /// One generation; it goes on without a connection.
   struct stream {
     std::string Id;
@@ -77,6 +87,8 @@
                                 clock::time_point Now) const;
   void schedule();
   void admit(stream &Stream);
+  void publishEvent(const std::string &Session, bool Held);
+  nlohmann::json visibleEvents(std::uint64_t Since) const;
   void touchCache(const std::string &Session, std::uint64_t Tokens);
   void dropCache(const std::string &Session);
   void order(const httplib::Request &Request, httplib::Response &Response);
@@ -97,6 +109,9 @@
   std::map<std::string, cache_line> Cache;
   std::list<std::string> Recency; ///< Sessions, the most recent first.
   std::uint64_t CacheUsed = 0;
+  std::deque<cache_event> Events;
+  std::uint64_t NextEvent = 1;
+  std::mt19937_64 Random{1};
   std::deque<std::pair<clock::time_point, nlohmann::json>> Reports;
   std::map<std::string, std::uint64_t> Counters;
   std::map<std::string, std::uint64_t> SpentBySession;
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -32,7 +32,8 @@
 } // namespace
 
 platform_standin::platform_standin(platform_standin_settings Given)
-    : Settings(std::move(Given)), Server(Settings.Server) {
+    : Settings(std::move(Given)), Server(Settings.Server),
+      Writes(Settings.WritesPerSecond), Reads(Settings.ReadsPerSecond) {
   Faults.install(Server, Settings.Seed);
   installObjectRoutes();
   installInstanceRoutes();
@@ -47,25 +48,43 @@
   Server.stop();
 }
 
+platform_standin::handler platform_standin::limited(rate_gate &Gate,
+                                                    handler Handle) {
+  return [this, &Gate, Handle = std::move(Handle)](
+             const httplib::Request &Request, httplib::Response &Response) {
+    if (Gate.take(1)) {
+      Handle(Request, Response);
+      return;
+    }
+    const std::lock_guard Lock(Mutex);
+    ++Counters["limited"];
+    Response.status = 429;
+  };
+}
+
 void platform_standin::installObjectRoutes() {
   httplib::Server &Routes = Server.routes();
-  Routes.Put(R"(/objects/(.+))", [this](const auto &Request, auto &Response) {
-    put(Request, Response);
-    Faults.maybeDropAnswer();
-  });
-  Routes.Get(R"(/objects/(.+))", [this](const auto &Request, auto &Response) {
-    get(Request, Response);
-  });
+  Routes.Put(R"(/objects/(.+))",
+             limited(Writes, [this](const auto &Request, auto &Response) {
+               put(Request, Response);
+               Faults.maybeDropAnswer();
+             }));
+  Routes.Get(R"(/objects/(.+))",
+             limited(Reads, [this](const auto &Request, auto &Response) {
+               get(Request, Response);
+             }));
   Routes.Delete(R"(/objects/(.+))",
-                [this](const auto &Request, auto &Response) {
+                limited(Writes, [this](const auto &Request, auto &Response) {
                   remove(Request, Response);
-                });
-  Routes.Get("/objects", [this](const auto &Request, auto &Response) {
-    list(Request, Response);
-  });
-  Routes.Get("/watch", [this](const auto &Request, auto &Response) {
-    watch(Request, Response);
-  });
+                }));
+  Routes.Get("/objects",
+             limited(Reads, [this](const auto &Request, auto &Response) {
+               list(Request, Response);
+             }));
+  Routes.Get("/watch",
+             limited(Reads, [this](const auto &Request, auto &Response) {
+               watch(Request, Response);
+             }));
   Routes.Get("/admin/counters", [this](const auto &, auto &Response) {
     const std::lock_guard Lock(Mutex);
     answerJson(Counters, Response);
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "standin/fault_switch.h"
+#include "standin/rate_gate.h"
 
 #include <condition_variable>
 #include <cstdint>
@@ -16,6 +17,8 @@
 struct platform_standin_settings {
   http_server_settings Server;
   int InstanceLagMilliseconds = 1'000; ///< Lag of the instance list.
+  double WritesPerSecond = 0; ///< More are refused with 429; 0 for no limit.
+  double ReadsPerSecond = 0;  ///< Likewise; a waiting watch counts as one.
   std::uint64_t Seed = 1;
 };
 
@@ -48,6 +51,10 @@
     nlohmann::json Description; ///< Null removes the instance.
   };
 
+  using handler =
+      std::function<void(const httplib::Request &, httplib::Response &)>;
+
+  handler limited(rate_gate &Gate, handler Handle);
   void installObjectRoutes();
   void installInstanceRoutes();
   void put(const httplib::Request &Request, httplib::Response &Response);
@@ -61,6 +68,8 @@
   platform_standin_settings Settings;
   http_server Server;
   fault_switch Faults;
+  rate_gate Writes;
+  rate_gate Reads;
   std::mutex Mutex;
   std::condition_variable Changed;
   bool Stopping = false;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -83,6 +83,36 @@
   CHECK(readEntry(0, 1, Store).Status == read_status::Absent);
 }
 
+TEST_CASE("an answer that is not what the protocol says is an error") {
+  http_server Odd{http_server_settings()};
+  Odd.routes().Get("/objects", [](const auto &, auto &Response) {
+    Response.set_content("{}", "application/json");
+  });
+  Odd.routes().Get("/instances", [](const auto &, auto &Response) {
+    Response.set_content(R"({"instances":[{"id":7}]})", "application/json");
+  });
+  Odd.start();
+  object_store Store({"127.0.0.1", Odd.port()}, {});
+  CHECK_THROWS_AS(Store.listKeys("p"), platform_error);
+  CHECK_THROWS_AS(Store.listInstances(), platform_error);
+  CHECK_THROWS_AS(readShard(0, Store), platform_error);
+}
+
+TEST_CASE("calls beyond the platform's rate are errors, and are not applied") {
+  platform_standin_settings Settings;
+  // So little that the second write is refused however slow the test runs.
+  Settings.WritesPerSecond = 1e-6;
+  platform_standin Limited(Settings);
+  Limited.start();
+  {
+    object_store Store({"127.0.0.1", Limited.port()}, {});
+    CHECK(Store.create("k/1", "") == update_status::Done);
+    CHECK_THROWS_AS(Store.create("k/2", ""), platform_error);
+    CHECK_FALSE(Store.read("k/2"));
+  }
+  Limited.stop();
+}
+
 TEST_CASE("a silent connection does not stop a new one") {
   fixture Fixture;
   object_store Store = Fixture.connect();
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -4,6 +4,7 @@
 #include "runner/service_client.h"
 #include "standin/engine_standin.h"
 #include "standin/service_standin.h"
+#include "standin/weights_standin.h"
 
 #include <atomic>
 #include <doctest/doctest.h>
@@ -149,6 +150,40 @@
   Engine.stop();
 }
 
+TEST_CASE("a cache can be moved to another engine") {
+  engine_standin From(fastEngine());
+  engine_standin To(fastEngine());
+  From.start();
+  To.start();
+  (void)runModelAttempt(makeAttempt(From.port(), 2), {}, never,
+                        [](std::string_view) {});
+  const std::string Session = formatProgramId({1, 2});
+  while (listSessions({"127.0.0.1", From.port()})->empty())
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  const auto Exported = makeHttpClient({"127.0.0.1", From.port()}, {})
+                            ->Get("/v1/cache/export?session=" + Session);
+  REQUIRE(Exported);
+  CHECK(Exported->status == 200);
+  post(To.port(), "/v1/cache/import", Exported->body.c_str());
+  CHECK(listSessions({"127.0.0.1", To.port()})->front() == program_id{1, 2});
+  From.stop();
+  To.stop();
+}
+
+TEST_CASE("the weight store limits loads") {
+  weights_standin_settings Settings;
+  Settings.LoadsPerSecond = 1e-6;
+  Settings.LoadMilliseconds = 1;
+  weights_standin Weights(Settings);
+  Weights.start();
+  {
+    const auto Client = makeHttpClient({"127.0.0.1", Weights.port()}, {});
+    CHECK(Client->Get("/weights/a")->status == 200);
+    CHECK(Client->Get("/weights/a")->status == 429);
+  }
+  Weights.stop();
+}
+
 TEST_CASE("a service call says whether it ran") {
   service_standin Service{service_standin_settings()};
   Service.start();
