Fold repeated guards, requests and script parts into one each

Cause: a search for repeated code showed the same guard in two program requests, the same request handling in two routes and one shell function in two scripts. Change: findOrRefuse, askAboutProgram, sum_ticks in deployment.sh.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -157,6 +157,15 @@
   wait_ready
 }
 
+sum_ticks() { # user and system ticks of all instances
+  local pid total=0 fields
+  for pid in "${INSTANCE_PIDS[@]}"; do
+    read -r -a fields <"/proc/$pid/stat"
+    total=$((total + fields[13] + fields[14]))
+  done
+  echo "$total"
+}
+
 deployment_stop() {
   local pid
   for pid in "${ALL_PIDS[@]}"; do kill -KILL "$pid" 2>/dev/null; done
--- a/scripts/measure_fleet.sh
+++ b/scripts/measure_fleet.sh
@@ -7,15 +7,6 @@
 cd "$(dirname "$0")/.." || exit 2
 SECONDS_MEASURED=10
 
-sum_ticks() { # user and system ticks of all instances
-  local pid total=0 fields
-  for pid in "${INSTANCE_PIDS[@]}"; do
-    read -r -a fields <"/proc/$pid/stat"
-    total=$((total + fields[13] + fields[14]))
-  done
-  echo "$total"
-}
-
 sum_resident_kb() {
   local pid total=0
   for pid in "${INSTANCE_PIDS[@]}"; do
--- a/scripts/measure_load.sh
+++ b/scripts/measure_load.sh
@@ -6,15 +6,6 @@
 
 cd "$(dirname "$0")/.." || exit 2
 
-sum_ticks() {
-  local pid total=0 fields
-  for pid in "${INSTANCE_PIDS[@]}"; do
-    read -r -a fields <"/proc/$pid/stat"
-    total=$((total + fields[13] + fields[14]))
-  done
-  echo "$total"
-}
-
 largest_resident_kb() {
   local pid
   for pid in "${INSTANCE_PIDS[@]}"; do
--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -344,16 +344,22 @@
   Response.set_content(Answer.Body, "application/json");
 }
 
-void caller_server::readHistory(const httplib::Request &Request,
-                                httplib::Response &Response) {
+call_answer caller_server::askAboutProgram(
+    const httplib::Request &Request,
+    const std::function<owner_request(const program_id &)> &Make) {
   const open_request Counted(Open);
   const auto Program = parseProgramId(std::string(Request.matches[1]));
-  if (!Program) {
-    answerBadRequest("malformed program", Response);
-    return;
-  }
+  if (!Program)
+    return refuse(error_code::BadRequest, "malformed program");
+  return routed_request(Router, Make(*Program)).wait(ControlWait);
+}
+
+void caller_server::readHistory(const httplib::Request &Request,
+                                httplib::Response &Response) {
   const call_answer Answer =
-      routed_request(Router, history_request{*Program}).wait(ControlWait);
+      askAboutProgram(Request, [](const program_id &Program) {
+        return history_request{Program};
+      });
   if (Answer.Code != error_code::None)
     answerError(Answer, Response);
   else
@@ -362,14 +368,8 @@
 
 void caller_server::endProgram(const httplib::Request &Request,
                                httplib::Response &Response) {
-  const open_request Counted(Open);
-  const auto Program = parseProgramId(std::string(Request.matches[1]));
-  if (!Program) {
-    answerBadRequest("malformed program", Response);
-    return;
-  }
-  const call_answer Answer =
-      routed_request(Router, end_request{*Program}).wait(ControlWait);
+  const call_answer Answer = askAboutProgram(
+      Request, [](const program_id &Program) { return end_request{Program}; });
   if (Answer.Code != error_code::None)
     answerError(Answer, Response);
   else
--- a/src/caller/caller_server.h
+++ b/src/caller/caller_server.h
@@ -5,6 +5,7 @@
 #include "metrics/metrics.h"
 
 #include <atomic>
+#include <functional>
 #include <string>
 
 namespace lentilhoist {
@@ -39,6 +40,9 @@
   void callModel(const httplib::Request &Request, httplib::Response &Response);
   void callService(const httplib::Request &Request,
                    httplib::Response &Response);
+  call_answer
+  askAboutProgram(const httplib::Request &Request,
+                  const std::function<owner_request(const program_id &)> &Make);
   void readHistory(const httplib::Request &Request,
                    httplib::Response &Response);
   void endProgram(const httplib::Request &Request, httplib::Response &Response);
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -233,6 +233,22 @@
   }
 }
 
+/// \returns the program, or nullptr once its caller has been refused.
+program_state *findOrRefuse(const program_id &Id, call_ticket Ticket,
+                            instant Now, shard_owner &Owner,
+                            action_list &Actions) {
+  if (Owner.Phase != owner_phase::Owning) {
+    answer(Ticket, refuseNotOwner(Owner), Actions);
+    return nullptr;
+  }
+  const auto Found = Owner.State.Programs.find(Id);
+  if (Found != Owner.State.Programs.end())
+    return &Found->second;
+  answerProven(Ticket, refuse(error_code::UnknownProgram, "no such program"),
+               Now, Owner, Actions);
+  return nullptr;
+}
+
 } // namespace
 
 void onCreate(const create_request &Request, call_ticket Ticket, instant Now,
@@ -278,17 +294,10 @@
 
 void onEnd(const program_id &Id, end_reason Reason, call_ticket Ticket,
            instant Now, shard_owner &Owner, action_list &Actions) {
-  if (Owner.Phase != owner_phase::Owning) {
-    answer(Ticket, refuseNotOwner(Owner), Actions);
-    return;
-  }
-  const auto Found = Owner.State.Programs.find(Id);
-  if (Found == Owner.State.Programs.end()) {
-    answerProven(Ticket, refuse(error_code::UnknownProgram, "no such program"),
-                 Now, Owner, Actions);
+  program_state *Found = findOrRefuse(Id, Ticket, Now, Owner, Actions);
+  if (Found == nullptr)
     return;
-  }
-  program_state &Program = Found->second;
+  program_state &Program = *Found;
   call_answer Done;
   Done.Body = formatProgramId(Id);
   if (Program.Ended) {
@@ -315,25 +324,18 @@
 
 void onReadHistory(const program_id &Id, call_ticket Ticket, instant Now,
                    shard_owner &Owner, action_list &Actions) {
-  if (Owner.Phase != owner_phase::Owning) {
-    answer(Ticket, refuseNotOwner(Owner), Actions);
+  program_state *Found = findOrRefuse(Id, Ticket, Now, Owner, Actions);
+  if (Found == nullptr)
     return;
-  }
-  const auto Found = Owner.State.Programs.find(Id);
-  if (Found == Owner.State.Programs.end()) {
-    answerProven(Ticket, refuse(error_code::UnknownProgram, "no such program"),
-                 Now, Owner, Actions);
-    return;
-  }
-  if (!requireTexts(Found->second, Owner, Actions)) {
+  if (!requireTexts(*Found, Owner, Actions)) {
     held_call &Held = Owner.Held[{Id, 0}];
     Held.Tickets.insert(Ticket);
     Held.Deadline = Now.Steady + Owner.Settings.ServiceTimeout;
     return;
   }
   call_answer Answer;
-  Answer.Body = describeProgram(Found->second, Owner.Committed).dump();
-  Answer.CommittedThrough = durableCall(Found->second, Owner);
+  Answer.Body = describeProgram(*Found, Owner.Committed).dump();
+  Answer.CommittedThrough = durableCall(*Found, Owner);
   answerProven(Ticket, std::move(Answer), Now, Owner, Actions);
 }
 
