--- a/src/daemon/request_router.cpp
+++ b/src/daemon/request_router.cpp
@@ -39,7 +39,7 @@
     Owner = chooseOwner(Shard, candidateNames(*View));
   const auto Member = findMember(Owner, *View);
   if (!Member || Owner == Settings.Identity.Id)
-    Local.submit(Request, std::move(Sink));
+    Local.submit(Request, Sink);
   else
     Link.send(*Member, Request, std::move(Sink));
 }
