Remove a dead map, a twin of the reservation and of the commit wait

Cause: reading the whole change: a map that was only cleared; two functions that computed the same reservation; a wait for durability with branches that no caller could reach; cancelled attempts that were never forgotten (they grew without bound). Change: the map is gone, reserveAfter serves both, answerAfterCommit attaches to the records just appended, an attempt that ends is forgotten.

--- a/src/daemon/scheduler.cpp
+++ b/src/daemon/scheduler.cpp
@@ -180,7 +180,7 @@
   } else if (const auto *Stored = std::get_if<snapshot_stored>(&Event)) {
     onSnapshotWritten(Stored->Number, Owners.at(Stored->Shard));
   } else if (const auto *Ended = std::get_if<attempt_finished>(&Event)) {
-    AttemptRunner.erase(Ended->AttemptId);
+    forgetAttempt(Ended->AttemptId);
     onAttemptEnded(Ended->Result.Runner, Ended->Result, Now, Runners);
     onAttemptResult(Ended->Program, Ended->AttemptId, Ended->Result, Now,
                     Owners.at(Ended->Program.Shard), Actions);
--- a/src/daemon/scheduler.h
+++ b/src/daemon/scheduler.h
@@ -150,6 +150,7 @@
   void submitPlatformJob(const std::function<void()> &Job);
   void post(const daemon_event &Event);
   bool isCancelled(const std::string &AttemptId);
+  void forgetAttempt(const std::string &AttemptId);
   void publishGauges();
 
   const daemon_settings &Settings;
--- a/src/daemon/scheduler_actions.cpp
+++ b/src/daemon/scheduler_actions.cpp
@@ -168,6 +168,12 @@
   return Cancelled.count(AttemptId) != 0;
 }
 
+void scheduler::forgetAttempt(const std::string &AttemptId) {
+  AttemptRunner.erase(AttemptId);
+  const std::lock_guard Lock(CancelMutex);
+  Cancelled.erase(AttemptId);
+}
+
 void scheduler::cancel(const cancel_attempt &Cancel, instant) {
   if (withdrawAttempt(Cancel.AttemptId, Runners))
     return;
--- a/src/decision/call_results.cpp
+++ b/src/decision/call_results.cpp
@@ -30,17 +30,6 @@
   return Answer;
 }
 
-/// Tokens to reserve once a call has used some.
-std::uint64_t reserveAfter(const program_state &Program, std::uint64_t Used,
-                           std::uint64_t PromptTokens,
-                           const owner_settings &Settings) {
-  const std::uint64_t Available =
-      freeTokens(Program) + Program.ReservedTokens - Used;
-  const std::uint64_t OneCall =
-      PromptTokens + Settings.NewPromptTokens + Settings.DefaultMaxTokens;
-  return std::min(OneCall * Settings.CallsReservedAhead, Available);
-}
-
 /// Limits what a runner reports to what the call was allowed to use.
 void clampUsage(const program_state &Program, attempt_result &Result) {
   const std::uint64_t Available = freeTokens(Program) + Program.ReservedTokens;
--- a/src/decision/call_steps.cpp
+++ b/src/decision/call_steps.cpp
@@ -54,7 +54,8 @@
     startAttempt(Program, Call, Now, Owner, Actions);
     return;
   }
-  const std::uint64_t Reserve = std::max(Need, reserveAhead(Program, Owner));
+  const std::uint64_t Reserve = std::max(
+      Need, reserveAfter(Program, 0, promptBound(Program, 0), Owner.Settings));
   const tokens_reserved Record{Program.Program, Reserve, 0};
   Call.Stage = call_stage::Preparing;
   Call.PatienceAt = Now.Steady + Owner.Settings.CommitPatience;
@@ -176,12 +177,13 @@
     Later.second += Tokens;
 }
 
-std::uint64_t reserveAhead(const program_state &Program,
-                           const shard_owner &Owner) {
-  const owner_settings &Settings = Owner.Settings;
-  const std::uint64_t OneCall = promptBound(Program, Settings.NewPromptTokens) +
-                                Settings.DefaultMaxTokens;
-  const std::uint64_t Available = freeTokens(Program) + Program.ReservedTokens;
+std::uint64_t reserveAfter(const program_state &Program, std::uint64_t Used,
+                           std::uint64_t PromptTokens,
+                           const owner_settings &Settings) {
+  const std::uint64_t Available =
+      freeTokens(Program) + Program.ReservedTokens - Used;
+  const std::uint64_t OneCall =
+      PromptTokens + Settings.NewPromptTokens + Settings.DefaultMaxTokens;
   return std::min(OneCall * Settings.CallsReservedAhead, Available);
 }
 
--- a/src/decision/call_steps.h
+++ b/src/decision/call_steps.h
@@ -56,10 +56,13 @@
 void returnTokens(std::uint64_t Tokens, token_grant &Grant);
 
 /// \param Program the program.
-/// \param Owner the shard's owner.
+/// \param Used tokens that the present call has used or lost.
+/// \param PromptTokens tokens that the next prompt starts from.
+/// \param Settings the owner's settings.
 /// \returns the tokens to reserve for the calls after the present one.
-std::uint64_t reserveAhead(const program_state &Program,
-                           const shard_owner &Owner);
+std::uint64_t reserveAfter(const program_state &Program, std::uint64_t Used,
+                           std::uint64_t PromptTokens,
+                           const owner_settings &Settings);
 
 /// Appends a reservation and notes what it will allow to draw.
 /// \param Record the reservation.
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -8,17 +8,11 @@
 
 namespace {
 
-void answerWhenDurable(call_ticket Ticket, call_answer Answer,
-                       shard_owner &Owner, action_list &Actions) {
-  if (Ticket == 0)
-    return;
-  if (!Owner.Pending.empty())
+/// Answers once the records that were just appended are durable.
+void answerAfterCommit(call_ticket Ticket, call_answer Answer,
+                       shard_owner &Owner) {
+  if (Ticket != 0)
     afterCommit(answer_caller{Ticket, std::move(Answer)}, Owner);
-  else if (Owner.Sealed)
-    Owner.Sealed->Batch.AfterCommit.push_back(
-        answer_caller{Ticket, std::move(Answer)});
-  else
-    answer(Ticket, std::move(Answer), Actions);
 }
 
 /// \returns why the program can't be created, or error_code::None.
@@ -288,7 +282,7 @@
   const entry_number Entry = appendRecord(Record, Owner);
   Owner.Grants[Request.Program].Pending.emplace_back(Entry,
                                                      Record.ReservedTokens);
-  answerWhenDurable(Ticket, std::move(Created), Owner, Actions);
+  answerAfterCommit(Ticket, std::move(Created), Owner);
   sealBatch(Now, Owner, Actions);
 }
 
@@ -318,7 +312,7 @@
   requestReleases(Program, Releases);
   for (action &Release : Releases)
     afterCommit(std::move(Release), Owner);
-  answerWhenDurable(Ticket, std::move(Done), Owner, Actions);
+  answerAfterCommit(Ticket, std::move(Done), Owner);
   sealBatch(Now, Owner, Actions);
 }
 
--- a/src/decision/shard_owner.cpp
+++ b/src/decision/shard_owner.cpp
@@ -56,7 +56,6 @@
   Owner.Sealed.reset();
   Owner.Held.clear();
   Owner.Grants.clear();
-  Owner.Durable.clear();
   Owner.Loading.clear();
   Owner.Unproven.clear();
   Owner.CoveredByLook = 0;
--- a/src/decision/shard_owner.h
+++ b/src/decision/shard_owner.h
@@ -147,8 +147,7 @@
   microseconds LookedAt{0};       ///< When the present look began.
   bool Looking = false;           ///< A look at the journal is under way.
   std::set<entry_number> Loading; ///< Entries being read for their texts.
-  std::map<program_id, std::uint32_t> Durable; ///< Last durable call.
-  std::set<program_id> Doubtful;    ///< Had an open intent at the takeover.
+  std::set<program_id> Doubtful;  ///< Had an open intent at the takeover.
   microseconds SideEffectsAfter{0}; ///< End of the former owner's window.
   std::map<entry_number, seen_entry> Collectable; ///< Entries by number.
   std::vector<std::string> OldSnapshots;          ///< Keys to delete.
