--- a/src/daemon/daemon_event.h
+++ b/src/daemon/daemon_event.h
@@ -3,7 +3,7 @@
 #include "call/answer_sink.h"
 #include "call/caller_request.h"
 #include "decision/runner_table.h"
-#include "platform/journal_store.h"
+#include "objects/journal_store.h"
 
 #include <functional>
 #include <memory>
--- a/src/daemon/instance_seeder.h
+++ b/src/daemon/instance_seeder.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "instance/membership_node.h"
-#include "platform/object_store.h"
+#include "objects/object_store.h"
 
 #include <atomic>
 #include <thread>
--- a/src/daemon/scheduler.h
+++ b/src/daemon/scheduler.h
@@ -7,7 +7,7 @@
 #include "instance/membership_node.h"
 #include "instance/peer_link.h"
 #include "metrics/metrics.h"
-#include "platform/object_store.h"
+#include "objects/object_store.h"
 #include "settings/daemon_settings.h"
 
 #include <atomic>
--- /dev/null
+++ b/src/edge/edge.cpp
@@ -0,0 +1,394 @@
+#include "edge/edge.h"
+
+#include "forward/caller_connection.h"
+#include "log/log.h"
+#include "net/address.h"
+#include "net/text_server.h"
+#include "platform/config_decoder.h"
+#include "platform/machine_settings.h"
+#include "store/store_watch.h"
+
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <set>
+#include <unistd.h>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Pause between sweeps over pools and missing runners.
+constexpr milliseconds SweepInterval{250};
+/// The balancer takes an instance out after two misses a second apart; requests
+/// arrive until then.
+constexpr milliseconds OutOfRotationTime{3'200};
+/// Time before SIGKILL that is left for the process to end.
+constexpr milliseconds ExitMargin{800};
+/// Part of the memory for bodies of requests under way.
+constexpr std::size_t BodyMemoryDivisor = 4;
+/// Part of the memory for chains that were used recently.
+constexpr std::size_t ChainMemoryDivisor = 10;
+/// The replica set rarely changes, and replicas tell of newer sets themselves.
+constexpr milliseconds ReplicaSetWait{20'000};
+/// Changes of the registry within this time are taken together.
+constexpr milliseconds RegistryGap{100};
+
+/// The parts of one entry instance, joined on one event loop.
+class edge {
+public:
+  edge(instance_settings Given, std::string Path)
+      : Settings(std::move(Given)), SettingsPath(std::move(Path)),
+        History(Loop, Settings.Domain,
+                Settings.MemoryBytes / ChainMemoryDivisor),
+        Pool(Loop), Context{Loop, Settings.Domain, Metrics, History, Pool},
+        Callers(listenOn(Loop, *parseAddress(Settings.CallerAddress))),
+        Readiness(Loop, *parseAddress(Settings.ReadinessAddress),
+                  [this](const http_request_head &) { return readiness(); }),
+        MetricsServer(
+            Loop, metricsAddress(),
+            [this](const http_request_head &) { return renderMetrics(); }),
+        Signals(Loop, SIGTERM, SIGINT, SIGHUP), Sweep(Loop), DrainTimer(Loop) {
+    Context.MaxBodyBytes = Settings.MemoryBytes / BodyMemoryDivisor;
+  }
+
+  int run() {
+    watchConfig();
+    watchRunners();
+    watchReplicas();
+    accept();
+    waitForSignal();
+    sweep();
+    Loop.run();
+    return 0;
+  }
+
+private:
+  asio::ip::tcp::endpoint metricsAddress() const {
+    return {asio::ip::make_address(Settings.Address), Settings.FirstPort};
+  }
+
+  bool ready() const {
+    return !Context.Draining && Context.Routes && RunnersKnown &&
+           History.ready();
+  }
+
+  text_answer readiness() {
+    const bool Now = ready();
+    if (Now != WasReady) {
+      logEvent(log_level::Info, "readiness_changed",
+               {{"ready", Now ? "true" : "false"},
+                {"draining", Context.Draining ? "true" : "false"},
+                {"configuration", Context.Routes ? "true" : "false"},
+                {"runners", RunnersKnown ? "true" : "false"},
+                {"history", History.ready() ? "true" : "false"}});
+      WasReady = Now;
+    }
+    return {Now ? 200 : 503, Now ? "ready\n" : "not ready\n"};
+  }
+
+  text_answer renderMetrics() {
+    Metrics.gauge("lentilhoist_active_requests",
+                  static_cast<double>(Context.ActiveRequests));
+    Metrics.gauge("lentilhoist_caller_connections",
+                  static_cast<double>(Connections.size()));
+    Metrics.gauge("lentilhoist_request_body_bytes",
+                  static_cast<double>(Context.BodyBytes));
+    Metrics.gauge("lentilhoist_runners",
+                  static_cast<double>(Context.Runners.Runners.size()));
+    Metrics.gauge("lentilhoist_config_version",
+                  Context.Routes
+                      ? static_cast<double>(Context.Routes->config().Version)
+                      : -1);
+    return {200, Metrics.render()};
+  }
+
+  void accept() {
+    Callers.async_accept([this](const asio::error_code &Error,
+                                asio::ip::tcp::socket Socket) {
+      if (Error == asio::error::operation_aborted)
+        return;
+      if (Error) {
+        logEvent(log_level::Warning, "accept_failed",
+                 {{"reason", Error.message()}});
+        Sweep.cancel(); // Idle connections give descriptors back.
+      } else {
+        auto Connection = std::make_shared<caller_connection>(
+            Context,
+            std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
+            [this](caller_connection *Closed) { forget(Closed); });
+        Connections.insert(Connection);
+        Connection->start();
+      }
+      accept();
+    });
+  }
+
+  void forget(caller_connection *Closed) {
+    const auto Found = Connections.find(Closed->shared_from_this());
+    if (Found != Connections.end())
+      Connections.erase(Found);
+    if (Context.Draining)
+      endWhenDrained();
+  }
+
+  void watchConfig() {
+    ConfigWatch = std::make_shared<store_watch>(
+        Loop, Settings.StoreAddress, platform::ConfigKind, watch_settings{});
+    store_watch::handlers Handlers;
+    Handlers.OnList = [this](const std::vector<store_item> &Items) {
+      for (const store_item &Item : Items)
+        takeConfig(Item);
+    };
+    Handlers.OnEvent = [this](const store_event &Event) {
+      if (!Event.Removed)
+        takeConfig(Event.Item);
+    };
+    Handlers.OnContact = [](bool) {};
+    ConfigWatch->start(std::move(Handlers));
+  }
+
+  void takeConfig(const store_item &Item) {
+    if (Item.Name != platform::ConfigName)
+      return;
+    auto Config = platform::decodeConfig(Item.Spec);
+    if (!Config) {
+      logEvent(log_level::Error, "configuration_unreadable",
+               {{"revision", std::to_string(Item.Revision)}});
+      return;
+    }
+    if (!replacesConfig(Context.Routes, Config->Version))
+      return;
+    logEvent(log_level::Info, "configuration_changed",
+             {{"version", std::to_string(Config->Version)},
+              {"revision", std::to_string(Item.Revision)},
+              {"routes", std::to_string(Config->Routes.size())}});
+    Context.Routes = std::make_shared<const route_table>(std::move(*Config));
+    Context.ConfigTime = readClock();
+  }
+
+  void watchRunners() {
+    watch_settings Timing;
+    Timing.MinGap = RegistryGap;
+    RunnerWatch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
+                                                platform::RunnerKind, Timing);
+    store_watch::handlers Handlers;
+    Handlers.OnList = [this](const std::vector<store_item> &Items) {
+      takeRunners(Items);
+    };
+    Handlers.OnEvent = [this](const store_event &Event) {
+      takeRunnerEvent(Event);
+    };
+    Handlers.OnContact = [this](bool Contact) {
+      if (Contact)
+        RegistryReturned = readClock();
+      RegistryAway = !Contact;
+    };
+    RunnerWatch->start(std::move(Handlers));
+  }
+
+  /// From when a runner that is missing now counts as gone.
+  instant goneAt(instant Now) const {
+    if (RegistryReturned.Steady.count() == 0)
+      return Now;
+    const instant Settled =
+        later(RegistryReturned, Settings.RegistryReturnTime);
+    return Settled.Steady > Now.Steady ? Settled : Now;
+  }
+
+  void takeRunners(const std::vector<store_item> &Items) {
+    const instant Now = readClock();
+    std::vector<runner_entry> Entries;
+    for (const store_item &Item : Items)
+      if (auto Entry = platform::decodeRunner(Item))
+        Entries.push_back(std::move(*Entry));
+      else
+        logEvent(log_level::Warning, "runner_entry_unusable",
+                 {{"entry", Item.Name}});
+    replaceRunners(Context.Runners, Entries, goneAt(Now), Now);
+    RunnersKnown = true;
+    Context.RunnersTime = Now;
+    logEvent(log_level::Info, "runners_listed",
+             {{"entries", std::to_string(Items.size())},
+              {"runners", std::to_string(Context.Runners.Runners.size())},
+              {"missing", std::to_string(Context.Runners.Missing.size())}});
+  }
+
+  void takeRunnerEvent(const store_event &Event) {
+    const instant Now = readClock();
+    Context.RunnersTime = Now;
+    const std::string Revision = std::to_string(Event.Item.Revision);
+    if (Event.Removed) {
+      if (!Context.Runners.Runners.contains(Event.Item.Name))
+        return;
+      const instant GoneAt = goneAt(Now);
+      Context.Runners.Missing.try_emplace(Event.Item.Name, GoneAt);
+      logEvent(log_level::Info, "runner_missing",
+               {{"runner", Event.Item.Name},
+                {"revision", Revision},
+                {"kept_ms",
+                 std::to_string((GoneAt.Steady - Now.Steady).count() / 1000)}});
+      dropMissing(Now);
+      return;
+    }
+    const auto Entry = platform::decodeRunner(Event.Item);
+    if (!Entry) {
+      logEvent(log_level::Warning, "runner_entry_unusable",
+               {{"entry", Event.Item.Name}, {"revision", Revision}});
+      return;
+    }
+    if (putRunner(Context.Runners, *Entry))
+      logEvent(log_level::Info, "runner_changed",
+               {{"runner", Entry->Id},
+                {"service", Entry->Service},
+                {"address", Entry->Address},
+                {"draining", Entry->Draining ? "true" : "false"},
+                {"born_ms", std::to_string(Entry->BornMs)},
+                {"revision", Revision}});
+  }
+
+  void dropMissing(instant Now) {
+    for (const std::string &Id : removeMissing(Context.Runners, Now))
+      logEvent(log_level::Info, "runner_gone", {{"runner", Id}});
+  }
+
+  void watchReplicas() {
+    watch_settings Timing;
+    Timing.Wait = ReplicaSetWait;
+    ReplicaWatch = std::make_shared<store_watch>(
+        Loop, Settings.StoreAddress, platform::ReplicaSetKind, Timing);
+    store_watch::handlers Handlers;
+    Handlers.OnList = [this](const std::vector<store_item> &Items) {
+      for (const store_item &Item : Items)
+        takeReplicas(Item);
+    };
+    Handlers.OnEvent = [this](const store_event &Event) {
+      if (!Event.Removed)
+        takeReplicas(Event.Item);
+    };
+    Handlers.OnContact = [](bool) {};
+    ReplicaWatch->start(std::move(Handlers));
+    History.onSetOutdated([this] { ReplicaWatch->refresh(); });
+  }
+
+  void takeReplicas(const store_item &Item) {
+    const auto Set = decodeReplicaSet(Item.Spec);
+    if (Set)
+      History.setReplicas(*Set, "store");
+    else
+      logEvent(log_level::Error, "replica_set_unreadable",
+               {{"entry", Item.Name}});
+  }
+
+  void sweep() {
+    Sweep.expires_after(SweepInterval);
+    Sweep.async_wait([this](const asio::error_code &) {
+      const instant Now = readClock();
+      Pool.expire(Now);
+      if (!RegistryAway)
+        dropMissing(Now);
+      sweep();
+    });
+  }
+
+  void waitForSignal() {
+    Signals.async_wait([this](const asio::error_code &Error, int Signal) {
+      if (Error)
+        return;
+      if (Signal == SIGHUP)
+        reload();
+      else
+        drain(Signal);
+      waitForSignal();
+    });
+  }
+
+  /// Addresses belong to the process; a change of them needs a restart, which
+  /// the platform makes itself.
+  void reload() {
+    try {
+      const instance_settings Read =
+          platform::readMachineSettings(SettingsPath);
+      logEvent(log_level::Info, "settings_reloaded",
+               {{"changed", Read == Settings ? "false" : "true"}});
+    } catch (const std::runtime_error &Error) {
+      logEvent(log_level::Error, "settings_unreadable",
+               {{"reason", Error.what()}});
+    }
+  }
+
+  void drain(int Signal) {
+    if (Context.Draining)
+      return;
+    Context.Draining = true;
+    logEvent(log_level::Info, "process_stopping",
+             {{"signal", std::to_string(Signal)},
+              {"active_requests", std::to_string(Context.ActiveRequests)},
+              {"connections", std::to_string(Connections.size())}});
+    DrainTimer.expires_after(OutOfRotationTime);
+    DrainTimer.async_wait([this](const asio::error_code &) {
+      OutOfRotation = true;
+      closeIdle();
+      endWhenDrained();
+      DrainTimer.expires_after(Settings.GraceTime - OutOfRotationTime -
+                               ExitMargin);
+      DrainTimer.async_wait([this](const asio::error_code &) { end(); });
+    });
+  }
+
+  void closeIdle() {
+    const auto Open = Connections; // Closing changes the set.
+    for (const auto &Connection : Open)
+      Connection->closeWhenIdle();
+  }
+
+  void endWhenDrained() {
+    if (!OutOfRotation || Ending)
+      return;
+    if (!Connections.empty() || Context.ActiveRequests != 0)
+      return;
+    Ending = true;
+    // The last answers are on their way to their callers.
+    DrainTimer.expires_after(ExitMargin / 4);
+    DrainTimer.async_wait([this](const asio::error_code &) { end(); });
+  }
+
+  void end() {
+    logEvent(log_level::Info, "process_stopped",
+             {{"active_requests", std::to_string(Context.ActiveRequests)}});
+    Loop.stop();
+  }
+
+  asio::io_context Loop;
+  instance_settings Settings;
+  std::string SettingsPath;
+  metrics Metrics;
+  history_client History;
+  runner_pool Pool;
+  relay_context Context;
+  asio::ip::tcp::acceptor Callers;
+  text_server Readiness;
+  text_server MetricsServer;
+  asio::signal_set Signals;
+  asio::steady_timer Sweep;
+  asio::steady_timer DrainTimer;
+  std::shared_ptr<store_watch> ConfigWatch;
+  std::shared_ptr<store_watch> RunnerWatch;
+  std::shared_ptr<store_watch> ReplicaWatch;
+  std::set<std::shared_ptr<caller_connection>> Connections;
+  instant RegistryReturned{}; ///< Zero if the registry was never away.
+  bool RegistryAway = false;
+  bool RunnersKnown = false;
+  bool WasReady = false;
+  bool OutOfRotation = false;
+  bool Ending = false;
+};
+
+} // namespace
+
+int runEdge(const instance_settings &Settings,
+            const std::string &SettingsPath) {
+  edge Edge(Settings, SettingsPath);
+  return Edge.run();
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/forward/caller_connection.cpp
@@ -0,0 +1,237 @@
+#include "forward/caller_connection.h"
+
+#include "log/log.h"
+#include "platform/request_headers.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Bytes kept of what a caller sends ahead of its answer.
+constexpr std::size_t MaxInput = 64UL * 1024UL;
+
+/// Limits before the first configuration: those of the usual one.
+const caller_limits DefaultLimits;
+
+std::size_t declaredLength(const http_fields &Fields) {
+  const std::string_view Text = fieldValue(Fields, "Content-Length");
+  std::size_t Length = 0;
+  // The reader has checked that it is a number.
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length;
+}
+
+} // namespace
+
+caller_connection::caller_connection(
+    relay_context &GivenContext, std::shared_ptr<tcp_stream> GivenStream,
+    std::function<void(caller_connection *)> GivenOnClosed)
+    : Context(GivenContext), Stream(std::move(GivenStream)),
+      OnClosed(std::move(GivenOnClosed)), Timer(GivenContext.Loop) {}
+
+const caller_limits &caller_connection::limits() const {
+  return Context.Routes ? Context.Routes->config().Limits : DefaultLimits;
+}
+
+void caller_connection::start() {
+  const std::weak_ptr<caller_connection> Weak = weak_from_this();
+  tcp_stream::handlers Handlers;
+  Handlers.OnBytes = [Weak](std::string_view Bytes) {
+    if (const auto Self = Weak.lock())
+      Self->onBytes(Bytes);
+  };
+  Handlers.OnEnd = [Weak](stream_end) {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (Self->Current)
+      Self->Current->onCallerLeft();
+    Self->closed();
+  };
+  Handlers.OnDrained = [Weak] {
+    const auto Self = Weak.lock();
+    if (Self && Self->Current)
+      Self->Current->onCallerDrained();
+  };
+  LastBytes = readClock();
+  Stream->setHandlers(std::move(Handlers));
+  Stream->start();
+  armTimer();
+}
+
+void caller_connection::onBytes(std::string_view Bytes) {
+  LastBytes = readClock();
+  Input += Bytes;
+  if (Current) {
+    if (Input.size() > MaxInput)
+      Stream->pauseReading(true);
+    return;
+  }
+  readRequest();
+}
+
+void caller_connection::readRequest() {
+  if (Ending || Input.empty())
+    return;
+  const bool WasStarted = Reader.started();
+  if (!WasStarted)
+    Reader.setMaxHeadBytes(limits().MaxHeadBytes);
+  const std::size_t Used = Reader.feed(Input);
+  Input.erase(0, Used);
+  if (!WasStarted && Reader.started()) {
+    RequestStart = readClock();
+    armTimer();
+  }
+  switch (Reader.error()) {
+  case http_read_error::None:
+    break;
+  case http_read_error::HeadTooLarge:
+    reject(431, "head_too_large");
+    return;
+  case http_read_error::UnsupportedMethod:
+  case http_read_error::Malformed:
+    reject(400, "malformed_request");
+    return;
+  }
+  if (!Reader.headComplete())
+    return;
+  Body += Reader.takeBody();
+  const http_fields &Fields = Reader.request().Fields;
+  if (std::max(Body.size(), declaredLength(Fields)) > limits().MaxBodyBytes) {
+    reject(413, "body_too_large");
+    return;
+  }
+  if (Reader.complete()) {
+    startExchange();
+    return;
+  }
+  if (!ContinueSent &&
+      sameFieldName(fieldValue(Fields, "Expect"), "100-continue")) {
+    ContinueSent = true;
+    Stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void caller_connection::startExchange() {
+  Timer.cancel();
+  const std::weak_ptr<caller_connection> Weak = weak_from_this();
+  caller_sink Sink;
+  Sink.Write = [Weak](std::string Bytes) {
+    if (const auto Self = Weak.lock())
+      Self->Stream->write(std::move(Bytes));
+  };
+  Sink.Finish = [Weak](bool Close) {
+    if (const auto Self = Weak.lock())
+      Self->finishExchange(Close);
+  };
+  Sink.Abort = [Weak] {
+    if (const auto Self = Weak.lock())
+      Self->abort();
+  };
+  Sink.PendingBytes = [Weak] {
+    const auto Self = Weak.lock();
+    return Self ? Self->Stream->pendingBytes() : std::size_t{0};
+  };
+  Current = std::make_shared<exchange>(Context, Reader.request(),
+                                       std::exchange(Body, {}), RequestStart,
+                                       Reader.keepAlive(), std::move(Sink));
+  const auto Keep = Current;
+  Keep->begin();
+}
+
+void caller_connection::finishExchange(bool Close) {
+  Current.reset();
+  if (Close) {
+    Ending = true;
+    Stream->finish();
+    closed();
+    return;
+  }
+  Reader.reset();
+  ContinueSent = false;
+  Stream->pauseReading(false);
+  armTimer();
+  // On a fresh stack: many small requests may be waiting in the input.
+  asio::post(Context.Loop, [Weak = weak_from_this()] {
+    const auto Self = Weak.lock();
+    if (Self && !Self->Current)
+      Self->readRequest();
+  });
+}
+
+void caller_connection::reject(int Status, const char *Reason) {
+  Context.Metrics.count(std::string("lentilhoist_rejected_total{reason=\"") +
+                        Reason + "\"}");
+  const auto Traits = platform::decodeCallerRequest(Reader.request());
+  const std::string Attempt = Traits ? Traits->Attempt : std::string();
+  logEvent(log_level::Info, "request_rejected",
+           {{"request", Attempt},
+            {"reason", Reason},
+            {"status", std::to_string(Status)}});
+  Ending = true;
+  Stream->write(encodeResponseHead(
+      platform::encodeOwnAnswer(Status, Attempt, milliseconds(0)),
+      body_framing::Length, 0, true));
+  Stream->finish();
+  closed();
+}
+
+void caller_connection::armTimer() {
+  milliseconds Limit = limits().IdleTimeout;
+  if (Reader.started() && !Reader.headComplete())
+    Limit = limits().HeadTimeout;
+  Timer.expires_after(Limit);
+  Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (Self && !Error)
+      Self->onTimer();
+  });
+}
+
+void caller_connection::onTimer() {
+  if (Current || Ending)
+    return;
+  if (Reader.started() && !Reader.headComplete()) {
+    reject(408, "head_timeout");
+    return;
+  }
+  const bool Progress =
+      readClock().Steady - LastBytes.Steady < limits().IdleTimeout;
+  if (Reader.started() && Progress) {
+    armTimer(); // A body that keeps coming.
+    return;
+  }
+  if (Reader.started())
+    reject(408, "body_timeout");
+  else
+    closeWhenIdle();
+}
+
+void caller_connection::closeWhenIdle() {
+  if (Ending || !idle())
+    return;
+  Ending = true;
+  Stream->finish();
+  closed();
+}
+
+void caller_connection::abort() {
+  Current.reset();
+  Ending = true;
+  Stream->abort();
+  closed();
+}
+
+void caller_connection::closed() {
+  Ending = true;
+  Current.reset();
+  Timer.cancel();
+  const auto Handler = std::exchange(OnClosed, nullptr);
+  if (Handler)
+    Handler(this);
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/forward/exchange.cpp
@@ -0,0 +1,658 @@
+#include "forward/exchange.h"
+
+#include "core/hash.h"
+#include "log/log.h"
+#include "net/address.h"
+#include "platform/request_headers.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace lentilhoist {
+
+namespace {
+
+using std::chrono::duration_cast;
+
+/// Longest time to establish a connection to a runner; two crossings between
+/// failure domains take 11 ms, and a lost first packet comes again after 1 s.
+constexpr milliseconds ConnectLimit{400};
+/// Pause before a request that found no runner with room is placed again.
+constexpr milliseconds HoldStep{30};
+/// Part of the caller's time for which a request is held while all runners
+/// refuse; behind it the caller has time to come back to another instance.
+constexpr double HoldPart = 0.4;
+/// Part of the caller's time that a reservation may take.
+constexpr double ReservePart = 0.4;
+/// Answers of plain services above this size pass through unbuffered.
+constexpr std::size_t MaxBufferedAnswer = 256UL * 1024UL;
+/// Bytes waiting for a slow caller beyond which the runner is held back.
+constexpr std::size_t MaxCallerBacklog = 256UL * 1024UL;
+/// A request without limits of its own or of its route ends after this.
+constexpr milliseconds DefaultTimeout{30'000};
+/// Another runner has the address now.
+constexpr int StatusMisdirected = 421;
+/// A turn is committed beyond the caller's deadline: it was handed out.
+constexpr milliseconds CommitLimit{3'000};
+
+std::string_view pathOf(std::string_view Target) {
+  return Target.substr(0, Target.find('?'));
+}
+
+std::string text(double Value) {
+  return std::to_string(static_cast<std::int64_t>(Value));
+}
+
+} // namespace
+
+const char *exchange::stageName(stage Stage) {
+  switch (Stage) {
+  case stage::Deciding:
+    return "deciding";
+  case stage::Reserving:
+    return "reserving";
+  case stage::Holding:
+    return "holding";
+  case stage::Connecting:
+    return "connecting";
+  case stage::Awaiting:
+    return "awaiting";
+  case stage::Relaying:
+    return "relaying";
+  case stage::Committing:
+    return "committing";
+  case stage::Done:
+    return "done";
+  }
+  return "unknown";
+}
+
+exchange::exchange(relay_context &GivenContext, http_request_head GivenHead,
+                   std::string GivenBody, instant GivenArrival,
+                   bool GivenKeepAlive, caller_sink GivenSink)
+    : Context(GivenContext), Head(std::move(GivenHead)),
+      Body(std::move(GivenBody)), Arrival(GivenArrival),
+      KeepAlive(GivenKeepAlive), Sink(std::move(GivenSink)),
+      DeadlineTimer(GivenContext.Loop), StepTimer(GivenContext.Loop) {
+  Context.BodyBytes += Body.size();
+  ++Context.ActiveRequests;
+}
+
+exchange::~exchange() {
+  Context.BodyBytes -= Body.size();
+  --Context.ActiveRequests;
+  if (Stream)
+    Stream->close();
+}
+
+void exchange::begin() {
+  auto Decoded = platform::decodeCallerRequest(Head);
+  if (!Decoded) {
+    refuse(own_answer::BadRequest);
+    return;
+  }
+  Traits = std::move(*Decoded);
+  if (!Context.Routes) {
+    refuse(own_answer::NoConfiguration);
+    return;
+  }
+  if (Context.BodyBytes > Context.MaxBodyBytes) {
+    refuse(own_answer::Overloaded);
+    return;
+  }
+  chooseRoute();
+}
+
+void exchange::chooseRoute() {
+  Routes = Context.Routes;
+  Route = Routes->find(fieldValue(Head.Fields, "Host"), pathOf(Head.Target));
+  if (!Route) {
+    refuse(own_answer::NoRoute);
+    return;
+  }
+  Service = chooseTarget(*Route, stableHash(Traits.Attempt));
+  if (const service *Found = Routes->findService(Service))
+    Engine = Found->Engine;
+  milliseconds Limit =
+      Route->Timeout.count() > 0 ? Route->Timeout : DefaultTimeout;
+  if (Traits.Deadline)
+    Limit = std::min(Limit, *Traits.Deadline);
+  Deadline = later(Arrival, Limit);
+  const instant Now = readClock();
+  DeadlineTimer.expires_after(timeLeft(Now));
+  DeadlineTimer.async_wait(
+      [Weak = weak_from_this()](const asio::error_code &Error) {
+        const auto Self = Weak.lock();
+        if (Self && !Error)
+          Self->onTimeout();
+      });
+  if (Route->KeepsHistory)
+    reserve();
+  else
+    place();
+}
+
+milliseconds exchange::timeLeft(instant Now) const {
+  return std::max(milliseconds(0),
+                  duration_cast<milliseconds>(Deadline.Steady - Now.Steady));
+}
+
+void exchange::reserve() {
+  Stage = stage::Reserving;
+  turn_reservation Reservation;
+  Reservation.Program = Traits.Program;
+  Reservation.Attempt = Traits.Attempt;
+  Reservation.Previous = Traits.PreviousTurn;
+  Reservation.Most = Traits.MaxOutputTokens;
+  Reservation.Budget =
+      Traits.TokenBudget.value_or(std::numeric_limits<std::uint64_t>::max());
+  Reservation.RetentionMs =
+      static_cast<std::uint64_t>(Route->Retention.count());
+  Reserved = true;
+  const auto Limit = milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(timeLeft(readClock()).count()) * ReservePart));
+  History =
+      Context.History.reserve(std::move(Reservation), Limit,
+                              [Weak = weak_from_this()](reserve_result Result) {
+                                if (const auto Self = Weak.lock())
+                                  Self->onReserved(std::move(Result));
+                              });
+}
+
+void exchange::onReserved(reserve_result Result) {
+  const instant Now = readClock();
+  ReservedAt = Now;
+  Context.Metrics.observe("lentilhoist_reserve_seconds", "", Route->Name,
+                          Now.Steady - Arrival.Steady);
+  logEvent(log_level::Info, "turn_reserved",
+           {{"request", Traits.Attempt},
+            {"program", Traits.Program},
+            {"outcome", reserveOutcomeName(Result.Outcome)},
+            {"others_tokens", std::to_string(Result.OthersTokens)},
+            {"most_tokens", std::to_string(Traits.MaxOutputTokens)},
+            {"budget",
+             Traits.TokenBudget ? std::to_string(*Traits.TokenBudget) : "none"},
+            {"replica_set", std::to_string(Result.SetVersion)},
+            {"previous", Traits.PreviousTurn}});
+  switch (Result.Outcome) {
+  case reserve_outcome::Granted:
+    Chain = std::move(Result.Chain);
+    place();
+    return;
+  case reserve_outcome::BudgetSpent:
+    refuse(own_answer::BudgetSpent);
+    return;
+  case reserve_outcome::UnknownTurn:
+    refuse(own_answer::UnknownTurn);
+    return;
+  case reserve_outcome::Unavailable:
+    refuse(own_answer::HistoryAway);
+    return;
+  }
+}
+
+void exchange::place() {
+  const instant Now = readClock();
+  placement_question Question;
+  Question.Service = Service;
+  Question.Domain = Context.Domain;
+  Question.Request = &Traits;
+  Question.Engine = Engine;
+  Question.Excluded = Tried;
+  const placement_answer Placed = placeRequest(Context.Runners, Question, Now);
+  if (Placed.Runner.empty() || Placed.Paused) {
+    // Those that refused for want of room may have it soon.
+    Tried.clear();
+    hold(Placed.Runner.empty() ? "no_runner" : "all_paused");
+    return;
+  }
+  logEvent(log_level::Info, "request_placed",
+           {{"request", Traits.Attempt},
+            {"route", Route->Name},
+            {"config_version", std::to_string(Routes->config().Version)},
+            {"runner", Placed.Runner},
+            {"candidates", std::to_string(Placed.Candidates)},
+            {"cost_ms", text(Placed.CostMs)},
+            {"load", text(Placed.Load)},
+            {"load_age_ms", std::to_string(Placed.LoadAge.count())},
+            {"kept_tokens", std::to_string(Placed.KeptTokens)},
+            {"time_left_ms", std::to_string(timeLeft(Now).count())}});
+  send(Placed.Runner);
+}
+
+void exchange::hold(const char *Reason) {
+  const instant Now = readClock();
+  const auto Waited = Now.Steady - Arrival.Steady;
+  const auto Whole = Deadline.Steady - Arrival.Steady;
+  const bool TooLong = static_cast<double>(Waited.count()) >
+                       static_cast<double>(Whole.count()) * HoldPart;
+  if (TooLong) {
+    refuse(Sends.NotRun > 0 ? own_answer::RunnersFull : own_answer::NoRunner);
+    return;
+  }
+  if (Stage != stage::Holding)
+    logEvent(log_level::Info, "request_held",
+             {{"request", Traits.Attempt},
+              {"reason", Reason},
+              {"service", Service},
+              {"refusals", std::to_string(Sends.NotRun)}});
+  Stage = stage::Holding;
+  StepTimer.expires_after(HoldStep);
+  StepTimer.async_wait(
+      [Weak = weak_from_this()](const asio::error_code &Error) {
+        const auto Self = Weak.lock();
+        if (Self && !Error && Self->Stage == stage::Holding)
+          Self->place();
+      });
+}
+
+runner_view *exchange::runner() {
+  const auto Found = Context.Runners.Runners.find(RunnerId);
+  // A later life of the runner knows nothing of this request.
+  if (Found == Context.Runners.Runners.end() ||
+      Found->second.Entry.BornMs != RunnerBorn)
+    return nullptr;
+  return &Found->second;
+}
+
+void exchange::send(const std::string &Id) {
+  const instant Now = readClock();
+  runner_view &View = Context.Runners.Runners.at(Id);
+  RunnerId = Id;
+  RunnerBorn = View.Entry.BornMs;
+  RunnerAddress = View.Entry.Address;
+  Tried.insert(Id);
+  ++View.Outstanding;
+  noteContent(View, Traits, Now);
+  Reader.reset();
+  if (Head.Method == "HEAD")
+    Reader.expectNoBody();
+  Answer = {};
+  AnswerBody.clear();
+  Stream = Context.Pool.take(RunnerAddress, Now);
+  Reused = Stream != nullptr;
+  if (!Reused)
+    Stream = Context.Pool.make();
+  const std::weak_ptr<exchange> Weak = weak_from_this();
+  const tcp_stream *Mine = Stream.get();
+  tcp_stream::handlers Handlers;
+  Handlers.OnConnected = [Weak, Mine] {
+    const auto Self = Weak.lock();
+    if (Self && Self->Stream.get() == Mine)
+      Self->writeRequest();
+  };
+  Handlers.OnBytes = [Weak, Mine](std::string_view Bytes) {
+    const auto Self = Weak.lock();
+    if (Self && Self->Stream.get() == Mine)
+      Self->onRunnerBytes(Bytes);
+  };
+  Handlers.OnEnd = [Weak, Mine](stream_end End) {
+    const auto Self = Weak.lock();
+    if (Self && Self->Stream.get() == Mine)
+      Self->onRunnerEnd(End);
+  };
+  Stream->setHandlers(std::move(Handlers));
+  if (Reused) {
+    writeRequest();
+    return;
+  }
+  Context.Metrics.count("lentilhoist_runner_connections_total");
+  Stage = stage::Connecting;
+  StepTimer.expires_after(ConnectLimit);
+  StepTimer.async_wait([Weak, Mine](const asio::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (Self && !Error && Self->Stage == stage::Connecting &&
+        Self->Stream.get() == Mine)
+      Self->failSend(send_outcome::NotSent, "connect_timeout");
+  });
+  // The address was checked when the entry was read.
+  Stream->connect(*parseAddress(RunnerAddress));
+}
+
+void exchange::writeRequest() {
+  StepTimer.cancel();
+  Stage = stage::Awaiting;
+  const platform::runner_order Order{RunnerId, timeLeft(readClock())};
+  std::string Bytes =
+      encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body);
+  RequestBytes = Bytes.size();
+  Stream->write(std::move(Bytes));
+}
+
+void exchange::onRunnerBytes(std::string_view Bytes) {
+  const bool HadHead = Reader.headComplete();
+  const std::size_t Used = Reader.feed(Bytes);
+  if (Reader.error() != http_read_error::None) {
+    failSend(send_outcome::Unknown, "malformed_answer");
+    return;
+  }
+  if (!HadHead && Reader.headComplete()) {
+    onAnswerHead();
+    if (Stage == stage::Done || !Stream)
+      return;
+  }
+  if (!Reader.headComplete())
+    return;
+  const bool Extra = Used < Bytes.size();
+  onAnswerBody();
+  if (Stage == stage::Done || !Stream || !Reader.complete())
+    return;
+  if (Extra) // Bytes behind the answer belong to no request.
+    Stream->close();
+  onAnswerComplete();
+}
+
+void exchange::onAnswerHead() {
+  const instant Now = readClock();
+  Answer = platform::decodeRunnerAnswer(Reader.response());
+  FirstByte = Now;
+  runner_view *View = runner();
+  if (View && Answer.Load)
+    noteLoad(*View, *Answer.Load, Now);
+  if (!Answer.Attempt.empty() && Answer.Attempt != Traits.Attempt) {
+    failSend(send_outcome::Unknown, "answer_of_another_request");
+    return;
+  }
+  if (Answer.NotExecuted)
+    return;
+  const bool Success = Reader.response().Status / 100 == 2;
+  if (Success && (!Answer.Sealed || Answer.Encoded)) {
+    failSend(send_outcome::Unknown, "answer_without_proof");
+    return;
+  }
+  if (Success && Route->Kind == route_kind::Streaming)
+    startRelaying();
+}
+
+void exchange::startRelaying() {
+  Buffered = false;
+  AnswerStarted = true;
+  Stage = stage::Relaying;
+  Sink.Write(encodeResponseHead(platform::encodeCallerAnswer(Reader.response()),
+                                body_framing::Chunked, 0,
+                                !KeepAlive || Context.Draining));
+}
+
+void exchange::onAnswerBody() {
+  AnswerBody += Reader.takeBody();
+  if (!Buffered) {
+    relayEvents(Reader.complete());
+    return;
+  }
+  if (AnswerBody.size() > MaxBufferedAnswer && !Answer.NotExecuted)
+    startRelaying();
+}
+
+void exchange::relayEvents(bool Last) {
+  std::size_t Length = AnswerBody.size();
+  if (!Last && Route->Kind == route_kind::Streaming) {
+    // Whole events only: the start of one that a runner breaks off is no use.
+    const std::size_t End = AnswerBody.rfind("\n\n");
+    Length = End == std::string::npos ? 0 : End + 2;
+  }
+  if (Length == 0)
+    return;
+  const std::string_view Ready = std::string_view(AnswerBody).substr(0, Length);
+  Events.add(Ready, [this](std::string_view Data) {
+    ++EventCount;
+    if (Route->KeepsHistory) {
+      Output += Data;
+      Output += '\n';
+    }
+  });
+  AnswerBytes += Length;
+  Sink.Write(encodeChunk(Ready));
+  AnswerBody.erase(0, Length);
+  if (Sink.PendingBytes() > MaxCallerBacklog && Stream)
+    Stream->pauseReading(true);
+}
+
+void exchange::onCallerDrained() {
+  if (Stream)
+    Stream->pauseReading(false);
+}
+
+void exchange::onAnswerComplete() {
+  const instant Now = readClock();
+  AnsweredAt = Now;
+  if (Answer.NotExecuted) {
+    const bool Misdirected = Reader.response().Status == StatusMisdirected;
+    if (runner_view *View = runner())
+      Misdirected ? noteFailure(*View, Now) : noteRefusal(*View, Now);
+    failSend(send_outcome::Refused, Misdirected ? "another_runner" : "full");
+    return;
+  }
+  if (runner_view *View = runner())
+    noteSuccess(*View);
+  // An early answer leaves a body half sent on the connection.
+  const bool Reusable = Reader.keepAlive() && !Reader.endsWithConnection() &&
+                        !Stream->closed() && Stream->pendingBytes() == 0;
+  releaseRunner(Reusable);
+  if (!Buffered) {
+    if (Route->KeepsHistory)
+      commit();
+    else
+      finishAnswer(std::string(LastChunk));
+    return;
+  }
+  AnswerStarted = true;
+  AnswerBytes = AnswerBody.size();
+  std::string Bytes = encodeResponseHead(
+      platform::encodeCallerAnswer(Reader.response()), body_framing::Length,
+      AnswerBody.size(), !KeepAlive || Context.Draining);
+  if (Head.Method != "HEAD")
+    Bytes += AnswerBody;
+  finishAnswer(std::move(Bytes));
+}
+
+void exchange::commit() {
+  Stage = stage::Committing;
+  turn_record Turn;
+  Turn.Id = Traits.Attempt;
+  Turn.Previous = Traits.PreviousTurn;
+  Turn.Program = Traits.Program;
+  Turn.Input = Body;
+  Turn.Output = Output;
+  Turn.Tokens = EventCount * (Engine ? Engine->TokensPerEvent : 1);
+  Turn.RetentionMs = static_cast<std::uint64_t>(Route->Retention.count());
+  Reserved = false; // The commit settles the tokens.
+  History = Context.History.commit(
+      std::move(Turn), Chain, CommitLimit,
+      [Weak = weak_from_this()](bool Durable) {
+        const auto Self = Weak.lock();
+        if (!Self || Self->Stage != stage::Committing)
+          return;
+        Self->Context.Metrics.observe(
+            "lentilhoist_commit_seconds", "", Self->Route->Name,
+            readClock().Steady - Self->AnsweredAt.Steady);
+        if (Durable)
+          Self->finishAnswer(std::string(LastChunk));
+        else
+          Self->breakOff("history_away");
+      });
+}
+
+void exchange::onRunnerEnd(stream_end End) {
+  if (End == stream_end::ConnectFailed) {
+    failSend(send_outcome::NotSent, "connect_failed");
+    return;
+  }
+  if (End == stream_end::Finished && Reader.headComplete()) {
+    Reader.feedEnd();
+    onAnswerBody();
+    if (Reader.complete()) {
+      onAnswerComplete();
+      return;
+    }
+  }
+  failSend(send_outcome::Unknown, streamEndName(End));
+}
+
+void exchange::failSend(send_outcome Outcome, const char *Reason) {
+  const instant Now = readClock();
+  if (runner_view *View = runner(); View && Outcome != send_outcome::Refused)
+    noteFailure(*View, Now);
+  releaseRunner(Outcome == send_outcome::Refused && Reader.complete() &&
+                Reader.keepAlive() && Stream && !Stream->closed() &&
+                Stream->pendingBytes() == 0);
+  countSend(Sends, Outcome);
+  Context.Metrics.count(
+      std::string("lentilhoist_failed_sends_total{outcome=\"") +
+      sendOutcomeName(Outcome) + "\"}");
+  const bool Again = !AnswerStarted && maySendAgain(*Route, Sends) &&
+                     timeLeft(Now).count() > 0;
+  logEvent(log_level::Info, "send_failed",
+           {{"request", Traits.Attempt},
+            {"runner", RunnerId},
+            {"outcome", sendOutcomeName(Outcome)},
+            {"reason", Reason},
+            {"reused_connection", Reused ? "true" : "false"},
+            {"events", std::to_string(EventCount)},
+            {"again", Again ? "true" : "false"}});
+  if (Again) {
+    place();
+    return;
+  }
+  if (AnswerStarted) {
+    breakOff(Reason);
+    return;
+  }
+  refuse(Outcome == send_outcome::Refused ? own_answer::RunnersFull
+                                          : own_answer::RunnerFailed);
+}
+
+void exchange::onTimeout() {
+  if (Stage == stage::Done || Stage == stage::Committing)
+    return;
+  if (AnswerStarted) {
+    breakOff("timed_out");
+    return;
+  }
+  if (Stage == stage::Awaiting)
+    countSend(Sends, send_outcome::Unknown);
+  releaseRunner(false);
+  refuse(own_answer::TimedOut);
+}
+
+void exchange::refuse(own_answer Reason) {
+  const int Status = statusOf(Reason, Sends);
+  const std::uint64_t Hash = stableHash(Traits.Attempt, 1);
+  const milliseconds Return =
+      Status == 503 ? returnAfter(Reason, Hash) : milliseconds(0);
+  const bool Close = !KeepAlive || Context.Draining;
+  const std::string Text =
+      std::string("{\"error\":\"") + ownAnswerName(Reason) + "\"}\n";
+  http_response_head Response =
+      platform::encodeOwnAnswer(Status, Traits.Attempt, Return);
+  Response.Fields.push_back({"Content-Type", "application/json"});
+  std::string Bytes =
+      encodeResponseHead(Response, body_framing::Length, Text.size(), Close);
+  if (Head.Method != "HEAD")
+    Bytes += Text;
+  settle();
+  Sink.Write(std::move(Bytes));
+  const auto Finish = Sink.Finish;
+  end(ownAnswerName(Reason), Status);
+  Finish(Close);
+}
+
+void exchange::finishAnswer(std::string Tail) {
+  const int Status = Reader.response().Status;
+  const bool Close = !KeepAlive || Context.Draining;
+  settle();
+  Sink.Write(std::move(Tail));
+  const auto Finish = Sink.Finish;
+  end("answered", Status);
+  Finish(Close);
+}
+
+void exchange::breakOff(const char *Reason) {
+  releaseRunner(false);
+  settle();
+  const auto Abort = Sink.Abort;
+  end(Reason, 0);
+  Abort();
+}
+
+void exchange::onCallerLeft() {
+  if (Stage == stage::Done)
+    return;
+  // What must not run twice is not cut off while it may be running; its answer
+  // is read and dropped.
+  const bool LetRun = Route && Route->Kind == route_kind::NonIdempotent &&
+                      Stage == stage::Awaiting;
+  if (LetRun) {
+    auto Self = shared_from_this();
+    Sink.Write = [](const std::string &) {};
+    Sink.PendingBytes = [] { return std::size_t{0}; };
+    // Keeps the exchange until it ends.
+    Sink.Finish = [Self](bool) {};
+    Sink.Abort = [Self] {};
+    return;
+  }
+  Context.History.cancel(Stage == stage::Committing ? nullptr : History);
+  releaseRunner(false);
+  settle();
+  end("caller_left", 0);
+}
+
+void exchange::releaseRunner(bool Reusable) {
+  if (!Stream)
+    return;
+  if (runner_view *View = runner())
+    View->Outstanding = std::max(0, View->Outstanding - 1);
+  const auto Connection = std::exchange(Stream, nullptr);
+  if (Reusable)
+    Context.Pool.put(RunnerAddress, Connection, Answer.KeepAlive, readClock());
+  else
+    Connection->close();
+}
+
+void exchange::settle() {
+  if (!Reserved)
+    return;
+  Reserved = false;
+  const std::uint64_t Tokens =
+      EventCount * (Engine ? Engine->TokensPerEvent : 1);
+  Context.History.settle(Traits.Program, {Traits.Attempt, Tokens, true},
+                         static_cast<std::uint64_t>(Route->Retention.count()));
+}
+
+void exchange::end(const char *Result, int Status) {
+  const instant Now = readClock();
+  const stage Last = std::exchange(Stage, stage::Done);
+  DeadlineTimer.cancel();
+  StepTimer.cancel();
+  const auto since = [&](instant Then) {
+    return Then.Steady.count() == 0
+               ? std::string("-1")
+               : std::to_string(
+                     duration_cast<milliseconds>(Then.Steady - Arrival.Steady)
+                         .count());
+  };
+  const std::string RouteName = Route ? Route->Name : "none";
+  Context.Metrics.count("lentilhoist_requests_total{route=\"" + RouteName +
+                        "\",result=\"" + Result + "\"}");
+  Context.Metrics.observe("lentilhoist_request_seconds", "", RouteName,
+                          Now.Steady - Arrival.Steady);
+  logEvent(log_level::Info, "request_done",
+           {{"request", Traits.Attempt},
+            {"program", Traits.Program},
+            {"route", RouteName},
+            {"result", Result},
+            {"status", std::to_string(Status)},
+            {"stage", stageName(Last)},
+            {"runner", RunnerId},
+            {"sends_not_run", std::to_string(Sends.NotRun)},
+            {"sends_unknown", std::to_string(Sends.MayHaveRun)},
+            {"reserved_ms", since(ReservedAt)},
+            {"first_byte_ms", since(FirstByte)},
+            {"runner_done_ms", since(AnsweredAt)},
+            {"total_ms", since(Now)},
+            {"events", std::to_string(EventCount)},
+            {"bytes", std::to_string(AnswerBytes)}});
+  // The sink may own this exchange.
+  Sink = {};
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/forward/exchange.h
@@ -0,0 +1,133 @@
+#pragma once
+
+#include "forward/relay_context.h"
+#include "forward/request_traits.h"
+#include "forward/retry_policy.h"
+#include "net/event_parser.h"
+#include "net/http_reader.h"
+#include "placement/placement.h"
+
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace lentilhoist {
+
+/// What an exchange does with its caller's connection.
+struct caller_sink {
+  std::function<void(std::string)> Write; ///< Sends bytes of the answer.
+  /// The answer is complete; the flag asks to close the connection.
+  std::function<void(bool)> Finish;
+  std::function<void()> Abort;               ///< Breaks off the answer.
+  std::function<std::size_t()> PendingBytes; ///< Not yet taken by the caller.
+};
+
+/// One request's way from the caller to a runner and back. It ends with exactly
+/// one of Finish and Abort, unless the caller has left before.
+class exchange : public std::enable_shared_from_this<exchange> {
+public:
+  /// \param Context what requests share.
+  /// \param Head head of the caller's request.
+  /// \param Body its body.
+  /// \param Arrival when its first byte came.
+  /// \param KeepAlive whether the caller keeps the connection.
+  /// \param Sink the caller's connection.
+  exchange(relay_context &Context, http_request_head Head, std::string Body,
+           instant Arrival, bool KeepAlive, caller_sink Sink);
+  ~exchange();
+
+  /// Starts to serve the request.
+  void begin();
+
+  /// The caller has closed its connection.
+  void onCallerLeft();
+
+  /// The caller takes bytes again.
+  void onCallerDrained();
+
+private:
+  /// Where the request is.
+  enum class stage {
+    Deciding,   ///< Route and limits.
+    Reserving,  ///< Budget and chain are asked for.
+    Holding,    ///< No runner has room; waits to be placed again.
+    Connecting, ///< To the runner.
+    Awaiting,   ///< The head of the runner's answer.
+    Relaying,   ///< The answer passes through.
+    Committing, ///< The turn is made durable before the answer ends.
+    Done,
+  };
+  static const char *stageName(stage Stage);
+
+  void chooseRoute();
+  void reserve();
+  void onReserved(reserve_result Result);
+  void place();
+  void hold(const char *Reason);
+  void send(const std::string &RunnerId);
+  void writeRequest();
+  void onRunnerBytes(std::string_view Bytes);
+  void onRunnerEnd(stream_end End);
+  void onAnswerHead();
+  void onAnswerBody();
+  void onAnswerComplete();
+  void startRelaying();
+  void relayEvents(bool Last);
+  void commit();
+  void failSend(send_outcome Outcome, const char *Reason);
+  void refuse(own_answer Reason);
+  void onTimeout();
+  void finishAnswer(std::string Tail);
+  void breakOff(const char *Reason);
+  void releaseRunner(bool Reusable);
+  void settle();
+  void end(const char *Result, int Status);
+  runner_view *runner();
+  milliseconds timeLeft(instant Now) const;
+
+  relay_context &Context;
+  http_request_head Head;
+  std::string Body;
+  instant Arrival;
+  bool KeepAlive;
+  caller_sink Sink;
+
+  stage Stage = stage::Deciding;
+  request_traits Traits;
+  route_table_ptr Routes; ///< The configuration that the request began with.
+  const route *Route = nullptr;
+  std::string Service;
+  std::optional<engine_traits> Engine;
+  instant Deadline{};
+  asio::steady_timer DeadlineTimer;
+  asio::steady_timer StepTimer;
+
+  bool Reserved = false; ///< Tokens are reserved and not settled yet.
+  std::string Chain;     ///< Turns before this one.
+  history_client::operation_ptr History;
+
+  send_history Sends;
+  std::set<std::string> Tried;
+  std::string RunnerId;
+  std::int64_t RunnerBorn = 0;
+  std::string RunnerAddress;
+  std::shared_ptr<tcp_stream> Stream;
+  bool Reused = false; ///< The runner's connection was kept from before.
+  std::size_t RequestBytes = 0;
+  http_reader Reader{http_message::Response};
+  answer_traits Answer;
+  std::string AnswerBody; ///< Bytes that are not passed on yet.
+  event_parser Events;
+  std::string Output; ///< Data of the events passed on.
+  std::uint64_t EventCount = 0;
+  bool Buffered = true; ///< The whole answer is read before it is passed on.
+  bool AnswerStarted = false;
+  std::size_t AnswerBytes = 0;
+  instant FirstByte{};
+  instant ReservedAt{};
+  instant AnsweredAt{};
+};
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/history/history_client.cpp
@@ -0,0 +1,398 @@
+#include "history/history_client.h"
+
+#include "log/log.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Pause before a replica that refused, lacks records or whose answer is too
+/// old is asked again.
+constexpr milliseconds AskAgainDelay{150};
+
+/// How long a settlement is repeated; the attempt counts with its most after.
+constexpr milliseconds SettleLimit{10'000};
+
+} // namespace
+
+const char *reserveOutcomeName(reserve_outcome Outcome) {
+  switch (Outcome) {
+  case reserve_outcome::Granted:
+    return "granted";
+  case reserve_outcome::BudgetSpent:
+    return "budget_spent";
+  case reserve_outcome::UnknownTurn:
+    return "unknown_turn";
+  case reserve_outcome::Unavailable:
+    return "unavailable";
+  }
+  return "unknown";
+}
+
+/// One question to all replicas, asked again until enough have answered.
+class history_client::operation
+    : public std::enable_shared_from_this<operation> {
+public:
+  operation(history_client &GivenClient, replica_request GivenRequest)
+      : Client(GivenClient), Request(std::move(GivenRequest)),
+        LimitTimer(GivenClient.Loop), AgainTimer(GivenClient.Loop) {}
+
+  void begin(milliseconds Limit) {
+    Deadline = later(readClock(), Limit);
+    LimitTimer.expires_after(Limit);
+    LimitTimer.async_wait(
+        [Weak = weak_from_this()](const asio::error_code &Error) {
+          const auto Self = Weak.lock();
+          if (Self && !Error)
+            Self->finish(false);
+        });
+    restart();
+  }
+
+  /// Asks all replicas of the present set.
+  void restart() {
+    if (Done)
+      return;
+    forgetQuestions();
+    Round = beginRound(Client.Set);
+    for (std::size_t Slot = 0; Slot < Client.Set.Slots.size(); ++Slot)
+      ask(Slot);
+    scheduleAgain();
+  }
+
+  /// Ends without an answer.
+  void cancel() {
+    if (Next)
+      Next->cancel();
+    Next = nullptr;
+    if (Done)
+      return;
+    Done = true;
+    OnDone = nullptr;
+    stop();
+  }
+
+  std::function<bool(const quorum_round &, instant)> Enough;
+  std::function<void(const quorum_round *)> OnDone;
+  operation_ptr Next; ///< Follows this operation; cancelled with it.
+  instant Deadline{};
+
+private:
+  void ask(std::size_t Slot) {
+    const replica_slot &Replica = Client.Set.Slots[Slot];
+    replica_request Message = Request;
+    Message.SetVersion = Client.Set.Version;
+    // Texts come from the nearest replica only; the others say what they know.
+    Message.WantChain = Request.WantChain && Replica.Domain == Client.Domain;
+    history_link &Link = Client.link(Replica.Address);
+    const auto Sequence =
+        Link.send(std::move(Message),
+                  [Weak = weak_from_this(), Slot](replica_reply Reply) {
+                    if (const auto Self = Weak.lock())
+                      Self->onReply(Slot, std::move(Reply));
+                  });
+    Questions.emplace_back(Replica.Address, Sequence);
+  }
+
+  void onReply(std::size_t Slot, replica_reply Reply) {
+    if (Done || Slot >= Round.Answers.size())
+      return;
+    if (Reply.Status == replica_status::OldSet) {
+      const std::uint64_t Known = Client.Set.Version;
+      for (const replica_set &Set : Reply.Set)
+        Client.setReplicas(Set, "replica");
+      if (Client.Set.Version == Known && Client.OnSetOutdated)
+        Client.OnSetOutdated();
+      return;
+    }
+    const instant Now = readClock();
+    addAnswer(Round, Slot, std::move(Reply), Now);
+    if (Enough(Round, Now))
+      finish(true);
+  }
+
+  void scheduleAgain() {
+    AgainTimer.expires_after(AskAgainDelay);
+    AgainTimer.async_wait(
+        [Weak = weak_from_this()](const asio::error_code &Error) {
+          const auto Self = Weak.lock();
+          if (Self && !Error && !Self->Done)
+            Self->askAgain();
+        });
+  }
+
+  void askAgain() {
+    for (const std::size_t Slot : outdatedAnswers(Round, readClock())) {
+      Round.Answers[Slot].reset();
+      ask(Slot);
+    }
+    for (std::size_t Slot = 0; Slot < Round.Answers.size(); ++Slot)
+      if (Round.Answers[Slot] &&
+          Round.Answers[Slot]->Status != replica_status::Done)
+        ask(Slot);
+    scheduleAgain();
+  }
+
+  void finish(bool Decided) {
+    if (Done)
+      return;
+    Done = true;
+    stop();
+    const auto Handler = std::move(OnDone);
+    OnDone = nullptr;
+    if (Handler)
+      Handler(Decided ? &Round : nullptr);
+  }
+
+  void forgetQuestions() {
+    for (const auto &[Address, Sequence] : Questions)
+      if (const auto Link = Client.Links.find(Address);
+          Link != Client.Links.end())
+        Link->second->cancel(Sequence);
+    Questions.clear();
+  }
+
+  void stop() {
+    LimitTimer.cancel();
+    AgainTimer.cancel();
+    // Writes stay under way to the replicas that have not answered yet.
+    const bool Writes = Request.Operation == replica_operation::Commit ||
+                        Request.Operation == replica_operation::Settle;
+    if (!Writes)
+      forgetQuestions();
+  }
+
+  history_client &Client;
+  replica_request Request;
+  quorum_round Round;
+  std::vector<std::pair<std::string, std::uint64_t>> Questions;
+  asio::steady_timer LimitTimer;
+  asio::steady_timer AgainTimer;
+  bool Done = false;
+};
+
+history_client::history_client(asio::io_context &GivenLoop,
+                               std::string GivenDomain, std::size_t CacheBytes)
+    : Loop(GivenLoop), Domain(std::move(GivenDomain)), Chains(CacheBytes) {}
+
+history_client::~history_client() { close(); }
+
+void history_client::close() {
+  for (auto &[Address, Link] : Links)
+    Link->close();
+  Links.clear();
+}
+
+history_link &history_client::link(const std::string &Address) {
+  auto &Link = Links[Address];
+  if (!Link)
+    Link = std::make_shared<history_link>(Loop, Address);
+  return *Link;
+}
+
+void history_client::setReplicas(const replica_set &Given, const char *Source) {
+  const bool Newer = Given.Version > Set.Version;
+  if (!Newer)
+    return;
+  logEvent(log_level::Info, "replica_set_changed",
+           {{"version", std::to_string(Given.Version)},
+            {"former_version", std::to_string(Set.Version)},
+            {"source", Source},
+            {"replicas", encodeReplicaSet(Given)}});
+  Set = Given;
+  if (!Set.Established)
+    return;
+  std::vector<operation_ptr> Running;
+  for (auto Item = Active.begin(); Item != Active.end();) {
+    if (auto Operation = Item->lock()) {
+      Running.push_back(std::move(Operation));
+      ++Item;
+    } else {
+      Item = Active.erase(Item);
+    }
+  }
+  for (const auto &Operation : Running)
+    Operation->restart();
+  std::erase_if(Links, [&](const auto &Item) {
+    const bool Unused = !Set.find(Item.first);
+    if (Unused)
+      Item.second->close();
+    return Unused;
+  });
+  // Connections stand before the first caller needs them.
+  for (const replica_slot &Slot : Set.Slots) {
+    replica_request Ping;
+    Ping.SetVersion = Set.Version;
+    link(Slot.Address).send(std::move(Ping), [](const replica_reply &) {});
+  }
+}
+
+history_client::operation_ptr
+history_client::start(replica_request Request, milliseconds Limit,
+                      std::function<bool(const quorum_round &, instant)> Enough,
+                      std::function<void(const quorum_round *)> OnDone) {
+  auto Operation = std::make_shared<operation>(*this, std::move(Request));
+  Operation->Enough = std::move(Enough);
+  Operation->OnDone = std::move(OnDone);
+  std::erase_if(Active, [](const auto &Weak) { return Weak.expired(); });
+  Active.push_back(Operation);
+  Operation->begin(Limit);
+  return Operation;
+}
+
+history_client::operation_ptr
+history_client::reserve(turn_reservation Given, milliseconds Limit,
+                        std::function<void(reserve_result)> OnDone) {
+  const auto Reservation = std::make_shared<turn_reservation>(std::move(Given));
+  replica_request Request;
+  Request.Operation = replica_operation::Reserve;
+  Request.Program = Reservation->Program;
+  Request.Entry = {Reservation->Attempt, Reservation->Most, false};
+  Request.RetentionMs = Reservation->RetentionMs;
+  Request.Previous = Reservation->Previous;
+  Request.WantChain =
+      !Reservation->Previous.empty() && !Chains.find(Reservation->Previous);
+  // The operation owns the handler, and the handler needs the operation.
+  const auto Outer = std::make_shared<std::weak_ptr<operation>>();
+  auto Operation =
+      start(std::move(Request), Limit, isDecided,
+            [this, Reservation, Outer, Limit,
+             OnDone = std::move(OnDone)](const quorum_round *Round) {
+              finishReserve(Reservation, Outer->lock(), Round, Limit, OnDone);
+            });
+  *Outer = Operation;
+  return Operation;
+}
+
+void history_client::finishReserve(
+    const std::shared_ptr<turn_reservation> &Reservation,
+    const operation_ptr &Outer, const quorum_round *Round, milliseconds Limit,
+    const std::function<void(reserve_result)> &OnDone) {
+  reserve_result Result;
+  Result.SetVersion = Set.Version;
+  if (!Round) {
+    OnDone(std::move(Result));
+    return;
+  }
+  const reservation_view View = mergeReservation(*Round, Reservation->Attempt);
+  Result.OthersTokens = View.OthersTokens;
+  if (checkBudget(View.OthersTokens, Reservation->Most, Reservation->Budget) ==
+      budget_verdict::Spent) {
+    Result.Outcome = reserve_outcome::BudgetSpent;
+    OnDone(std::move(Result));
+    return;
+  }
+  Result.Outcome = reserve_outcome::Granted;
+  if (Reservation->Previous.empty()) {
+    OnDone(std::move(Result));
+    return;
+  }
+  if (const std::string *Cached = Chains.find(Reservation->Previous)) {
+    Result.Chain = *Cached;
+    OnDone(std::move(Result));
+    return;
+  }
+  if (!View.PreviousFound) {
+    Result.Outcome = reserve_outcome::UnknownTurn;
+    OnDone(std::move(Result));
+    return;
+  }
+  auto Turns = std::make_shared<std::map<std::string, turn_record>>();
+  for (const turn_record &Turn : View.Turns)
+    Turns->emplace(Turn.Id, Turn);
+  readMissing(Reservation, Outer, std::move(Turns), Limit, std::move(Result),
+              OnDone);
+}
+
+void history_client::readMissing(
+    const std::shared_ptr<turn_reservation> &Reservation,
+    const operation_ptr &Outer,
+    std::shared_ptr<std::map<std::string, turn_record>> Turns,
+    milliseconds Limit, reserve_result Result,
+    const std::function<void(reserve_result)> &OnDone) {
+  chain_view View = joinChain(*Turns, Reservation->Previous);
+  if (View.Missing.empty()) {
+    Chains.put(Reservation->Previous, View.Text);
+    Result.Chain = std::move(View.Text);
+    OnDone(std::move(Result));
+    return;
+  }
+  replica_request Request;
+  Request.Operation = replica_operation::Read;
+  Request.Turns = {View.Missing};
+  const auto hasMissing = [Missing = View.Missing](const replica_reply &Reply) {
+    for (const turn_record &Turn : Reply.Turns)
+      if (Turn.Id == Missing)
+        return true;
+    return false;
+  };
+  const auto Enough = [hasMissing](const quorum_round &Round, instant Now) {
+    for (const auto &Answer : Round.Answers)
+      if (Answer && hasMissing(*Answer))
+        return true;
+    return isDecided(Round, Now);
+  };
+  auto Operation =
+      start(std::move(Request), Limit, Enough,
+            [this, Reservation, WeakOuter = std::weak_ptr<operation>(Outer),
+             Turns, Limit, Result, OnDone,
+             Missing = View.Missing](const quorum_round *Round) mutable {
+              if (Round)
+                for (const auto &Answer : Round->Answers)
+                  if (Answer)
+                    for (const turn_record &Turn : Answer->Turns)
+                      Turns->emplace(Turn.Id, Turn);
+              if (!Round || !Turns->contains(Missing)) {
+                logEvent(Round ? log_level::Error : log_level::Warning,
+                         "chain_incomplete",
+                         {{"request", Reservation->Attempt},
+                          {"missing_turn", Missing},
+                          {"answered", Round ? "true" : "false"}});
+                Result.Outcome = reserve_outcome::Unavailable;
+                OnDone(std::move(Result));
+                return;
+              }
+              readMissing(Reservation, WeakOuter.lock(), Turns, Limit,
+                          std::move(Result), OnDone);
+            });
+  if (Outer)
+    Outer->Next = Operation;
+}
+
+history_client::operation_ptr
+history_client::commit(turn_record Turn, const std::string &Chain,
+                       milliseconds Limit, std::function<void(bool)> OnDone) {
+  replica_request Request;
+  Request.Operation = replica_operation::Commit;
+  Request.Program = Turn.Program;
+  Request.Turn = Turn;
+  return start(std::move(Request), Limit, isDecided,
+               [this, Id = Turn.Id, Text = Chain + Turn.Input + Turn.Output,
+                OnDone = std::move(OnDone)](const quorum_round *Round) mutable {
+                 if (Round)
+                   Chains.put(Id, std::move(Text));
+                 OnDone(Round != nullptr);
+               });
+}
+
+void history_client::settle(std::string Program, ledger_entry Entry,
+                            std::uint64_t RetentionMs) {
+  replica_request Request;
+  Request.Operation = replica_operation::Settle;
+  Request.Program = std::move(Program);
+  Request.Entry = std::move(Entry);
+  Request.RetentionMs = RetentionMs;
+  // The handler keeps the operation alive until it has ended.
+  const auto Keep = std::make_shared<operation_ptr>();
+  *Keep = start(std::move(Request), SettleLimit, isDecided,
+                [Keep](const quorum_round *) { Keep->reset(); });
+}
+
+void history_client::cancel(const operation_ptr &Operation) {
+  if (Operation)
+    Operation->cancel();
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/history/history_link.cpp
@@ -0,0 +1,162 @@
+#include "history/history_link.h"
+
+#include "log/log.h"
+#include "net/address.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace lentilhoist {
+
+namespace {
+
+/// A reply takes two crossings between failure domains and one sync, about
+/// 20 ms; this is far above it and below what a caller waits for a first event.
+constexpr milliseconds FirstSilenceLimit{500};
+constexpr milliseconds MaxSilenceLimit{4'000};
+/// Pause before a new connection; a restarted process is back in about 300 ms.
+constexpr milliseconds ReconnectDelay{100};
+
+} // namespace
+
+history_link::history_link(asio::io_context &GivenLoop, std::string Given)
+    : Loop(GivenLoop), Address(std::move(Given)), ReconnectTimer(GivenLoop),
+      SilenceTimer(GivenLoop), SilenceLimit(FirstSilenceLimit) {}
+
+std::uint64_t history_link::send(replica_request Request, on_reply OnReply) {
+  const std::uint64_t Sequence = ++LastSequence;
+  Request.Sequence = Sequence;
+  std::string Frame = encodeMessage(Request);
+  const bool WasIdle = Outstanding.empty();
+  OutstandingBytes += Frame.size();
+  Outstanding[Sequence] = {Frame, std::move(OnReply)};
+  while (OutstandingBytes > MaxOutstandingBytes && Outstanding.size() > 1)
+    forget(Outstanding.begin());
+  if (!Stream)
+    connect();
+  else if (Stream->connected())
+    Stream->write(std::move(Frame));
+  if (WasIdle) {
+    HeardSinceCheck = false;
+    checkSilence();
+  }
+  return Sequence;
+}
+
+void history_link::cancel(std::uint64_t Sequence) {
+  if (const auto Found = Outstanding.find(Sequence); Found != Outstanding.end())
+    forget(Found);
+}
+
+void history_link::forget(
+    std::map<std::uint64_t, pending_request>::iterator Request) {
+  OutstandingBytes -= Request->second.Frame.size();
+  Outstanding.erase(Request);
+}
+
+void history_link::connect() {
+  if (Closed)
+    return;
+  const auto Target = parseAddress(Address);
+  if (!Target) {
+    logEvent(log_level::Error, "replica_address_malformed",
+             {{"address", Address}});
+    return;
+  }
+  Frames = {};
+  Stream = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
+                                        socket_settings{});
+  const std::weak_ptr<history_link> Weak = shared_from_this();
+  tcp_stream::handlers Handlers;
+  Handlers.OnConnected = [Weak] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (!Self->EverConnected)
+      logEvent(log_level::Info, "replica_connected",
+               {{"address", Self->Address}});
+    Self->EverConnected = true;
+    for (const auto &[Sequence, Pending] : Self->Outstanding)
+      Self->Stream->write(Pending.Frame);
+  };
+  Handlers.OnBytes = [Weak](std::string_view Bytes) {
+    if (const auto Self = Weak.lock())
+      Self->onBytes(Bytes);
+  };
+  Handlers.OnEnd = [Weak](stream_end End) {
+    if (const auto Self = Weak.lock())
+      Self->loseConnection(streamEndName(End));
+  };
+  Stream->setHandlers(std::move(Handlers));
+  Stream->connect(*Target);
+}
+
+void history_link::loseConnection(const char *Reason) {
+  if (EverConnected)
+    logEvent(log_level::Warning, "replica_connection_lost",
+             {{"address", Address},
+              {"reason", Reason},
+              {"outstanding", std::to_string(Outstanding.size())}});
+  EverConnected = false;
+  if (Stream)
+    Stream->close();
+  scheduleReconnect();
+}
+
+void history_link::scheduleReconnect() {
+  ReconnectTimer.expires_after(ReconnectDelay);
+  ReconnectTimer.async_wait(
+      [Weak = weak_from_this()](const asio::error_code &Error) {
+        const auto Self = Weak.lock();
+        if (Self && !Error)
+          Self->connect();
+      });
+}
+
+void history_link::onBytes(std::string_view Bytes) {
+  HeardSinceCheck = true;
+  SilenceLimit = FirstSilenceLimit;
+  Frames.add(Bytes);
+  try {
+    while (const auto Frame = Frames.next()) {
+      replica_reply Reply = decodeReplicaReply(*Frame);
+      const auto Found = Outstanding.find(Reply.Sequence);
+      if (Found == Outstanding.end())
+        continue;
+      const on_reply OnReply = std::move(Found->second.OnReply);
+      forget(Found);
+      OnReply(std::move(Reply));
+      if (Closed)
+        return;
+    }
+  } catch (const std::runtime_error &Error) {
+    loseConnection(Error.what());
+  }
+}
+
+void history_link::checkSilence() {
+  SilenceTimer.expires_after(SilenceLimit);
+  SilenceTimer.async_wait([Weak = weak_from_this()](
+                              const asio::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (!Self || Error || Self->Closed || Self->Outstanding.empty())
+      return;
+    if (!Self->HeardSinceCheck) {
+      Self->SilenceLimit = std::min(Self->SilenceLimit * 2, MaxSilenceLimit);
+      Self->loseConnection("silent");
+    }
+    Self->HeardSinceCheck = false;
+    Self->checkSilence();
+  });
+}
+
+void history_link::close() {
+  Closed = true;
+  Outstanding.clear();
+  ReconnectTimer.cancel();
+  SilenceTimer.cancel();
+  if (Stream)
+    Stream->close();
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/history/journal_writer.cpp
@@ -0,0 +1,119 @@
+#include "history/journal_writer.h"
+
+#include "log/log.h"
+
+#include <asio/post.hpp>
+#include <system_error>
+
+namespace lentilhoist {
+
+namespace {
+/// Part of the disk that is filled; the rest is for what expires later than
+/// expected.
+constexpr double UsedDiskPart = 0.9;
+} // namespace
+
+journal_writer::journal_writer(asio::io_context &GivenLoop,
+                               segment_log &GivenLog, std::size_t DiskBytes)
+    : Loop(GivenLoop), Log(GivenLog),
+      MaxBytes(static_cast<std::size_t>(static_cast<double>(DiskBytes) *
+                                        UsedDiskPart)),
+      Thread([this] { run(); }) {}
+
+journal_writer::~journal_writer() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Ready.notify_one();
+  Thread.join();
+}
+
+void journal_writer::write(std::string Bytes,
+                           std::function<void(bool)> OnDone) {
+  push({std::move(Bytes), std::move(OnDone), 0, 0});
+}
+
+void journal_writer::beginSegment(segment_number Number, std::string Header) {
+  push({std::move(Header), nullptr, Number, 0});
+}
+
+void journal_writer::removeSegment(segment_number Number) {
+  push({{}, nullptr, 0, Number});
+}
+
+void journal_writer::push(task Task) {
+  {
+    const std::lock_guard Lock(Mutex);
+    Tasks.push_back(std::move(Task));
+  }
+  Ready.notify_one();
+}
+
+void journal_writer::run() {
+  for (;;) {
+    std::vector<task> Batch;
+    {
+      std::unique_lock Lock(Mutex);
+      Ready.wait(Lock, [this] { return Stopping || !Tasks.empty(); });
+      if (Tasks.empty())
+        return;
+      Batch.swap(Tasks);
+    }
+    execute(Batch);
+  }
+}
+
+bool journal_writer::flush(const std::string &Bytes) {
+  if (Bytes.empty())
+    return !Failed;
+  if (Failed || Log.diskBytes() + Bytes.size() > MaxBytes)
+    return false;
+  try {
+    Log.append(Bytes);
+    return true;
+  } catch (const std::system_error &Error) {
+    Failed = true;
+    logEvent(log_level::Error, "journal_failed", {{"reason", Error.what()}});
+    return false;
+  }
+}
+
+void journal_writer::execute(std::vector<task> &Batch) {
+  std::string Bytes;
+  std::vector<std::function<void(bool)>> Waiting;
+  const auto finish = [&] {
+    const bool Durable = flush(Bytes);
+    Bytes.clear();
+    if (Waiting.empty())
+      return;
+    asio::post(Loop, [Durable, Handlers = std::move(Waiting)] {
+      for (const auto &Handler : Handlers)
+        Handler(Durable);
+    });
+    Waiting.clear();
+  };
+  for (task &Task : Batch) {
+    if (Task.Remove != 0) {
+      Log.remove(Task.Remove);
+      continue;
+    }
+    if (Task.Begin != 0) {
+      finish();
+      try {
+        Log.begin(Task.Begin);
+        Failed = false;
+      } catch (const std::system_error &Error) {
+        Failed = true;
+        logEvent(log_level::Error, "journal_failed",
+                 {{"reason", Error.what()}});
+      }
+    }
+    Bytes += Task.Bytes;
+    if (Task.OnDone)
+      Waiting.push_back(std::move(Task.OnDone));
+  }
+  finish();
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/history/replica_message.cpp
@@ -0,0 +1,60 @@
+#include "history/replica_message.h"
+
+#include "net/frame.h"
+
+#include <stdexcept>
+
+namespace lentilhoist {
+
+namespace {
+
+template <typename Message> std::string encode(const Message &Value) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Value);
+  return encodeFrame({Buffer.data(), Buffer.size()});
+}
+
+template <typename Message> Message decode(const std::string &Bytes) {
+  try {
+    return msgpack::unpack(Bytes.data(), Bytes.size())
+        .get()
+        .template as<Message>();
+  } catch (const std::exception &Error) {
+    throw std::runtime_error(
+        std::string("a history message can't be decoded: ") + Error.what());
+  }
+}
+
+} // namespace
+
+const char *replicaStatusName(replica_status Status) {
+  switch (Status) {
+  case replica_status::Done:
+    return "done";
+  case replica_status::Incomplete:
+    return "incomplete";
+  case replica_status::OldSet:
+    return "old_set";
+  case replica_status::Refused:
+    return "refused";
+  }
+  return "unknown";
+}
+
+std::string encodeMessage(const replica_request &Message) {
+  return encode(Message);
+}
+
+std::string encodeMessage(const replica_reply &Message) {
+  return encode(Message);
+}
+
+replica_request decodeReplicaRequest(const std::string &Bytes) {
+  return decode<replica_request>(Bytes);
+}
+
+replica_reply decodeReplicaReply(const std::string &Bytes) {
+  return decode<replica_reply>(Bytes);
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/history/replica_state.cpp
@@ -0,0 +1,320 @@
+#include "history/replica_state.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Bytes that a copy carries in one answer; a tenth of a second of a small
+/// link, so that requests of callers come between.
+constexpr std::size_t CopyBatchBytes = 512UL * 1024UL;
+
+/// Rough memory of a record beside its texts.
+constexpr std::size_t RecordOverhead = 400;
+
+std::size_t sizeOf(const turn_record &Turn) {
+  return RecordOverhead + Turn.Input.size() + Turn.Output.size();
+}
+
+instant expiryOf(std::uint64_t RetentionMs, const replica_limits &Limits,
+                 instant Now) {
+  return later(Now, milliseconds(RetentionMs) + Limits.RetentionSlack);
+}
+
+/// A turn is kept together with the chain that leads to it.
+void extendChain(replica_state &State, std::string Id, instant Expiry) {
+  for (auto Found = State.Turns.find(Id);
+       Found != State.Turns.end() &&
+       Found->second.Expiry.Steady < Expiry.Steady;
+       Found = State.Turns.find(Id)) {
+    Found->second.Expiry = Expiry;
+    Id = Found->second.Record.Previous;
+  }
+}
+
+void dropPosition(replica_state &State, std::uint64_t Position,
+                  segment_number Segment) {
+  State.Order.erase(Position);
+  const auto Live = State.Live.find(Segment);
+  assert(Live != State.Live.end() && Live->second > 0);
+  --Live->second;
+}
+
+std::uint64_t takePosition(replica_state &State, std::string First,
+                           std::string Second, segment_number Segment) {
+  const std::uint64_t Position = ++State.LastPosition;
+  State.Order.emplace(Position,
+                      std::make_pair(std::move(First), std::move(Second)));
+  ++State.Live[Segment];
+  return Position;
+}
+
+void applyEntry(replica_state &State, const replica_change &Change,
+                segment_number Segment, const replica_limits &Limits,
+                instant Now) {
+  held_ledger &Ledger = State.Ledgers[Change.Program];
+  Ledger.RetentionMs = std::max(Ledger.RetentionMs, Change.RetentionMs);
+  Ledger.Expiry = expiryOf(Ledger.RetentionMs, Limits, Now);
+  const auto [Found, Added] = Ledger.Entries.try_emplace(Change.Entry.Attempt);
+  held_entry &Held = Found->second;
+  if (Added)
+    State.Bytes += RecordOverhead;
+  else if (Held.Entry.Settled || !Change.Entry.Settled)
+    return;
+  else
+    dropPosition(State, Held.Position, Held.Segment);
+  Held.Entry = Change.Entry;
+  Held.Segment = Segment;
+  Held.Position =
+      takePosition(State, Change.Program, Change.Entry.Attempt, Segment);
+}
+
+void applyTurn(replica_state &State, const replica_change &Change,
+               segment_number Segment, const replica_limits &Limits,
+               instant Now) {
+  const turn_record &Turn = Change.Turn;
+  const auto [Found, Added] = State.Turns.try_emplace(Turn.Id);
+  if (Added) {
+    held_turn &Held = Found->second;
+    Held.Record = Turn;
+    Held.Segment = Segment;
+    Held.Position = takePosition(State, Turn.Id, "", Segment);
+    State.Bytes += sizeOf(Turn);
+  }
+  extendChain(State, Turn.Id, expiryOf(Turn.RetentionMs, Limits, Now));
+}
+
+replica_change entryChange(const std::string &Program,
+                           const ledger_entry &Entry,
+                           std::uint64_t RetentionMs) {
+  replica_change Change;
+  Change.Kind = change_kind::Entry;
+  Change.Program = Program;
+  Change.Entry = Entry;
+  Change.RetentionMs = RetentionMs;
+  return Change;
+}
+
+replica_change turnChange(const turn_record &Turn) {
+  replica_change Change;
+  Change.Kind = change_kind::Turn;
+  Change.Turn = Turn;
+  return Change;
+}
+
+void appendChain(const replica_state &State, const std::string &Last,
+                 std::vector<turn_record> &Turns) {
+  for (auto Found = State.Turns.find(Last); Found != State.Turns.end();
+       Found = State.Turns.find(Found->second.Record.Previous))
+    Turns.push_back(Found->second.Record);
+}
+
+void answerReserve(const replica_state &State, const replica_request &Request,
+                   replica_reply &Reply) {
+  const auto Ledger = State.Ledgers.find(Request.Program);
+  if (Ledger != State.Ledgers.end())
+    for (const auto &[Attempt, Held] : Ledger->second.Entries)
+      Reply.Ledger.push_back(Held.Entry);
+  Reply.PreviousFound = State.Turns.contains(Request.Previous);
+  if (Request.WantChain)
+    appendChain(State, Request.Previous, Reply.Turns);
+}
+
+void answerCopy(const replica_state &State, const replica_request &Request,
+                replica_reply &Reply) {
+  Reply.Head = State.LastPosition;
+  Reply.Cursor = Request.Cursor;
+  std::map<std::string, program_ledger> Ledgers;
+  std::size_t Bytes = 0;
+  auto Next = State.Order.upper_bound(Request.Cursor);
+  for (; Next != State.Order.end() && Bytes < CopyBatchBytes; ++Next) {
+    const auto &[Id, Attempt] = Next->second;
+    Reply.Cursor = Next->first;
+    if (Attempt.empty()) {
+      const held_turn &Held = State.Turns.at(Id);
+      Bytes += sizeOf(Held.Record);
+      Reply.Turns.push_back(Held.Record);
+      continue;
+    }
+    const held_ledger &Ledger = State.Ledgers.at(Id);
+    program_ledger &Copied = Ledgers[Id];
+    Copied.Program = Id;
+    Copied.RetentionMs = Ledger.RetentionMs;
+    Copied.Entries.push_back(Ledger.Entries.at(Attempt).Entry);
+    Bytes += RecordOverhead;
+  }
+  if (Next == State.Order.end())
+    Reply.Cursor = State.LastPosition;
+  for (auto &[Program, Ledger] : Ledgers)
+    Reply.Ledgers.push_back(std::move(Ledger));
+}
+
+} // namespace
+
+void applyChange(replica_state &State, const replica_change &Change,
+                 segment_number Segment, const replica_limits &Limits,
+                 instant Now) {
+  switch (Change.Kind) {
+  case change_kind::Entry:
+    applyEntry(State, Change, Segment, Limits, Now);
+    return;
+  case change_kind::Turn: {
+    ledger_entry Settled{Change.Turn.Id, Change.Turn.Tokens, true};
+    applyEntry(
+        State,
+        entryChange(Change.Turn.Program, Settled, Change.Turn.RetentionMs),
+        Segment, Limits, Now);
+    applyTurn(State, Change, Segment, Limits, Now);
+    return;
+  }
+  case change_kind::Set:
+    meetSet(State, Change.Set);
+    return;
+  case change_kind::Complete:
+    State.Complete = true;
+    return;
+  case change_kind::Incomplete:
+    State.Complete = false;
+    return;
+  }
+}
+
+bool meetSet(replica_state &State, const replica_set &Set) {
+  const bool Newer = Set.Version > State.SetVersion;
+  State.SetVersion = std::max(State.SetVersion, Set.Version);
+  // Of one version, the set may lose predecessors that are not needed.
+  if (Set.Version >= State.Set.Version && !Set.Slots.empty())
+    State.Set = Set;
+  return Newer;
+}
+
+replica_outcome handleRequest(replica_state &State,
+                              const replica_request &Request,
+                              segment_number Segment,
+                              const replica_limits &Limits, instant Now) {
+  replica_outcome Outcome;
+  replica_reply &Reply = Outcome.Reply;
+  Reply.Sequence = Request.Sequence;
+  const auto record = [&](replica_change Change) {
+    applyChange(State, Change, Segment, Limits, Now);
+    Outcome.Changes.push_back(std::move(Change));
+  };
+  for (const replica_set &Set : Request.Set)
+    if (meetSet(State, Set))
+      record({change_kind::Set, {}, {}, 0, {}, Set});
+  if (Request.SetVersion > State.SetVersion) {
+    replica_change Change{change_kind::Set, {}, {}, 0, {}, {}};
+    Change.Set.Version = Request.SetVersion;
+    record(std::move(Change));
+  }
+  Reply.SetVersion = State.SetVersion;
+  if (Request.SetVersion < State.SetVersion) {
+    Reply.Status = replica_status::OldSet;
+    if (State.Set.Version == State.SetVersion)
+      Reply.Set.push_back(State.Set);
+    return Outcome;
+  }
+  Reply.Status =
+      State.Complete ? replica_status::Done : replica_status::Incomplete;
+  const bool Writes = Request.Operation == replica_operation::Reserve ||
+                      Request.Operation == replica_operation::Commit;
+  if (Writes && State.Bytes > Limits.MaxBytes) {
+    Reply.Status = replica_status::Refused;
+    return Outcome;
+  }
+  switch (Request.Operation) {
+  case replica_operation::Ping:
+    break;
+  case replica_operation::Reserve:
+    answerReserve(State, Request, Reply);
+    record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
+    break;
+  case replica_operation::Commit:
+    record(turnChange(Request.Turn));
+    break;
+  case replica_operation::Settle:
+    record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
+    break;
+  case replica_operation::Read:
+    for (const std::string &Id : Request.Turns)
+      appendChain(State, Id, Reply.Turns);
+    break;
+  case replica_operation::Copy:
+    answerCopy(State, Request, Reply);
+    break;
+  }
+  return Outcome;
+}
+
+std::vector<replica_change>
+absorbCopy(replica_state &State, const replica_reply &Reply,
+           segment_number Segment, const replica_limits &Limits, instant Now) {
+  std::vector<replica_change> Changes;
+  for (const program_ledger &Ledger : Reply.Ledgers)
+    for (const ledger_entry &Entry : Ledger.Entries)
+      Changes.push_back(entryChange(Ledger.Program, Entry, Ledger.RetentionMs));
+  for (const turn_record &Turn : Reply.Turns)
+    if (!State.Turns.contains(Turn.Id))
+      Changes.push_back(turnChange(Turn));
+  for (const replica_change &Change : Changes)
+    applyChange(State, Change, Segment, Limits, Now);
+  return Changes;
+}
+
+void expireRecords(replica_state &State, instant Now) {
+  for (auto Turn = State.Turns.begin(); Turn != State.Turns.end();) {
+    if (Turn->second.Expiry.Steady > Now.Steady) {
+      ++Turn;
+      continue;
+    }
+    State.Bytes -= sizeOf(Turn->second.Record);
+    dropPosition(State, Turn->second.Position, Turn->second.Segment);
+    Turn = State.Turns.erase(Turn);
+  }
+  for (auto Ledger = State.Ledgers.begin(); Ledger != State.Ledgers.end();) {
+    if (Ledger->second.Expiry.Steady > Now.Steady) {
+      ++Ledger;
+      continue;
+    }
+    for (const auto &[Attempt, Held] : Ledger->second.Entries) {
+      State.Bytes -= RecordOverhead;
+      dropPosition(State, Held.Position, Held.Segment);
+    }
+    Ledger = State.Ledgers.erase(Ledger);
+  }
+}
+
+std::vector<segment_number> emptySegments(const replica_state &State,
+                                          segment_number Active) {
+  std::vector<segment_number> Empty;
+  for (const auto &[Segment, Count] : State.Live)
+    if (Count == 0 && Segment < Active)
+      Empty.push_back(Segment);
+  return Empty;
+}
+
+std::vector<std::vector<std::string>> copySources(const replica_set &Set,
+                                                  const std::string &Address) {
+  std::vector<std::vector<std::string>> Sources;
+  for (const replica_slot &Slot : Set.Slots) {
+    std::vector<std::string> Source;
+    if (Slot.Address != Address)
+      Source.push_back(Slot.Address);
+    // A predecessor in the copier's own slot counts as a source too: it may
+    // hold what the others lack.
+    if (!Slot.Former.empty())
+      Source.push_back(Slot.Former);
+    if (!Source.empty())
+      Sources.push_back(std::move(Source));
+  }
+  return Sources;
+}
+
+std::size_t sourcesNeeded(const replica_set &Set, const std::string &Address) {
+  const std::size_t Others = copySources(Set, Address).size();
+  return std::min(Others, Set.writeQuorum());
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/history/replica_state.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "core/instant.h"
+#include "history/replica_message.h"
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lentilhoist {
+
+/// What a journal record of a replica says.
+enum class change_kind {
+  Entry,      ///< An entry of a program's ledger.
+  Turn,       ///< A turn with the tokens of its attempt.
+  Set,        ///< The replica met a newer replica set.
+  Complete,   ///< The replica holds all that was acknowledged before.
+  Incomplete, ///< The replica may lack acknowledged records.
+};
+
+/// One journal record.
+struct replica_change {
+  change_kind Kind = change_kind::Entry;
+  std::string Program;
+  ledger_entry Entry;
+  std::uint64_t RetentionMs = 0;
+  turn_record Turn;
+  replica_set Set;
+  MSGPACK_DEFINE(Kind, Program, Entry, RetentionMs, Turn, Set)
+};
+
+/// Number of the journal segment that holds a record.
+using segment_number = std::uint64_t;
+
+/// A turn in memory.
+struct held_turn {
+  turn_record Record;
+  instant Expiry{};           ///< Dropped after this.
+  std::uint64_t Position = 0; ///< Order in which the replica learned of it.
+  segment_number Segment = 0; ///< Journal segment that holds it.
+};
+
+/// An entry of a ledger in memory.
+struct held_entry {
+  ledger_entry Entry;
+  std::uint64_t Position = 0;
+  segment_number Segment = 0;
+};
+
+/// The ledger of a program in memory.
+struct held_ledger {
+  std::unordered_map<std::string, held_entry> Entries; ///< By attempt.
+  instant Expiry{};
+  std::uint64_t RetentionMs = 0;
+};
+
+/// Limits of a replica.
+struct replica_limits {
+  std::size_t MaxBytes = 0; ///< Records in memory; more are refused.
+  /// Kept longer than a route's retention: covers the time between the end of
+  /// an answer and its caller's next turn on a slow link.
+  milliseconds RetentionSlack{5'000};
+};
+
+/// All that one replica knows. Turns never change and entries only grow from
+/// reserved to settled, so that changes may arrive in any order and twice.
+struct replica_state {
+  bool Complete = false;
+  replica_set Set; ///< Newest that it has met; Version 0 before the first.
+  std::uint64_t SetVersion = 0; ///< Newest version, also where Set is older.
+  std::unordered_map<std::string, held_turn> Turns;
+  std::unordered_map<std::string, held_ledger> Ledgers;
+  /// Positions in order: a turn's id, or a program and an attempt.
+  std::map<std::uint64_t, std::pair<std::string, std::string>> Order;
+  std::uint64_t LastPosition = 0;
+  std::map<segment_number, std::uint64_t> Live; ///< Records by segment.
+  std::size_t Bytes = 0;
+};
+
+/// Answer to a request, and what must be synced before it may be sent.
+struct replica_outcome {
+  replica_reply Reply;
+  std::vector<replica_change> Changes;
+};
+
+/// Applies a record, new or read back from the journal.
+/// \param State the replica.
+/// \param Change the record.
+/// \param Segment the journal segment that holds it.
+/// \param Limits its limits.
+/// \param Now the present time.
+void applyChange(replica_state &State, const replica_change &Change,
+                 segment_number Segment, const replica_limits &Limits,
+                 instant Now);
+
+/// Handles one request. Changes are applied at once, before they are durable:
+/// a later reservation must see them, and a turn that is read early never
+/// changes.
+/// \param State the replica.
+/// \param Request the request.
+/// \param Segment the journal segment that will hold its changes.
+/// \param Limits its limits.
+/// \param Now the present time.
+/// \returns the answer and the changes to sync before it is sent.
+replica_outcome handleRequest(replica_state &State,
+                              const replica_request &Request,
+                              segment_number Segment,
+                              const replica_limits &Limits, instant Now);
+
+/// Adds what another replica holds.
+/// \param State the replica.
+/// \param Reply an answer to a copy request.
+/// \param Segment the journal segment that will hold the changes.
+/// \param Limits its limits.
+/// \param Now the present time.
+/// \returns the changes to sync.
+std::vector<replica_change>
+absorbCopy(replica_state &State, const replica_reply &Reply,
+           segment_number Segment, const replica_limits &Limits, instant Now);
+
+/// Meets a replica set.
+/// \param State the replica.
+/// \param Set the set.
+/// \returns whether it is newer than the one known, and is to be synced.
+bool meetSet(replica_state &State, const replica_set &Set);
+
+/// Drops what has outlived its retention.
+/// \param State the replica.
+/// \param Now the present time.
+void expireRecords(replica_state &State, instant Now);
+
+/// \param State the replica.
+/// \param Active the segment that is being written.
+/// \returns segments that hold nothing any more, which may be deleted.
+std::vector<segment_number> emptySegments(const replica_state &State,
+                                          segment_number Active);
+
+/// \param Address the replica that copies.
+/// \param Set the set that it belongs to.
+/// \returns for each other slot the addresses that can serve as its source:
+/// the replica and, if there is one, its predecessor.
+std::vector<std::vector<std::string>> copySources(const replica_set &Set,
+                                                  const std::string &Address);
+
+/// \param Set the set.
+/// \param Address the replica that copies.
+/// \returns how many sources, in different slots, it must have copied from
+/// before it knows all that was acknowledged.
+std::size_t sourcesNeeded(const replica_set &Set, const std::string &Address);
+
+} // namespace lentilhoist
+
+MSGPACK_ADD_ENUM(lentilhoist::change_kind)
--- /dev/null
+++ b/src/history/segment_log.cpp
@@ -0,0 +1,156 @@
+#include "history/segment_log.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+#include <system_error>
+#include <unistd.h>
+
+namespace lentilhoist {
+
+namespace {
+
+constexpr std::size_t HeaderBytes = 12; ///< Length and checksum.
+constexpr std::size_t LengthBytes = 4;
+constexpr const char *Extension = ".segment";
+
+void putNumber(std::string &Out, std::uint64_t Value, std::size_t Bytes) {
+  for (std::size_t Index = Bytes; Index-- > 0;)
+    Out += static_cast<char>((Value >> (8 * Index)) & 0xff);
+}
+
+std::uint64_t getNumber(std::string_view Bytes) {
+  std::uint64_t Value = 0;
+  for (const char Byte : Bytes)
+    Value = Value << 8 | static_cast<unsigned char>(Byte);
+  return Value;
+}
+
+[[noreturn]] void failDisk(const std::string &What) {
+  throw std::system_error(errno, std::generic_category(), What);
+}
+
+} // namespace
+
+std::string encodeRecord(const replica_change &Change) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Change);
+  const std::string_view Payload(Buffer.data(), Buffer.size());
+  std::string Out;
+  Out.reserve(HeaderBytes + Payload.size());
+  putNumber(Out, Payload.size(), LengthBytes);
+  putNumber(Out, stableHash(Payload), HeaderBytes - LengthBytes);
+  Out += Payload;
+  return Out;
+}
+
+std::size_t
+readRecords(std::string_view Bytes,
+            const std::function<void(const replica_change &)> &OnRecord) {
+  std::size_t At = 0;
+  while (Bytes.size() - At >= HeaderBytes) {
+    const std::size_t Length = getNumber(Bytes.substr(At, LengthBytes));
+    const std::uint64_t Checksum =
+        getNumber(Bytes.substr(At + LengthBytes, HeaderBytes - LengthBytes));
+    if (Length == 0 || Length > Bytes.size() - At - HeaderBytes)
+      break;
+    const std::string_view Payload = Bytes.substr(At + HeaderBytes, Length);
+    if (stableHash(Payload) != Checksum)
+      break;
+    OnRecord(msgpack::unpack(Payload.data(), Payload.size())
+                 .get()
+                 .as<replica_change>());
+    At += HeaderBytes + Length;
+  }
+  return At;
+}
+
+segment_log::segment_log(std::string Given) : Folder(std::move(Given)) {
+  std::filesystem::create_directories(Folder);
+}
+
+segment_log::~segment_log() {
+  if (File >= 0)
+    ::close(File);
+}
+
+std::string segment_log::pathOf(segment_number Number) const {
+  return fmt::format("{}/{:012d}{}", Folder, Number, Extension);
+}
+
+segment_number segment_log::load(
+    const std::function<void(const replica_change &, segment_number)>
+        &OnRecord) {
+  std::vector<segment_number> Numbers;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder))
+    if (Entry.path().extension() == Extension)
+      Numbers.push_back(std::stoull(Entry.path().stem().string()));
+  std::sort(Numbers.begin(), Numbers.end());
+  for (const segment_number Number : Numbers) {
+    std::ifstream File(pathOf(Number), std::ios::binary);
+    std::ostringstream Text;
+    Text << File.rdbuf();
+    const std::string Bytes = std::move(Text).str();
+    Total += Bytes.size();
+    readRecords(
+        Bytes, [&](const replica_change &Change) { OnRecord(Change, Number); });
+  }
+  return Numbers.empty() ? 1 : Numbers.back() + 1;
+}
+
+void segment_log::begin(segment_number Number) {
+  if (File >= 0)
+    ::close(File);
+  File = ::open(pathOf(Number).c_str(),
+                O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (File < 0)
+    failDisk("open " + pathOf(Number));
+  Written = 0;
+  syncFolder();
+}
+
+void segment_log::syncFolder() const {
+  const int Directory =
+      ::open(Folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (Directory < 0)
+    failDisk("open " + Folder);
+  const int Result = ::fsync(Directory);
+  const int Failure = errno;
+  ::close(Directory);
+  if (Result != 0) {
+    errno = Failure;
+    failDisk("sync " + Folder);
+  }
+}
+
+void segment_log::append(std::string_view Bytes) {
+  while (!Bytes.empty()) {
+    const ssize_t Length = ::write(File, Bytes.data(), Bytes.size());
+    if (Length < 0 && errno == EINTR)
+      continue;
+    if (Length < 0)
+      failDisk("write to " + Folder);
+    Bytes.remove_prefix(static_cast<std::size_t>(Length));
+    Written += static_cast<std::size_t>(Length);
+    Total += static_cast<std::size_t>(Length);
+  }
+  if (::fdatasync(File) != 0)
+    failDisk("sync " + Folder);
+}
+
+void segment_log::remove(segment_number Number) {
+  std::error_code Error; // A segment that stays costs only room.
+  const auto Size = std::filesystem::file_size(pathOf(Number), Error);
+  if (std::filesystem::remove(pathOf(Number), Error) && !Error)
+    Total -= std::min<std::size_t>(Total, Size);
+}
+
+} // namespace lentilhoist
--- a/src/load/program_runner.cpp
+++ b/src/load/program_runner.cpp
@@ -1,7 +1,7 @@
 #include "load/program_runner.h"
 
 #include "core/hash.h"
-#include "runner/event_parser.h"
+#include "net/event_parser.h"
 
 #include <fmt/format.h>
 
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::size_t RingCapacity = 4'096;
 constexpr milliseconds DrainWait{500};
+constexpr milliseconds BatchTime{50};
 constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warning",
                                                      "error"};
 
@@ -36,15 +37,27 @@
   return State;
 }
 
-void writeLine(const std::string &Line) { fmt::print(stderr, "{}\n", Line); }
+void writeText(const std::string &Text) {
+  // A reader that is gone must not end the process; there is nobody to tell.
+  (void)std::fwrite(Text.data(), 1, Text.size(), stdout);
+  (void)std::fflush(stdout);
+}
 
 void runWriter(log_state &State) {
   for (;;) {
-    const auto Line = State.Ring->pop(DrainWait);
-    if (Line)
-      writeLine(*Line);
+    std::string Batch;
+    for (auto Line = State.Ring->pop(DrainWait); Line;
+         Line = State.Ring->pop(microseconds(0))) {
+      Batch += *Line;
+      Batch += '\n';
+    }
+    if (!Batch.empty())
+      writeText(Batch);
     else if (!State.Running)
       return;
+    // Lines of some time are written together: a wake-up costs more than one.
+    if (State.Running)
+      std::this_thread::sleep_for(BatchTime);
   }
 }
 
@@ -78,8 +91,8 @@
   State.Thread.join();
   const std::uint64_t Dropped = State.Dropped;
   if (Dropped != 0)
-    writeLine(
-        fmt::format(R"({{"event":"log_lines_dropped","count":{}}})", Dropped));
+    writeText(fmt::format("{{\"event\":\"log_lines_dropped\",\"count\":{}}}\n",
+                          Dropped));
 }
 
 void logEvent(log_level Level, std::string_view Event,
@@ -89,7 +102,7 @@
     return;
   std::string Line = formatLine(Level, Event, Fields);
   if (!State.Running)
-    writeLine(Line);
+    writeText(Line + '\n');
   else if (!State.Ring->push(std::move(Line)))
     ++State.Dropped;
 }
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -16,7 +16,7 @@
   std::string Value;
 };
 
-/// Writes JSON lines to standard error from a thread of its own while it
+/// Writes JSON lines to standard output from a thread of its own while it
 /// lives; without one, lines are written by the caller.
 class log_writer {
 public:
--- /dev/null
+++ b/src/net/frame.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lentilhoist {
+
+/// Largest frame between processes of the system; a batch of a copy fits.
+inline constexpr std::size_t MaxFrameBytes = 16U * 1024U * 1024U;
+
+/// \param Payload the message.
+/// \returns the message behind its length in four bytes, big-endian.
+std::string encodeFrame(std::string_view Payload);
+
+/// Cuts a stream of bytes into frames.
+class frame_reader {
+public:
+  /// \param Bytes what arrived.
+  void add(std::string_view Bytes) { Buffer += Bytes; }
+
+  /// \returns the next whole frame, or nothing.
+  /// \throws std::runtime_error if a length exceeds MaxFrameBytes.
+  std::optional<std::string> next();
+
+private:
+  std::string Buffer;
+};
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/net/tcp_stream.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "net/socket_settings.h"
+
+#include <asio/ip/tcp.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lentilhoist {
+
+/// How a connection ended.
+enum class stream_end {
+  Finished,      ///< The peer ended it in order.
+  Reset,         ///< The peer or the network broke it.
+  ConnectFailed, ///< It was never established.
+};
+
+/// \param End the value to name.
+/// \returns its stable text form.
+const char *streamEndName(stream_end End);
+
+/// A TCP connection on an event loop: reads all the time, writes from a queue.
+/// Lives until it is closed; callbacks hold no reference to it. After close()
+/// no callback is made any more.
+class tcp_stream : public std::enable_shared_from_this<tcp_stream> {
+public:
+  /// What the owner is told.
+  struct handlers {
+    std::function<void()> OnConnected;             ///< connect() succeeded.
+    std::function<void(std::string_view)> OnBytes; ///< Bytes arrived.
+    std::function<void(stream_end)> OnEnd;         ///< Nothing more follows.
+    std::function<void()> OnDrained;               ///< All is written.
+  };
+
+  /// \param Socket a connected socket, or a closed one for connect().
+  /// \param Settings options of the connection.
+  tcp_stream(asio::ip::tcp::socket Socket, const socket_settings &Settings);
+
+  /// Sets what the owner is told; call it before any other member.
+  void setHandlers(handlers Given) {
+    Handlers = std::make_shared<handlers>(std::move(Given));
+  }
+
+  /// Connects, then reads.
+  /// \param Target the peer.
+  void connect(const asio::ip::tcp::endpoint &Target);
+
+  /// Starts to read on a socket that is connected already.
+  void start();
+
+  /// Sends bytes in order; before the connection stands they wait.
+  /// \param Bytes the bytes.
+  void write(std::string Bytes);
+
+  /// Stops or goes on reading, so that a slow consumer holds back its peer.
+  /// \param Paused whether to stop.
+  void pauseReading(bool Paused);
+
+  /// Sends what is queued, then ends our side in order. What the peer still
+  /// sends is read and dropped until it ends too or LingerTime is over.
+  void finish();
+
+  /// Ends the connection at once; the peer sees a reset if data were unread.
+  void close();
+
+  /// Ends the connection so that the peer sees a reset.
+  void abort();
+
+  bool connected() const { return Connected; }
+  bool closed() const { return Closed; }
+  std::size_t pendingBytes() const { return Pending; }
+  /// \returns bytes handed to the system for the peer so far.
+  std::size_t writtenBytes() const { return Written; }
+
+private:
+  /// How long finish() waits for the peer's end; a peer that keeps the
+  /// connection open sees a reset after that.
+  static constexpr std::chrono::milliseconds LingerTime{1'000};
+  static constexpr std::size_t ReadSize = 16 * 1024; ///< Bytes a read takes.
+
+  void setOptions();
+  void readSome();
+  void writeSome();
+  void end(stream_end How);
+  void shutdownAfterWrites();
+
+  asio::ip::tcp::socket Socket;
+  socket_settings Settings;
+  /// Shared, so that a handler may close the connection that runs it.
+  std::shared_ptr<handlers> Handlers = std::make_shared<handlers>();
+  std::vector<char> ReadBuffer;
+  std::deque<std::string> Queue;
+  std::vector<std::string> Sending; ///< Owned by the write under way.
+  std::size_t Pending = 0;
+  std::size_t Written = 0;
+  bool Connected = false;
+  bool Reading = false;
+  bool Paused = false;
+  bool Writing = false;
+  bool Finishing = false;
+  bool Closed = false;
+};
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/net/text_server.cpp
@@ -0,0 +1,92 @@
+#include "net/text_server.h"
+
+#include "net/address.h"
+
+#include <asio/steady_timer.hpp>
+
+namespace lentilhoist {
+
+namespace {
+
+/// A connection is closed after this time whatever has been asked.
+constexpr std::chrono::seconds ConnectionLife{30};
+constexpr std::size_t MaxHead = 8UL * 1024UL;
+
+/// One connection; its handlers own it until it ends.
+struct text_connection : std::enable_shared_from_this<text_connection> {
+  text_connection(asio::io_context &Loop, std::shared_ptr<tcp_stream> Given,
+                  std::shared_ptr<text_server::handler> GivenHandler)
+      : Stream(std::move(Given)), Handler(std::move(GivenHandler)),
+        Timer(Loop) {}
+
+  void start() {
+    tcp_stream::handlers Handlers;
+    Handlers.OnBytes = [Self = shared_from_this()](std::string_view Bytes) {
+      Self->onBytes(Bytes);
+    };
+    Stream->setHandlers(std::move(Handlers));
+    Stream->start();
+    Timer.expires_after(ConnectionLife);
+    Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Error) {
+      const auto Self = Weak.lock();
+      if (Self && !Error)
+        Self->Stream->close();
+    });
+  }
+
+  void onBytes(std::string_view Bytes) {
+    while (!Bytes.empty()) {
+      Bytes.remove_prefix(Reader.feed(Bytes));
+      (void)Reader.takeBody(); // No request here carries one that matters.
+      if (Reader.error() != http_read_error::None) {
+        Stream->close();
+        return;
+      }
+      if (!Reader.complete())
+        return;
+      const text_answer Answer = (*Handler)(Reader.request());
+      const bool Close = !Reader.keepAlive();
+      http_response_head Head{Answer.Status, {{"Content-Type", "text/plain"}}};
+      Stream->write(encodeResponseHead(Head, body_framing::Length,
+                                       Answer.Body.size(), Close) +
+                    Answer.Body);
+      if (Close) {
+        Stream->finish();
+        return;
+      }
+      Reader.reset();
+    }
+  }
+
+  std::shared_ptr<tcp_stream> Stream;
+  std::shared_ptr<text_server::handler> Handler;
+  asio::steady_timer Timer;
+  http_reader Reader{http_message::Request, MaxHead};
+};
+
+} // namespace
+
+text_server::text_server(asio::io_context &GivenLoop,
+                         const asio::ip::tcp::endpoint &Address,
+                         handler GivenHandler)
+    : Loop(GivenLoop), Acceptor(listenOn(GivenLoop, Address)),
+      Handler(std::make_shared<handler>(std::move(GivenHandler))) {
+  accept();
+}
+
+void text_server::accept() {
+  Acceptor.async_accept([this](const asio::error_code &Error,
+                               asio::ip::tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (!Error)
+      std::make_shared<text_connection>(
+          Loop,
+          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
+          Handler)
+          ->start();
+    accept();
+  });
+}
+
+} // namespace lentilhoist
--- a/src/platform/journal_store.cpp
+++ b/src/objects/journal_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/journal_store.h"
+#include "objects/journal_store.h"
 
 #include "log/log.h"
 
--- a/src/platform/journal_store.h
+++ b/src/objects/journal_store.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decision/shard_owner.h"
-#include "platform/object_store.h"
+#include "objects/object_store.h"
 
 #include <optional>
 #include <string>
--- a/src/platform/object_store.cpp
+++ b/src/objects/object_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/object_store.h"
+#include "objects/object_store.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/src/placement/runner_directory.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/instant.h"
+#include "forward/request_traits.h"
+#include "placement/runner_entry.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace lentilhoist {
+
+/// One runner as this instance sees it.
+struct runner_view {
+  runner_entry Entry;
+  int Outstanding = 0; ///< Requests of this instance that it has not answered.
+  std::optional<load_report> Load; ///< Newest that it told.
+  instant LoadTime{};              ///< When the load was told.
+  int OutstandingAtLoad = 0;       ///< Of this instance, when it was told.
+  instant RefusedUntil{};          ///< It has just refused for want of room.
+  instant FailedUntil{}; ///< Its connections or answers have just failed.
+  int FailuresInRow = 0;
+  /// Prompt parts and objects that this instance sent there, by last use.
+  std::unordered_map<std::string, instant> Recent;
+};
+
+/// The runners by id. Behind a change of birth, what was known of the earlier
+/// life is dropped.
+struct runner_directory {
+  std::map<std::string, runner_view> Runners;
+  /// Runners that are missing while the registry may still return them, with
+  /// the time from which they count as gone.
+  std::map<std::string, instant> Missing;
+};
+
+/// Adds or updates a runner.
+/// \param Directory the directory.
+/// \param Entry what the runner says of itself.
+/// \returns whether anything that is decided upon has changed.
+bool putRunner(runner_directory &Directory, const runner_entry &Entry);
+
+/// Takes a runner out.
+/// \param Directory the directory.
+/// \param Id the runner.
+/// \returns whether it was there.
+bool removeRunner(runner_directory &Directory, const std::string &Id);
+
+/// Takes over a full list of the registry. Runners that it lacks are removed,
+/// at once or, if the registry has just returned, once they had time to
+/// register again.
+/// \param Directory the directory.
+/// \param Entries the list.
+/// \param GoneAt from when missing ones count as gone.
+/// \param Now the present time.
+void replaceRunners(runner_directory &Directory,
+                    const std::vector<runner_entry> &Entries, instant GoneAt,
+                    instant Now);
+
+/// Removes the runners that have been missing long enough.
+/// \param Directory the directory.
+/// \param Now the present time.
+/// \returns the ids removed.
+std::vector<std::string> removeMissing(runner_directory &Directory,
+                                       instant Now);
+
+/// Notes an answer's load report.
+/// \param Runner the runner.
+/// \param Load what it told.
+/// \param Now the present time.
+void noteLoad(runner_view &Runner, const load_report &Load, instant Now);
+
+/// Notes a refusal for want of room.
+/// \param Runner the runner.
+/// \param Now the present time.
+void noteRefusal(runner_view &Runner, instant Now);
+
+/// Notes a failed connection or a broken answer.
+/// \param Runner the runner.
+/// \param Now the present time.
+void noteFailure(runner_view &Runner, instant Now);
+
+/// Notes a sound answer.
+/// \param Runner the runner.
+void noteSuccess(runner_view &Runner);
+
+/// Notes what a request leaves in a runner's memory.
+/// \param Runner the runner.
+/// \param Request the request.
+/// \param Now the present time.
+void noteContent(runner_view &Runner, const request_traits &Request,
+                 instant Now);
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/replica/replica_daemon.cpp
@@ -0,0 +1,510 @@
+#include "replica/replica_daemon.h"
+
+#include "history/history_link.h"
+#include "log/log.h"
+#include "metrics/metrics.h"
+#include "net/address.h"
+#include "net/text_server.h"
+#include "platform/machine_settings.h"
+#include "replica/replica_store.h"
+#include "store/store_watch.h"
+
+#include <algorithm>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <fmt/format.h>
+#include <set>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Port of the replica, counted from the first of the free ones; the first one
+/// serves metrics.
+constexpr std::uint16_t ReplicaPortOffset = 1;
+/// Pause between looks at the membership.
+constexpr milliseconds MembershipInterval{300};
+/// A replica that was not reached for this long may be replaced; a restarted
+/// process is back within a second.
+constexpr milliseconds TakeoverDelay{2'500};
+/// Pause between sweeps over expired records.
+constexpr seconds ExpiryInterval{5};
+/// Longest wait for a call of the store.
+constexpr milliseconds StoreLimit{2'000};
+/// Part of the process's memory for records.
+constexpr double RecordMemoryPart = 0.7;
+/// The replica set changes rarely, but a lost one should be seen soon.
+constexpr milliseconds SetWait{5'000};
+/// Orders to empty an instance may take seconds to be carried out.
+constexpr milliseconds RetirementWait{2'000};
+constexpr const char *SetName = "main";
+
+/// A connection of an entry instance or of another replica.
+struct peer : std::enable_shared_from_this<peer> {
+  std::shared_ptr<tcp_stream> Stream;
+  frame_reader Frames;
+};
+
+/// The parts of one replica, joined on one event loop.
+class replica {
+public:
+  replica(instance_settings Given, std::string Path)
+      : Settings(std::move(Given)), SettingsPath(std::move(Path)),
+        Address(fmt::format("{}:{}", Settings.Address,
+                            Settings.FirstPort + ReplicaPortOffset)),
+        Store(Loop, Settings.DataFolder + "/history", Settings.DiskBytes,
+              limits()),
+        Peers(listenOn(Loop, *parseAddress(Address))),
+        MetricsServer(
+            Loop,
+            {asio::ip::make_address(Settings.Address), Settings.FirstPort},
+            [this](const http_request_head &) { return render(); }),
+        Client(std::make_shared<store_client>(Loop, Settings.StoreAddress)),
+        Signals(Loop, SIGTERM, SIGINT, SIGHUP), MembershipTimer(Loop),
+        ExpiryTimer(Loop) {}
+
+  int run() {
+    accept();
+    watchSet();
+    watchRetirements();
+    waitForSignal();
+    scheduleMembership();
+    scheduleExpiry();
+    Loop.run();
+    return 0;
+  }
+
+private:
+  replica_limits limits() const {
+    replica_limits Limits;
+    Limits.MaxBytes = static_cast<std::size_t>(
+        static_cast<double>(Settings.MemoryBytes) * RecordMemoryPart);
+    return Limits;
+  }
+
+  text_answer render() {
+    const replica_state &State = Store.state();
+    Metrics.gauge("lentilhoist_replica_turns",
+                  static_cast<double>(State.Turns.size()));
+    Metrics.gauge("lentilhoist_replica_programs",
+                  static_cast<double>(State.Ledgers.size()));
+    Metrics.gauge("lentilhoist_replica_bytes",
+                  static_cast<double>(State.Bytes));
+    Metrics.gauge("lentilhoist_replica_complete", State.Complete ? 1 : 0);
+    Metrics.gauge("lentilhoist_replica_set_version",
+                  static_cast<double>(State.SetVersion));
+    return {200, Metrics.render()};
+  }
+
+  void accept() {
+    Peers.async_accept(
+        [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
+          if (Error == asio::error::operation_aborted)
+            return;
+          if (!Error)
+            serve(std::move(Socket));
+          accept();
+        });
+  }
+
+  void serve(asio::ip::tcp::socket Socket) {
+    const auto Peer = std::make_shared<peer>();
+    Peer->Stream =
+        std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+    tcp_stream::handlers Handlers;
+    // The handlers own the peer; the stream drops them when it ends.
+    Handlers.OnBytes = [this, Peer](std::string_view Bytes) {
+      onPeerBytes(Peer, Bytes);
+    };
+    Peer->Stream->setHandlers(std::move(Handlers));
+    Peer->Stream->start();
+  }
+
+  void onPeerBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes) {
+    Peer->Frames.add(Bytes);
+    try {
+      while (const auto Frame = Peer->Frames.next()) {
+        const instant Start = readClock();
+        const replica_request Request = decodeReplicaRequest(*Frame);
+        Metrics.count("lentilhoist_replica_requests_total");
+        Store.handle(Request, [this, Start, Weak = std::weak_ptr<peer>(Peer)](
+                                  const replica_reply &Reply) {
+          Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
+                          readClock().Steady - Start.Steady);
+          if (const auto Self = Weak.lock())
+            Self->Stream->write(encodeMessage(Reply));
+        });
+      }
+    } catch (const std::runtime_error &Error) {
+      logEvent(log_level::Warning, "peer_message_unreadable",
+               {{"reason", Error.what()}});
+      Peer->Stream->close();
+    }
+  }
+
+  void watchSet() {
+    watch_settings Timing;
+    Timing.Wait = SetWait;
+    SetWatch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
+                                             platform::ReplicaSetKind, Timing);
+    store_watch::handlers Handlers;
+    Handlers.OnList = [this](const std::vector<store_item> &Items) {
+      SetListed = true;
+      for (const store_item &Item : Items)
+        takeSet(Item);
+      decide();
+    };
+    Handlers.OnEvent = [this](const store_event &Event) {
+      if (!Event.Removed)
+        takeSet(Event.Item);
+      decide();
+    };
+    Handlers.OnContact = [](bool) {};
+    SetWatch->start(std::move(Handlers));
+  }
+
+  void takeSet(const store_item &Item) {
+    if (Item.Name != SetName || Item.Revision <= SetRevision)
+      return;
+    const auto Read = decodeReplicaSet(Item.Spec);
+    if (!Read) {
+      logEvent(log_level::Error, "replica_set_unreadable",
+               {{"revision", std::to_string(Item.Revision)}});
+      return;
+    }
+    SetRevision = Item.Revision;
+    Set = *Read;
+    logEvent(log_level::Info, "replica_set_read",
+             {{"version", std::to_string(Set->Version)},
+              {"revision", std::to_string(Item.Revision)},
+              {"replicas", encodeReplicaSet(*Set)}});
+    if (Set->Established && Set->Version > Store.state().SetVersion) {
+      replica_change Change;
+      Change.Kind = change_kind::Set;
+      Change.Set = *Set;
+      Store.apply(Change, [](bool) {});
+    }
+    std::erase_if(Links, [this](const auto &Link) {
+      const bool Unused = !isSource(Link.first);
+      if (Unused)
+        Link.second->close();
+      return Unused;
+    });
+  }
+
+  bool isSource(const std::string &Other) const {
+    return std::any_of(Set->Slots.begin(), Set->Slots.end(),
+                       [&](const replica_slot &Slot) {
+                         return Slot.Address == Other || Slot.Former == Other;
+                       });
+  }
+
+  void watchRetirements() {
+    watch_settings Timing;
+    Timing.Wait = RetirementWait;
+    RetirementWatch = std::make_shared<store_watch>(
+        Loop, Settings.StoreAddress, platform::RetirementKind, Timing);
+    store_watch::handlers Handlers;
+    Handlers.OnList = [this](const std::vector<store_item> &Items) {
+      Retirements.clear();
+      for (const store_item &Item : Items)
+        Retirements[Item.Name] = Item;
+      decide();
+    };
+    Handlers.OnEvent = [this](const store_event &Event) {
+      if (Event.Removed)
+        Retirements.erase(Event.Item.Name);
+      else
+        Retirements[Event.Item.Name] = Event.Item;
+      decide();
+    };
+    Handlers.OnContact = [](bool) {};
+    RetirementWatch->start(std::move(Handlers));
+  }
+
+  void scheduleMembership() {
+    MembershipTimer.expires_after(MembershipInterval);
+    MembershipTimer.async_wait([this](const asio::error_code &) {
+      decide();
+      scheduleMembership();
+    });
+  }
+
+  /// One look at what this instance should do about the replica set.
+  void decide() {
+    if (!SetListed)
+      return;
+    const bool Member = Set && Set->find(Address);
+    if (Member) {
+      beMember();
+    } else if (!Writing) {
+      probe();
+      act(decideMembership(view()));
+    }
+    reportRetirement();
+  }
+
+  membership_view view() const {
+    membership_view View;
+    View.Node = Settings.Name;
+    View.Address = Address;
+    View.Domain = Settings.Domain;
+    View.Set = Set;
+    View.FirstStart = Settings.FirstStart;
+    View.DisksLost = Settings.DisksLost;
+    for (const auto &[Node, Item] : Retirements)
+      if (!platform::isRetirementCompleted(Item.Status))
+        View.Retiring.push_back(Node);
+    if (!Set)
+      return View;
+    const instant Now = readClock();
+    for (const replica_slot &Slot : Set->Slots) {
+      const auto Heard = LastHeard.find(Slot.Address);
+      View.Unreachable.push_back(Heard != LastHeard.end() &&
+                                 Now.Steady - Heard->second.Steady >
+                                     TakeoverDelay);
+    }
+    return View;
+  }
+
+  /// Asks all replicas whether they are there. Only an instance outside of the
+  /// set does so, to see whom it could replace.
+  void probe() {
+    if (!Set || !Set->Established)
+      return;
+    for (const replica_slot &Slot : Set->Slots) {
+      LastHeard.try_emplace(Slot.Address, readClock());
+      history_link &Link = link(Slot.Address);
+      if (Link.outstanding() != 0)
+        continue;
+      Link.send({}, [this, Other = Slot.Address](const replica_reply &) {
+        LastHeard[Other] = readClock();
+      });
+    }
+  }
+
+  history_link &link(const std::string &Other) {
+    auto &Link = Links[Other];
+    if (!Link)
+      Link = std::make_shared<history_link>(Loop, Other);
+    return *Link;
+  }
+
+  void act(const membership_decision &Decision) {
+    if (Decision.Step == membership_step::None)
+      return;
+    Writing = true;
+    // On disk before others can count on it: a founder holds all there is, a
+    // successor lacks what its predecessor holds.
+    replica_change Change;
+    Change.Kind = Decision.Step == membership_step::TakeOver
+                      ? change_kind::Incomplete
+                      : change_kind::Complete;
+    Store.apply(Change, [this, Decision](bool Durable) {
+      if (!Durable) {
+        Writing = false;
+        return;
+      }
+      writeSet(Decision.Set, Decision.Step == membership_step::Found);
+    });
+  }
+
+  void writeSet(const replica_set &Next, bool Create) {
+    Writing = true;
+    logEvent(log_level::Info, "replica_set_proposed",
+             {{"version", std::to_string(Next.Version)},
+              {"revision", std::to_string(SetRevision)},
+              {"replicas", encodeReplicaSet(Next)}});
+    const std::string Spec = encodeReplicaSet(Next);
+    Client->call(
+        Create ? platform::createCall(platform::ReplicaSetKind, SetName, Spec)
+               : platform::replaceCall(platform::ReplicaSetKind, SetName, Spec,
+                                       SetRevision),
+        StoreLimit, [this](const store_answer &Answer) {
+          Writing = false;
+          logEvent(log_level::Info, "replica_set_written",
+                   {{"status", storeStatusName(Answer.Status)}});
+          // Success and conflict both answer with the object as it is.
+          const auto Item = platform::decodeItem(Answer.Body);
+          if (Item && Item->Name == SetName) {
+            takeSet(*Item);
+            decide();
+          }
+        });
+  }
+
+  void beMember() {
+    if (!Set->Established)
+      return;
+    const replica_state &State = Store.state();
+    if (State.Complete) {
+      const auto Next = withoutFormer(*Set, Address);
+      if (Next && !Writing)
+        writeSet(*Next, false);
+      return;
+    }
+    copy();
+  }
+
+  /// Copies from enough of the others to know all that was acknowledged.
+  void copy() {
+    if (CopyVersion != Set->Version) {
+      CopyVersion = Set->Version;
+      Copied.clear();
+      CopiedSlots.clear();
+      Copying.clear();
+      CopyStart = readClock();
+      logEvent(
+          log_level::Info, "copy_started",
+          {{"replica_set", std::to_string(CopyVersion)},
+           {"sources_needed", std::to_string(sourcesNeeded(*Set, Address))}});
+    }
+    const auto Sources = copySources(*Set, Address);
+    for (std::size_t Slot = 0; Slot < Sources.size(); ++Slot)
+      for (const std::string &Source : Sources[Slot])
+        if (!Copied.contains(Source) && Copying.insert(Source).second)
+          copyFrom(Source, Slot, 0, 0);
+  }
+
+  void copyFrom(const std::string &Source, std::size_t Slot,
+                std::uint64_t Cursor, std::uint64_t Head) {
+    replica_request Request;
+    Request.Operation = replica_operation::Copy;
+    Request.SetVersion = Set->Version;
+    Request.Cursor = Cursor;
+    Request.Set.push_back(*Set);
+    const std::uint64_t Version = CopyVersion;
+    link(Source).send(std::move(Request), [this, Source, Slot, Head, Version](
+                                              const replica_reply &Reply) {
+      if (Version != CopyVersion)
+        return;
+      if (Reply.Status != replica_status::Done) {
+        // Not complete itself, or of another set: tried again later.
+        Copying.erase(Source);
+        return;
+      }
+      const std::uint64_t Target = Head == 0 ? Reply.Head : Head;
+      Store.absorb(Reply, [this, Source, Slot, Version, Target,
+                           At = Reply.Cursor](bool Durable) {
+        if (Version != CopyVersion)
+          return;
+        if (!Durable)
+          Copying.erase(Source);
+        else if (At < Target)
+          copyFrom(Source, Slot, At, Target);
+        else
+          finishCopy(Source, Slot);
+      });
+    });
+  }
+
+  void finishCopy(const std::string &Source, std::size_t Slot) {
+    Copied.insert(Source);
+    CopiedSlots.insert(Slot);
+    const std::size_t Needed = sourcesNeeded(*Set, Address);
+    logEvent(log_level::Info, "copy_source_done",
+             {{"source", Source},
+              {"slots_done", std::to_string(CopiedSlots.size())},
+              {"needed", std::to_string(Needed)}});
+    if (CopiedSlots.size() < Needed || Store.state().Complete)
+      return;
+    replica_change Change;
+    Change.Kind = change_kind::Complete;
+    Store.apply(Change, [this](bool Durable) {
+      logEvent(log_level::Info, "copy_done",
+               {{"durable", Durable ? "true" : "false"},
+                {"turns", std::to_string(Store.state().Turns.size())},
+                {"milliseconds",
+                 std::to_string(
+                     (readClock().Steady - CopyStart.Steady).count() / 1000)}});
+      decide();
+    });
+  }
+
+  void reportRetirement() {
+    const auto Order = Retirements.find(Settings.Name);
+    if (Order == Retirements.end() || ReportingRetirement)
+      return;
+    const store_item &Item = Order->second;
+    const bool Empty = !Set || !isNeeded(*Set, Settings.Name, Address);
+    if (platform::isRetirementCompleted(Item.Status) ||
+        (!Empty && platform::isRetirementStarted(Item.Status)))
+      return;
+    ReportingRetirement = true;
+    Client->call(platform::replaceStatusCall(
+                     platform::RetirementKind, Item.Name,
+                     platform::encodeRetirementStatus(Empty), Item.Revision),
+                 StoreLimit, [this, Empty](const store_answer &Answer) {
+                   ReportingRetirement = false;
+                   logEvent(log_level::Info, "retirement_reported",
+                            {{"completed", Empty ? "true" : "false"},
+                             {"status", storeStatusName(Answer.Status)}});
+                   const auto Item = platform::decodeItem(Answer.Body);
+                   if (Item && Item->Name == Settings.Name)
+                     Retirements[Item->Name] = *Item;
+                 });
+  }
+
+  void scheduleExpiry() {
+    ExpiryTimer.expires_after(ExpiryInterval);
+    ExpiryTimer.async_wait([this](const asio::error_code &) {
+      Store.expire();
+      scheduleExpiry();
+    });
+  }
+
+  void waitForSignal() {
+    Signals.async_wait([this](const asio::error_code &Error, int Signal) {
+      if (Error)
+        return;
+      if (Signal == SIGHUP) {
+        logEvent(log_level::Info, "settings_reloaded", {});
+        waitForSignal();
+        return;
+      }
+      logEvent(log_level::Info, "process_stopping",
+               {{"signal", std::to_string(Signal)}});
+      Loop.stop();
+    });
+  }
+
+  asio::io_context Loop;
+  instance_settings Settings;
+  std::string SettingsPath;
+  std::string Address;
+  metrics Metrics;
+  replica_store Store;
+  asio::ip::tcp::acceptor Peers;
+  text_server MetricsServer;
+  std::shared_ptr<store_client> Client;
+  asio::signal_set Signals;
+  asio::steady_timer MembershipTimer;
+  asio::steady_timer ExpiryTimer;
+  std::shared_ptr<store_watch> SetWatch;
+  std::shared_ptr<store_watch> RetirementWatch;
+
+  std::optional<replica_set> Set;
+  std::int64_t SetRevision = 0;
+  bool SetListed = false;
+  bool Writing = false; ///< A change of the set is under way.
+  std::map<std::string, store_item> Retirements;
+  bool ReportingRetirement = false;
+  std::map<std::string, std::shared_ptr<history_link>> Links;
+  std::map<std::string, instant> LastHeard;
+
+  std::uint64_t CopyVersion = 0; ///< Replica set that the copy is for.
+  instant CopyStart{};
+  std::set<std::string> Copying;
+  std::set<std::string> Copied;
+  std::set<std::size_t> CopiedSlots;
+};
+
+} // namespace
+
+int runReplica(const instance_settings &Settings,
+               const std::string &SettingsPath) {
+  replica Replica(Settings, SettingsPath);
+  return Replica.run();
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/replica/replica_store.cpp
@@ -0,0 +1,96 @@
+#include "replica/replica_store.h"
+
+#include "log/log.h"
+
+namespace lentilhoist {
+
+replica_store::replica_store(asio::io_context &Loop, const std::string &Folder,
+                             std::size_t DiskBytes, replica_limits GivenLimits)
+    : Limits(GivenLimits), Log(Folder), Writer(Loop, Log, DiskBytes) {
+  const instant Now = readClock();
+  std::size_t Records = 0;
+  // The writer's thread waits for its first task until this is done.
+  Active = Log.load([&](const replica_change &Change, segment_number Segment) {
+    ++Records;
+    applyChange(State, Change, Segment, Limits, Now);
+  });
+  --Active;
+  beginSegment();
+  logEvent(
+      log_level::Info, "journal_loaded",
+      {{"records", std::to_string(Records)},
+       {"turns", std::to_string(State.Turns.size())},
+       {"programs", std::to_string(State.Ledgers.size())},
+       {"replica_set", std::to_string(State.SetVersion)},
+       {"complete", State.Complete ? "true" : "false"},
+       {"milliseconds",
+        std::to_string((readClock().Steady - Now.Steady).count() / 1000)}});
+}
+
+std::string replica_store::segmentHeader() const {
+  // Earlier segments may be deleted: each one says what holds for all.
+  replica_change Completeness;
+  Completeness.Kind =
+      State.Complete ? change_kind::Complete : change_kind::Incomplete;
+  replica_change Set;
+  Set.Kind = change_kind::Set;
+  Set.Set = State.Set;
+  Set.Set.Version = State.SetVersion;
+  return encodeRecord(Completeness) + encodeRecord(Set);
+}
+
+void replica_store::beginSegment() {
+  ++Active;
+  State.Live.try_emplace(Active, 0);
+  ActiveBytes = 0;
+  Writer.beginSegment(Active, segmentHeader());
+}
+
+void replica_store::persist(const std::vector<replica_change> &Changes,
+                            std::function<void(bool)> OnDone) {
+  std::string Bytes;
+  for (const replica_change &Change : Changes)
+    Bytes += encodeRecord(Change);
+  ActiveBytes += Bytes.size();
+  Writer.write(std::move(Bytes), std::move(OnDone));
+  if (ActiveBytes > MaxSegmentBytes)
+    beginSegment();
+}
+
+void replica_store::handle(const replica_request &Request, on_reply OnReply) {
+  replica_outcome Outcome =
+      handleRequest(State, Request, Active, Limits, readClock());
+  if (Outcome.Changes.empty()) {
+    OnReply(Outcome.Reply);
+    return;
+  }
+  persist(Outcome.Changes,
+          [Reply = std::move(Outcome.Reply),
+           OnReply = std::move(OnReply)](bool Durable) mutable {
+            if (!Durable)
+              Reply.Status = replica_status::Refused;
+            OnReply(Reply);
+          });
+}
+
+void replica_store::absorb(const replica_reply &Reply,
+                           std::function<void(bool)> OnDone) {
+  persist(absorbCopy(State, Reply, Active, Limits, readClock()),
+          std::move(OnDone));
+}
+
+void replica_store::apply(const replica_change &Change,
+                          std::function<void(bool)> OnDone) {
+  applyChange(State, Change, Active, Limits, readClock());
+  persist({Change}, std::move(OnDone));
+}
+
+void replica_store::expire() {
+  expireRecords(State, readClock());
+  for (const segment_number Segment : emptySegments(State, Active)) {
+    State.Live.erase(Segment);
+    Writer.removeSegment(Segment);
+  }
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/replica/replica_store.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "history/journal_writer.h"
+#include "history/replica_state.h"
+
+#include <functional>
+
+namespace lentilhoist {
+
+/// A replica's state together with its journal: answers leave only when what
+/// they rest on is durable.
+class replica_store {
+public:
+  using on_reply = std::function<void(const replica_reply &)>;
+
+  /// Reads the journal.
+  /// \param Loop the event loop.
+  /// \param Folder folder of the journal.
+  /// \param DiskBytes size of the disk.
+  /// \param Limits limits of the replica.
+  /// \throws std::system_error if the folder can't be used.
+  replica_store(asio::io_context &Loop, const std::string &Folder,
+                std::size_t DiskBytes, replica_limits Limits);
+
+  /// Handles a request.
+  /// \param Request the request.
+  /// \param OnReply takes the answer, now or once it is durable.
+  void handle(const replica_request &Request, on_reply OnReply);
+
+  /// Adds what another replica holds.
+  /// \param Reply its answer to a copy request.
+  /// \param OnDone told whether it is durable.
+  void absorb(const replica_reply &Reply, std::function<void(bool)> OnDone);
+
+  /// Makes a change durable.
+  /// \param Change the change.
+  /// \param OnDone told whether it is durable.
+  void apply(const replica_change &Change, std::function<void(bool)> OnDone);
+
+  /// Drops what has outlived its retention, with the segments that held it.
+  void expire();
+
+  const replica_state &state() const { return State; }
+
+private:
+  void persist(const std::vector<replica_change> &Changes,
+               std::function<void(bool)> OnDone);
+  void beginSegment();
+  std::string segmentHeader() const;
+
+  replica_limits Limits;
+  replica_state State;
+  segment_log Log;
+  segment_number Active = 0;
+  std::size_t ActiveBytes = 0;
+  journal_writer Writer; ///< Last: its thread ends first.
+};
+
+} // namespace lentilhoist
--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -1,7 +1,7 @@
 #include "runner/model_client.h"
 
 #include "log/log.h"
-#include "runner/event_parser.h"
+#include "net/event_parser.h"
 
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
--- /dev/null
+++ b/src/store/store_client.cpp
@@ -0,0 +1,120 @@
+#include "store/store_client.h"
+
+#include "log/log.h"
+#include "net/address.h"
+
+namespace lentilhoist {
+
+const char *storeStatusName(store_status Status) {
+  switch (Status) {
+  case store_status::Done:
+    return "done";
+  case store_status::Conflict:
+    return "conflict";
+  case store_status::Missing:
+    return "missing";
+  case store_status::HistoryGone:
+    return "history_gone";
+  case store_status::Refused:
+    return "refused";
+  case store_status::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+store_client::store_client(asio::io_context &GivenLoop, std::string Given)
+    : Loop(GivenLoop), Address(std::move(Given)), Timer(GivenLoop) {}
+
+void store_client::call(platform::store_call Call,
+                        std::chrono::milliseconds Limit, on_answer OnAnswer) {
+  Calls.push_back(
+      {encodeRequest(Call.Head, Call.Body), Limit, std::move(OnAnswer)});
+  if (!Busy)
+    sendNext();
+}
+
+void store_client::connect() {
+  // The address was checked when the settings were read.
+  const auto Target = parseAddress(Address);
+  Stream = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
+                                        socket_settings{});
+  const std::weak_ptr<store_client> Weak = shared_from_this();
+  tcp_stream::handlers Handlers;
+  Handlers.OnBytes = [Weak](std::string_view Bytes) {
+    if (const auto Self = Weak.lock())
+      Self->onBytes(Bytes);
+  };
+  Handlers.OnEnd = [Weak, Mine = Stream.get()](stream_end) {
+    const auto Self = Weak.lock();
+    if (!Self || Self->Stream.get() != Mine)
+      return;
+    if (Self->Busy)
+      Self->finish({}, false);
+    else
+      Self->Stream.reset();
+  };
+  Stream->setHandlers(std::move(Handlers));
+  Stream->connect(*Target);
+}
+
+void store_client::sendNext() {
+  if (Busy || Calls.empty())
+    return;
+  Busy = true;
+  Reader.reset();
+  Body.clear();
+  if (!Stream)
+    connect();
+  Stream->write(Calls.front().Bytes);
+  Timer.expires_after(Calls.front().Limit);
+  Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (Self && !Error && Self->Busy)
+      Self->finish({}, false);
+  });
+}
+
+void store_client::onBytes(std::string_view Bytes) {
+  if (!Busy) {
+    // Nothing was asked: the connection can't be trusted.
+    Stream->close();
+    Stream.reset();
+    return;
+  }
+  Reader.feed(Bytes);
+  Body += Reader.takeBody();
+  if (Reader.error() != http_read_error::None) {
+    finish({}, false);
+    return;
+  }
+  if (Reader.complete())
+    finish({platform::decodeStoreStatus(Reader.response().Status),
+            std::move(Body)},
+           Reader.keepAlive());
+}
+
+void store_client::finish(store_answer Answer, bool KeepConnection) {
+  Timer.cancel();
+  Busy = false;
+  if (!KeepConnection && Stream) {
+    Stream->close();
+    Stream.reset();
+  }
+  const on_answer OnAnswer = std::move(Calls.front().OnAnswer);
+  Calls.pop_front();
+  const auto Keep = shared_from_this();
+  OnAnswer(std::move(Answer));
+  sendNext();
+}
+
+void store_client::close() {
+  Timer.cancel();
+  Calls.clear();
+  Busy = false;
+  if (Stream)
+    Stream->close();
+  Stream.reset();
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/store/store_watch.cpp
@@ -0,0 +1,146 @@
+#include "store/store_watch.h"
+
+#include "core/hash.h"
+#include "log/log.h"
+
+#include <algorithm>
+
+namespace lentilhoist {
+
+store_watch::store_watch(asio::io_context &GivenLoop,
+                         const std::string &Address, std::string GivenKind,
+                         watch_settings GivenSettings)
+    : Loop(GivenLoop),
+      Client(std::make_shared<store_client>(GivenLoop, Address)),
+      Kind(std::move(GivenKind)), Settings(GivenSettings), Timer(GivenLoop),
+      RetryDelay(GivenSettings.MinRetryDelay) {}
+
+void store_watch::start(handlers Given) {
+  Handlers = std::move(Given);
+  next();
+}
+
+void store_watch::stop() {
+  Stopped = true;
+  Timer.cancel();
+  Client->close();
+}
+
+void store_watch::refresh() {
+  if (!Listed || Stopped)
+    return;
+  Listed = false;
+  Client->close();
+  scheduleNext(Settings.MinRetryDelay);
+}
+
+void store_watch::next() {
+  if (Stopped)
+    return;
+  if (Listed) {
+    watch();
+    return;
+  }
+  Pages.clear();
+  list("");
+}
+
+void store_watch::list(const std::string &After) {
+  Client->call(platform::listCall(Kind, After), Settings.ListLimit,
+               [Weak = weak_from_this(), After](const store_answer &Answer) {
+                 const auto Self = Weak.lock();
+                 if (!Self || Self->Stopped)
+                   return;
+                 const auto Page = Answer.Status == store_status::Done
+                                       ? platform::decodePage(Answer.Body)
+                                       : std::nullopt;
+                 if (!Page) {
+                   Self->onFailure(Answer.Status);
+                   return;
+                 }
+                 if (After.empty())
+                   Self->FirstRevision = Page->Revision;
+                 Self->Pages.insert(Self->Pages.end(), Page->Items.begin(),
+                                    Page->Items.end());
+                 if (Page->Truncated && !Page->Items.empty()) {
+                   Self->list(Page->Items.back().Name);
+                   return;
+                 }
+                 // Changes while the pages were read are seen again by the
+                 // watch.
+                 Self->Revision = Self->FirstRevision;
+                 Self->Listed = true;
+                 Self->onSuccess();
+                 Self->Handlers.OnList(Self->Pages);
+                 Self->Pages.clear();
+                 Self->scheduleNext(milliseconds(0));
+               });
+}
+
+void store_watch::watch() {
+  Client->call(platform::watchCall(Kind, Revision, Settings.Wait),
+               Settings.Wait + Settings.AnswerSlack,
+               [Weak = weak_from_this()](const store_answer &Answer) {
+                 const auto Self = Weak.lock();
+                 if (!Self || Self->Stopped)
+                   return;
+                 if (Answer.Status == store_status::HistoryGone) {
+                   Self->Listed = false;
+                   Self->next();
+                   return;
+                 }
+                 const auto Events = Answer.Status == store_status::Done
+                                         ? platform::decodeEvents(Answer.Body)
+                                         : std::nullopt;
+                 if (!Events) {
+                   Self->onFailure(Answer.Status);
+                   return;
+                 }
+                 Self->Revision = std::max(Self->Revision, Events->Revision);
+                 Self->onSuccess();
+                 for (const store_event &Event : Events->Events)
+                   Self->Handlers.OnEvent(Event);
+                 Self->scheduleNext(Events->Events.empty()
+                                        ? milliseconds(0)
+                                        : Self->Settings.MinGap);
+               });
+}
+
+void store_watch::onSuccess() {
+  RetryDelay = Settings.MinRetryDelay;
+  Failures = 0;
+  if (Contact)
+    return;
+  Contact = true;
+  logEvent(log_level::Info, "store_regained", {{"kind", Kind}});
+  Handlers.OnContact(true);
+}
+
+void store_watch::onFailure(store_status Status) {
+  ++Failures;
+  if (Contact) {
+    Contact = false;
+    logEvent(log_level::Warning, "store_lost",
+             {{"kind", Kind}, {"status", storeStatusName(Status)}});
+    Handlers.OnContact(false);
+  }
+  // Between half and the whole of the delay, so that instances spread.
+  const auto Spread =
+      stableHash(Kind, Failures ^ reinterpret_cast<std::uintptr_t>(this));
+  const auto Half = RetryDelay.count() / 2;
+  scheduleNext(
+      milliseconds(Half + static_cast<std::int64_t>(
+                              Spread % static_cast<std::uint64_t>(Half + 1))));
+  RetryDelay = std::min(RetryDelay * 2, Settings.MaxRetryDelay);
+}
+
+void store_watch::scheduleNext(milliseconds Delay) {
+  Timer.expires_after(Delay);
+  Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (Self && !Error)
+      Self->next();
+  });
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/src/store/store_watch.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/instant.h"
+#include "store/store_client.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace lentilhoist {
+
+/// Timing of a watch. Each call is priced, a waiting one as one; a connection
+/// may go silent without a reset, so that the wait bounds how late a change is
+/// learnt.
+struct watch_settings {
+  milliseconds Wait{2'000};        ///< How long the store may hold a call.
+  milliseconds AnswerSlack{600};   ///< Longest delay beyond the wait.
+  milliseconds ListLimit{1'500};   ///< Longest wait for a list.
+  milliseconds MinGap{0};          ///< Least pause between calls, to batch.
+  milliseconds MinRetryDelay{100}; ///< First pause after a failure.
+  milliseconds MaxRetryDelay{800}; ///< Longest pause after failures.
+};
+
+/// Follows all objects of one kind: lists them, then watches, and lists anew
+/// when the store has dropped the history.
+class store_watch : public std::enable_shared_from_this<store_watch> {
+public:
+  /// What the owner is told.
+  struct handlers {
+    /// All objects, after a list.
+    std::function<void(const std::vector<store_item> &)> OnList;
+    /// A change, after the first list.
+    std::function<void(const store_event &)> OnEvent;
+    /// The store answers or answers no longer.
+    std::function<void(bool)> OnContact;
+  };
+
+  /// \param Loop the event loop.
+  /// \param Address the store as IP:PORT.
+  /// \param Kind kind of the objects.
+  /// \param Settings timing.
+  store_watch(asio::io_context &Loop, const std::string &Address,
+              std::string Kind, watch_settings Settings);
+
+  /// Starts to follow.
+  /// \param Given what the owner is told.
+  void start(handlers Given);
+
+  /// Ends for good.
+  void stop();
+
+  /// Lists anew soon, without waiting for the call under way.
+  void refresh();
+
+private:
+  void next();
+  void list(const std::string &After);
+  void watch();
+  void onFailure(store_status Status);
+  void onSuccess();
+  void scheduleNext(milliseconds Delay);
+
+  asio::io_context &Loop;
+  std::shared_ptr<store_client> Client;
+  std::string Kind;
+  watch_settings Settings;
+  handlers Handlers;
+  asio::steady_timer Timer;
+  std::vector<store_item> Pages;
+  std::int64_t FirstRevision = 0; ///< Of the first page.
+  std::int64_t Revision = 0;
+  milliseconds RetryDelay;
+  bool Listed = false;
+  bool Contact = true;
+  bool Stopped = false;
+  std::uint64_t Failures = 0; ///< In a row; spreads the retries.
+};
+
+} // namespace lentilhoist
--- a/tests/platform_test.cpp
+++ b/tests/objects_test.cpp
@@ -1,5 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "platform/journal_store.h"
+#include "objects/journal_store.h"
 #include "standin/platform_standin.h"
 
 #include <doctest/doctest.h>
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -1,5 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "runner/event_parser.h"
+#include "net/event_parser.h"
 #include "runner/model_client.h"
 #include "runner/service_client.h"
 #include "standin/engine_standin.h"
