--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -327,6 +327,10 @@
     DrainTimer.expires_after(OutOfRotationTime);
     DrainTimer.async_wait([this](const asio::error_code &) {
       OutOfRotation = true;
+      // Where too few instances are ready, the balancer sends callers here all
+      // the same: they are refused a connection and go elsewhere.
+      asio::error_code Ignored; // A listener that fails takes nobody either.
+      Callers.close(Ignored);
       closeIdle();
       endWhenDrained();
       DrainTimer.expires_after(Settings.GraceTime - OutOfRotationTime -
