--- a/src/history/quorum.h
+++ b/src/history/quorum.h
@@ -12,8 +12,8 @@
 
 /// Answers count for one quorum only if they came within this time of each
 /// other: a replica that lost its disk after its answer can be back and
-/// complete again in about two seconds.
-inline constexpr milliseconds AnswerWindow{800};
+/// complete again in under a second.
+inline constexpr milliseconds AnswerWindow{400};
 
 /// The answers of one question to all replicas of a set.
 struct quorum_round {
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -1,5 +1,6 @@
 #include "replica/replica_daemon.h"
 
+#include "history/copy_progress.h"
 #include "history/history_link.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
@@ -13,7 +14,6 @@
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <fmt/format.h>
-#include <set>
 
 namespace lentilhoist {
 
@@ -348,65 +348,60 @@
 
   /// Copies from enough of the others to know all that was acknowledged.
   void copy() {
-    if (CopyVersion != Set->Version) {
-      CopyVersion = Set->Version;
-      Copied.clear();
-      CopiedSlots.clear();
-      Copying.clear();
+    if (beginCopy(Progress, *Set)) {
       CopyStart = readClock();
       logEvent(
           log_level::Info, "copy_started",
-          {{"replica_set", std::to_string(CopyVersion)},
+          {{"replica_set", std::to_string(Progress.Version)},
            {"sources_needed", std::to_string(sourcesNeeded(*Set, Address))}});
     }
-    const auto Sources = copySources(*Set, Address);
-    for (std::size_t Slot = 0; Slot < Sources.size(); ++Slot)
-      for (const std::string &Source : Sources[Slot])
-        if (!Copied.contains(Source) && Copying.insert(Source).second)
-          copyFrom(Source, Slot, 0, 0);
+    for (const std::string &Source : takeSources(Progress, *Set, Address))
+      copyFrom(Source, 0, 0);
   }
 
-  void copyFrom(const std::string &Source, std::size_t Slot,
-                std::uint64_t Cursor, std::uint64_t Head) {
+  /// Copies one batch.
+  /// \param Cursor the last position that arrived.
+  /// \param Target the position to reach; 0 until the first answer tells it.
+  void copyFrom(const std::string &Source, std::uint64_t Cursor,
+                std::uint64_t Target) {
     replica_request Request;
     Request.Operation = replica_operation::Copy;
     Request.SetVersion = Set->Version;
     Request.Cursor = Cursor;
     Request.Set.push_back(*Set);
-    const std::uint64_t Version = CopyVersion;
-    link(Source).send(std::move(Request), [this, Source, Slot, Head, Version](
-                                              const replica_reply &Reply) {
-      if (Version != CopyVersion)
-        return;
-      if (Reply.Status != replica_status::Done) {
-        // Not complete itself, or of another set: tried again later.
-        Copying.erase(Source);
+    link(Source).send(
+        std::move(Request), [this, Source, Target, Version = Progress.Version](
+                                const replica_reply &Reply) {
+          if (Version != Progress.Version)
+            return;
+          if (Reply.Status != replica_status::Done) {
+            // Not complete itself, or of another set: tried again later.
+            Progress.UnderWay.erase(Source);
+            return;
+          }
+          absorb(Source, Reply, Target == 0 ? Reply.Head : Target);
+        });
+  }
+
+  void absorb(const std::string &Source, const replica_reply &Reply,
+              std::uint64_t Target) {
+    Store.absorb(Reply, [this, Source, Target, Cursor = Reply.Cursor,
+                         Version = Progress.Version](bool Durable) {
+      if (Version != Progress.Version)
         return;
-      }
-      const std::uint64_t Target = Head == 0 ? Reply.Head : Head;
-      Store.absorb(Reply, [this, Source, Slot, Version, Target,
-                           At = Reply.Cursor](bool Durable) {
-        if (Version != CopyVersion)
-          return;
-        if (!Durable)
-          Copying.erase(Source);
-        else if (At < Target)
-          copyFrom(Source, Slot, At, Target);
-        else
-          finishCopy(Source, Slot);
-      });
+      if (!Durable)
+        Progress.UnderWay.erase(Source);
+      else if (Cursor < Target)
+        copyFrom(Source, Cursor, Target);
+      else
+        finishCopy(Source);
     });
   }
 
-  void finishCopy(const std::string &Source, std::size_t Slot) {
-    Copied.insert(Source);
-    CopiedSlots.insert(Slot);
-    const std::size_t Needed = sourcesNeeded(*Set, Address);
-    logEvent(log_level::Info, "copy_source_done",
-             {{"source", Source},
-              {"slots_done", std::to_string(CopiedSlots.size())},
-              {"needed", std::to_string(Needed)}});
-    if (CopiedSlots.size() < Needed || Store.state().Complete)
+  void finishCopy(const std::string &Source) {
+    Progress.Copied.insert(Source);
+    logEvent(log_level::Info, "copy_source_done", {{"source", Source}});
+    if (!isCopyDone(Progress, *Set, Address) || Store.state().Complete)
       return;
     replica_change Change;
     Change.Kind = change_kind::Complete;
@@ -492,11 +487,8 @@
   std::map<std::string, std::shared_ptr<history_link>> Links;
   std::map<std::string, instant> LastHeard;
 
-  std::uint64_t CopyVersion = 0; ///< Replica set that the copy is for.
+  copy_progress Progress;
   instant CopyStart{};
-  std::set<std::string> Copying;
-  std::set<std::string> Copied;
-  std::set<std::size_t> CopiedSlots;
 };
 
 } // namespace
