--- /dev/null
+++ b/tests/forward_test.cpp
@@ -0,0 +1,605 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "forward/caller_connection.h"
+#include "history/replica_state.h"
+#include "net/address.h"
+#include "net/frame.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <list>
+
+using namespace lentilhoist;
+
+namespace {
+
+/// What a scripted runner does with one request.
+struct scripted_answer {
+  std::string Bytes;
+  bool Close = false; ///< End the connection in order behind the bytes.
+  bool Reset = false; ///< Break the connection off behind the bytes.
+};
+
+std::string sealed(const std::string &Attempt, const std::string &Body) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+         "\r\nX-Server-Seal: s\r\nKeep-Alive: timeout=5\r\nContent-Length: " +
+         std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+std::string streamHead(const std::string &Attempt) {
+  return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+         "\r\nX-Server-Seal: s\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+const std::string NotExecuted =
+    "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// A runner on loopback that answers by a script.
+class scripted_runner {
+public:
+  using script = std::function<scripted_answer(const http_request_head &,
+                                               const std::string &)>;
+
+  scripted_runner(asio::io_context &GivenLoop, script Given)
+      : Loop(GivenLoop),
+        Acceptor(listenOn(GivenLoop, {asio::ip::address_v4::loopback(), 0})),
+        Script(std::move(Given)) {
+    accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  std::vector<std::string> Bodies; ///< Of the requests that arrived.
+  std::vector<http_request_head> Heads;
+  int Connections = 0;
+  int Ended = 0; ///< Connections that the system closed.
+
+private:
+  struct connection {
+    std::shared_ptr<tcp_stream> Stream;
+    http_reader Reader{http_message::Request};
+    std::string Body;
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](const asio::error_code &Error,
+                                 asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      ++Connections;
+      const auto Connection = std::make_shared<connection>();
+      Connection->Stream =
+          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+      tcp_stream::handlers Handlers;
+      Handlers.OnBytes = [this, Connection](std::string_view Bytes) {
+        onBytes(*Connection, Bytes);
+      };
+      Handlers.OnEnd = [this](stream_end) { ++Ended; };
+      Connection->Stream->setHandlers(std::move(Handlers));
+      Connection->Stream->start();
+      accept();
+    });
+  }
+
+  void onBytes(connection &Connection, std::string_view Bytes) {
+    Connection.Reader.feed(Bytes);
+    Connection.Body += Connection.Reader.takeBody();
+    if (!Connection.Reader.complete())
+      return;
+    Heads.push_back(Connection.Reader.request());
+    Bodies.push_back(std::exchange(Connection.Body, {}));
+    const scripted_answer Answer = Script(Heads.back(), Bodies.back());
+    Connection.Reader.reset();
+    const auto Stream = Connection.Stream;
+    Stream->write(Answer.Bytes);
+    if (Answer.Close)
+      Stream->finish();
+    else if (Answer.Reset)
+      // Behind the bytes: a reset at once could overtake them.
+      asio::post(Loop, [this, Stream] {
+        asio::post(Loop, [Stream] { Stream->abort(); });
+      });
+  }
+
+  asio::io_context &Loop;
+  asio::ip::tcp::acceptor Acceptor;
+  script Script;
+};
+
+/// A replica of the history on loopback, without a disk.
+class memory_replica {
+public:
+  explicit memory_replica(asio::io_context &Loop)
+      : Acceptor(listenOn(Loop, {asio::ip::address_v4::loopback(), 0})) {
+    State.Complete = true;
+    accept();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+
+  /// Ends all connections and takes no more.
+  void stop() {
+    Acceptor.close();
+    for (const auto &Stream : Streams)
+      Stream->close();
+  }
+
+  replica_state State;
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](const asio::error_code &Error,
+                                 asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      const auto Stream =
+          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+      const auto Frames = std::make_shared<frame_reader>();
+      tcp_stream::handlers Handlers;
+      Handlers.OnBytes =
+          [this, Frames,
+           Weak = std::weak_ptr<tcp_stream>(Stream)](std::string_view Bytes) {
+            Frames->add(Bytes);
+            while (const auto Frame = Frames->next())
+              if (const auto Self = Weak.lock())
+                Self->write(encodeMessage(
+                    handleRequest(State, decodeReplicaRequest(*Frame), 1,
+                                  {100'000'000, seconds(5)}, readClock())
+                        .Reply));
+          };
+      Stream->setHandlers(std::move(Handlers));
+      Stream->start();
+      Streams.push_back(Stream);
+      accept();
+    });
+  }
+
+  asio::ip::tcp::acceptor Acceptor;
+  std::list<std::shared_ptr<tcp_stream>> Streams;
+};
+
+/// An entry instance's forwarding with scripted runners, and one caller.
+struct fixture {
+  explicit fixture(scripted_runner::script Script)
+      : First(Loop, Script), Second(Loop, std::move(Script)),
+        History(Loop, "here", 1'000'000),
+        Pool(Loop), Context{Loop, "here", Metrics, History, Pool} {
+    Context.MaxBodyBytes = 1'000'000;
+    addRunner("first", First.address());
+    addRunner("second", Second.address());
+    setRoutes(route_kind::Idempotent, false);
+  }
+
+  void addRunner(const char *Id, const std::string &Address) {
+    runner_entry Entry;
+    Entry.Id = Id;
+    Entry.Service = "s";
+    Entry.Address = Address;
+    Entry.Domain = "here";
+    Entry.Slots = 4;
+    putRunner(Context.Runners, Entry);
+  }
+
+  void setRoutes(route_kind Kind, bool KeepsHistory,
+                 milliseconds Timeout = milliseconds(2'000)) {
+    configuration Config;
+    route Route;
+    Route.Name = "r";
+    Route.Host = "h";
+    Route.PathPrefix = "/";
+    Route.Kind = Kind;
+    Route.Timeout = Timeout;
+    Route.MaxAttempts = 2;
+    Route.KeepsHistory = KeepsHistory;
+    Route.Retention = seconds(60);
+    Route.Targets = {{"s", 1}};
+    Config.Routes = {Route};
+    service Service;
+    Service.Name = "s";
+    Service.Engine = engine_traits{4, 100'000, 10};
+    Config.Services = {Service};
+    Context.Routes = std::make_shared<const route_table>(Config);
+  }
+
+  void startHistory() {
+    replica_set Set{1, 1, true, {}};
+    for (int Index = 0; Index < 3; ++Index) {
+      Replicas.emplace_back(Loop);
+      Set.Slots.push_back(
+          {"n", Replicas.back().address(), Index == 0 ? "here" : "there", ""});
+    }
+    History.setReplicas(Set, "test");
+  }
+
+  /// Sends a request and runs until it has ended.
+  /// \returns what the caller received.
+  std::string call(const std::string &Attempt, http_fields Extra = {},
+                   const std::string &Body = "body") {
+    std::string Received;
+    bool Ended = false;
+    caller_sink Sink;
+    Sink.Write = [&](const std::string &Bytes) { Received += Bytes; };
+    Sink.Finish = [&](bool) { Ended = true; };
+    Sink.Abort = [&] {
+      Ended = true;
+      Received += "<aborted>";
+    };
+    Sink.PendingBytes = [] { return std::size_t{0}; };
+    http_request_head Head{
+        "POST", "/x", {{"Host", "h"}, {"X-Attempt-Id", Attempt}}};
+    Head.Fields.insert(Head.Fields.end(), Extra.begin(), Extra.end());
+    auto Exchange = std::make_shared<exchange>(Context, Head, Body, readClock(),
+                                               true, Sink);
+    Exchange->begin();
+    const auto Start = readClock();
+    while (!Ended && readClock().Steady - Start.Steady < seconds(5)) {
+      Loop.restart();
+      Loop.run_for(milliseconds(2));
+    }
+    return Received;
+  }
+
+  std::size_t arrivals() const {
+    return First.Bodies.size() + Second.Bodies.size();
+  }
+
+  asio::io_context Loop;
+  scripted_runner First;
+  scripted_runner Second;
+  std::list<memory_replica> Replicas;
+  metrics Metrics;
+  history_client History;
+  runner_pool Pool;
+  relay_context Context;
+};
+
+std::string attemptOf(const http_request_head &Head) {
+  return std::string(fieldValue(Head.Fields, "X-Attempt-Id"));
+}
+
+std::string bodyOf(const std::string &Answer) {
+  const std::size_t End = Answer.find("\r\n\r\n");
+  return End == std::string::npos ? "" : Answer.substr(End + 4);
+}
+
+} // namespace
+
+TEST_CASE("an answer comes back unchanged, and its connection is used again") {
+  fixture Fixture([](const http_request_head &Head, const std::string &Body) {
+    return scripted_answer{sealed(attemptOf(Head), "answer to " + Body)};
+  });
+  for (const char *Attempt : {"1", "2", "3"}) {
+    const std::string Answer = Fixture.call(Attempt);
+    CHECK(Answer.starts_with("HTTP/1.1 200"));
+    CHECK(Answer.find("X-Server-Seal: s") != std::string::npos);
+    CHECK(bodyOf(Answer) == "answer to body");
+  }
+  CHECK(Fixture.arrivals() == 3);
+  CHECK(Fixture.First.Connections + Fixture.Second.Connections <= 2);
+  CHECK(Fixture.Context.BodyBytes == 0);
+  CHECK(Fixture.Context.ActiveRequests == 0);
+}
+
+TEST_CASE("a request that was not executed goes to another runner") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    return ++Calls == 1 ? scripted_answer{NotExecuted}
+                        : scripted_answer{sealed(attemptOf(Head), "done")};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  CHECK(bodyOf(Fixture.call("1")) == "done");
+  CHECK(Fixture.First.Bodies.size() == 1);
+  CHECK(Fixture.Second.Bodies.size() == 1);
+}
+
+TEST_CASE("after a broken connection only what may be repeated is repeated") {
+  int Calls = 0;
+  const auto Script = [&](const http_request_head &Head, const std::string &) {
+    return ++Calls == 1 ? scripted_answer{"", false, true}
+                        : scripted_answer{sealed(attemptOf(Head), "done")};
+  };
+  SUBCASE("idempotent") {
+    fixture Fixture(Script);
+    CHECK(bodyOf(Fixture.call("1")) == "done");
+    CHECK(Fixture.arrivals() == 2);
+  }
+  SUBCASE("not idempotent") {
+    fixture Fixture(Script);
+    Fixture.setRoutes(route_kind::NonIdempotent, false);
+    const std::string Answer = Fixture.call("1");
+    // Whether it ran is not known, so nothing is promised.
+    CHECK(Answer.starts_with("HTTP/1.1 502"));
+    CHECK(Answer.find("Retry-After") == std::string::npos);
+    CHECK(Fixture.arrivals() == 1);
+  }
+  SUBCASE("streaming") {
+    fixture Fixture(Script);
+    Fixture.setRoutes(route_kind::Streaming, false);
+    CHECK(Fixture.call("1").starts_with("HTTP/1.1 502"));
+    CHECK(Fixture.arrivals() == 1);
+  }
+}
+
+TEST_CASE("no answer that is cut, spoilt or another's looks complete") {
+  const std::string Whole = sealed("1", "0123456789");
+  std::vector<std::string> Broken;
+  for (std::size_t Length = 1; Length < Whole.size(); Length += 3)
+    Broken.push_back(Whole.substr(0, Length));
+  Broken.push_back(sealed("other", "0123456789"));
+  Broken.emplace_back("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc");
+  Broken.emplace_back("no answer at all\r\n\r\n");
+  Broken.emplace_back(
+      "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Encoding: "
+      "gzip\r\nContent-Length: 3\r\n\r\nabc");
+  for (const std::string &Bytes : Broken) {
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      return scripted_answer{Bytes, true};
+    });
+    Fixture.setRoutes(route_kind::NonIdempotent, false);
+    INFO(Bytes);
+    CHECK(Fixture.call("1").starts_with("HTTP/1.1 502"));
+    CHECK(Fixture.arrivals() == 1);
+  }
+}
+
+TEST_CASE("bytes behind an answer reach nobody") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    const std::string Answer = sealed(attemptOf(Head), "one");
+    return scripted_answer{Answer + sealed("late", "two")};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  CHECK(bodyOf(Fixture.call("1")) == "one");
+  CHECK(bodyOf(Fixture.call("2")) == "one");
+  // No connection with such bytes is used again.
+  CHECK(Fixture.First.Connections + Fixture.Second.Connections == 2);
+}
+
+TEST_CASE("an unframed answer ends with its connection, a reset one is cut") {
+  const std::string Bytes = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n"
+                            "X-Attempt-Id: 1\r\n\r\nall of it";
+  for (const bool Reset : {false, true}) {
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      return scripted_answer{Bytes, !Reset, Reset};
+    });
+    Fixture.setRoutes(route_kind::NonIdempotent, false);
+    const std::string Answer = Fixture.call("1");
+    if (Reset)
+      CHECK(Answer.starts_with("HTTP/1.1 502"));
+    else
+      CHECK(bodyOf(Answer) == "all of it");
+  }
+}
+
+TEST_CASE("a stream passes event by event and a cut one never ends whole") {
+  const std::string Event = "id: 1\ndata: a\n\n";
+  for (const bool Cut : {false, true}) {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      std::string Bytes = streamHead(attemptOf(Head)) + encodeChunk(Event);
+      Bytes += Cut ? encodeChunk("id: 2\nda") : std::string(LastChunk);
+      return scripted_answer{Bytes, Cut};
+    });
+    Fixture.setRoutes(route_kind::Streaming, false);
+    const std::string Answer = Fixture.call("1");
+    CHECK(Answer.find(encodeChunk(Event)) != std::string::npos);
+    CHECK(Answer.ends_with(Cut ? "<aborted>" : std::string(LastChunk)));
+    CHECK(Answer.find("id: 2") == std::string::npos);
+    CHECK(Fixture.arrivals() == 1);
+  }
+}
+
+TEST_CASE("a turn continues from the bytes of its chain") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_answer{
+        streamHead(attemptOf(Head)) +
+        encodeChunk("id: 1\ndata: out-" + attemptOf(Head) + "\n\n") +
+        std::string(LastChunk)};
+  });
+  Fixture.setRoutes(route_kind::Streaming, true);
+  Fixture.startHistory();
+  const http_fields Usage{{"X-Program-Id", "p"},
+                          {"X-Token-Usage", "10,20"},
+                          {"X-Token-Budget", "45"}};
+  CHECK(Fixture.call("t1", Usage, "in1").ends_with(LastChunk));
+  http_fields Second = Usage;
+  Second.push_back({"X-Previous-Turn", "t1"});
+  CHECK(Fixture.call("t2", Second, "in2").ends_with(LastChunk));
+  std::vector<std::string> Bodies = Fixture.First.Bodies;
+  Bodies.insert(Bodies.end(), Fixture.Second.Bodies.begin(),
+                Fixture.Second.Bodies.end());
+  CHECK(std::count(Bodies.begin(), Bodies.end(), "in1out-t1\nin2") == 1);
+  CHECK(Fixture.Replicas.front().State.Turns.size() == 2);
+  SUBCASE("a third turn is within the budget") {
+    // Two turns have handed out ten tokens each of the 45.
+    CHECK(Fixture.call("t3", Second, "in3").ends_with(LastChunk));
+    CHECK(Fixture.call("t4", Second, "in4").starts_with("HTTP/1.1 402"));
+  }
+  SUBCASE("a turn that never was is denied") {
+    Second.back().Value = "nope";
+    CHECK(Fixture.call("t3", Second, "in3").starts_with("HTTP/1.1 404"));
+  }
+  SUBCASE("nothing is denied while the replicas are away") {
+    for (memory_replica &Replica : Fixture.Replicas)
+      Replica.stop();
+    const std::string Answer = Fixture.call("t3", Second, "in3");
+    CHECK(Answer.starts_with("HTTP/1.1 503"));
+    CHECK(Answer.find("Retry-After") != std::string::npos);
+    CHECK(Fixture.arrivals() == 2);
+  }
+}
+
+TEST_CASE("at the route's timeout the caller is answered and the run ended") {
+  fixture Fixture([](const http_request_head &, const std::string &) {
+    return scripted_answer{};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false, milliseconds(150));
+  const instant Start = readClock();
+  CHECK(Fixture.call("1").starts_with("HTTP/1.1 504"));
+  CHECK(readClock().Steady - Start.Steady < milliseconds(600));
+  Fixture.Loop.restart();
+  Fixture.Loop.run_for(milliseconds(50));
+  CHECK(Fixture.First.Ended + Fixture.Second.Ended == 1);
+}
+
+TEST_CASE("what is known to fail is refused at once, truly not run") {
+  fixture Fixture([](const http_request_head &, const std::string &) {
+    return scripted_answer{NotExecuted};
+  });
+  std::string Answer = Fixture.call("1");
+  CHECK(Answer.starts_with("HTTP/1.1 503"));
+  CHECK(Answer.find("Retry-After") != std::string::npos);
+  Fixture.Context.Routes = nullptr;
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 503"));
+  Fixture.setRoutes(route_kind::Idempotent, false);
+  CHECK(Fixture.call("3", {{"Host", "h"}}).starts_with("HTTP/1.1"));
+  Fixture.Context.MaxBodyBytes = 1;
+  CHECK(Fixture.call("4").starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("statuses that promise not to have run are given only if certain") {
+  send_history Sends;
+  route Route;
+  Route.Kind = route_kind::Streaming;
+  Route.MaxAttempts = 3;
+  CHECK(statusOf(own_answer::TimedOut, Sends) == 503);
+  countSend(Sends, send_outcome::NotSent);
+  countSend(Sends, send_outcome::Refused);
+  CHECK(maySendAgain(Route, Sends));
+  CHECK(statusOf(own_answer::RunnersFull, Sends) == 503);
+  countSend(Sends, send_outcome::Unknown);
+  CHECK_FALSE(maySendAgain(Route, Sends));
+  for (const own_answer Reason :
+       {own_answer::TimedOut, own_answer::RunnersFull, own_answer::NoRunner,
+        own_answer::RunnerFailed, own_answer::HistoryAway}) {
+    const int Status = statusOf(Reason, Sends);
+    CHECK((Status == 502 || Status == 504));
+  }
+  Route.Kind = route_kind::Idempotent;
+  CHECK(maySendAgain(Route, Sends));
+  countSend(Sends, send_outcome::Unknown);
+  countSend(Sends, send_outcome::Unknown);
+  CHECK_FALSE(maySendAgain(Route, Sends));
+}
+
+TEST_CASE("callers that are refused together return apart") {
+  const auto First = returnAfter(own_answer::RunnersFull, 1);
+  const auto Second = returnAfter(own_answer::RunnersFull, 100);
+  CHECK(First != Second);
+  CHECK(First.count() > 0);
+}
+
+namespace {
+
+/// A caller's connection over loopback.
+struct caller_fixture : fixture {
+  explicit caller_fixture(scripted_runner::script Script)
+      : fixture(std::move(Script)),
+        Listener(listenOn(Loop, {asio::ip::address_v4::loopback(), 0})) {
+    Listener.async_accept([this](const asio::error_code &,
+                                 asio::ip::tcp::socket Socket) {
+      Connection = std::make_shared<caller_connection>(
+          Context,
+          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
+          [this](caller_connection *) { Closed = true; });
+      Connection->start();
+    });
+    Caller = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
+                                          socket_settings{});
+    tcp_stream::handlers Handlers;
+    Handlers.OnBytes = [this](std::string_view Bytes) { Received += Bytes; };
+    Handlers.OnEnd = [this](stream_end) { CallerEnded = true; };
+    Caller->setHandlers(std::move(Handlers));
+    Caller->connect(Listener.local_endpoint());
+  }
+
+  void runFor(milliseconds Time) {
+    Loop.restart();
+    Loop.run_for(Time);
+  }
+
+  asio::ip::tcp::acceptor Listener;
+  std::shared_ptr<caller_connection> Connection;
+  std::shared_ptr<tcp_stream> Caller;
+  std::string Received;
+  bool Closed = false;
+  bool CallerEnded = false;
+};
+
+std::string requestText(const std::string &Attempt, const std::string &Body) {
+  return "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + Attempt +
+         "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+         Body;
+}
+
+} // namespace
+
+TEST_CASE("requests on one connection are answered in order") {
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_answer{
+            sealed(attemptOf(Head), "<" + attemptOf(Head) + ">")};
+      });
+  Fixture.Caller->write(requestText("1", "a") + requestText("2", "b") +
+                        requestText("3", "c"));
+  Fixture.runFor(milliseconds(300));
+  const auto First = Fixture.Received.find("<1>");
+  const auto Second = Fixture.Received.find("<2>");
+  const auto Third = Fixture.Received.find("<3>");
+  CHECK(First < Second);
+  CHECK(Second < Third);
+  CHECK(Third != std::string::npos);
+  CHECK_FALSE(Fixture.CallerEnded);
+}
+
+TEST_CASE("a smuggled request reaches no runner") {
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_answer{sealed(attemptOf(Head), "x")};
+      });
+  Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                        "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n"
+                        "\r\n0\r\n\r\nGET /y HTTP/1.1\r\n\r\n");
+  Fixture.runFor(milliseconds(200));
+  CHECK(Fixture.Received.starts_with("HTTP/1.1 400"));
+  CHECK(Fixture.arrivals() == 0);
+  CHECK(Fixture.Closed);
+}
+
+TEST_CASE("large heads and bodies are refused before they are read") {
+  caller_fixture Fixture([](const http_request_head &, const std::string &) {
+    return scripted_answer{};
+  });
+  SUBCASE("head") {
+    Fixture.Caller->write("GET /x HTTP/1.1\r\nX-A: " +
+                          std::string(20'000, 'a'));
+    Fixture.runFor(milliseconds(200));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 431"));
+  }
+  SUBCASE("body") {
+    Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                          "Content-Length: 99999999\r\n\r\n");
+    Fixture.runFor(milliseconds(200));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 413"));
+  }
+  CHECK(Fixture.arrivals() == 0);
+}
+
+TEST_CASE("when a caller leaves, its run ends unless it must not be cut") {
+  for (const route_kind Kind :
+       {route_kind::Idempotent, route_kind::NonIdempotent}) {
+    caller_fixture Fixture([](const http_request_head &, const std::string &) {
+      return scripted_answer{};
+    });
+    Fixture.setRoutes(Kind, false);
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.arrivals() == 1);
+    Fixture.Caller->close();
+    Fixture.runFor(milliseconds(100));
+    const int Ended = Fixture.First.Ended + Fixture.Second.Ended;
+    CHECK(Ended == (Kind == route_kind::Idempotent ? 1 : 0));
+  }
+}
--- /dev/null
+++ b/tests/net_test.cpp
@@ -0,0 +1,192 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "net/address.h"
+#include "net/event_parser.h"
+#include "net/frame.h"
+#include "net/http_reader.h"
+
+#include <doctest/doctest.h>
+#include <random>
+#include <vector>
+
+using namespace lentilhoist;
+
+namespace {
+
+/// Feeds text in pieces of one size.
+/// \returns bytes that belong to the first message.
+std::size_t feedInPieces(http_reader &Reader, std::string_view Text,
+                         std::size_t Size, std::string &Body) {
+  std::size_t At = 0;
+  while (At < Text.size() && !Reader.complete() &&
+         Reader.error() == http_read_error::None) {
+    const auto Piece = Text.substr(At, Size);
+    At += Reader.feed(Piece);
+    Body += Reader.takeBody();
+  }
+  return At;
+}
+
+http_read_error errorOf(std::string_view Text) {
+  http_reader Reader(http_message::Request, 1'024);
+  std::string Body;
+  feedInPieces(Reader, Text, Text.size(), Body);
+  return Reader.error();
+}
+
+} // namespace
+
+TEST_CASE("a message reads the same however its bytes are cut") {
+  const std::string Text = "POST /a/b?c=1 HTTP/1.1\r\nHost: x\r\n"
+                           "Transfer-Encoding: chunked\r\nX-A:  1 \r\n\r\n"
+                           "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\nGET / HTTP";
+  for (std::size_t Size = 1; Size <= Text.size(); ++Size) {
+    http_reader Reader(http_message::Request);
+    std::string Body;
+    const std::size_t Used = feedInPieces(Reader, Text, Size, Body);
+    INFO("pieces of " << Size);
+    CHECK(Reader.complete());
+    CHECK(Text.substr(Used) == "GET / HTTP");
+    CHECK(Reader.request().Method == "POST");
+    CHECK(Reader.request().Target == "/a/b?c=1");
+    CHECK(fieldValue(Reader.request().Fields, "x-a") == "1");
+    CHECK(Body == "hello world");
+    CHECK(Reader.keepAlive());
+  }
+}
+
+TEST_CASE("a request that could be read in two ways is malformed") {
+  const std::string Start = "POST / HTTP/1.1\r\nHost: x\r\n";
+  const std::vector<std::string> Heads{
+      "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+      "Content-Length: 3\r\nContent-Length: 4\r\n",
+      "Content-Length: 3\r\nContent-Length: 3\r\n",
+      "Transfer-Encoding: chunked, identity\r\n",
+      "Transfer-Encoding: xchunked\r\n",
+      "Transfer-Encoding: identity\r\n",
+      "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+      "Content-Length : 3\r\n",
+      "Content-Length: -3\r\n",
+      "Content-Length: 3, 3\r\n",
+      "Bad Name: 3\r\n",
+  };
+  for (const std::string &Head : Heads) {
+    INFO(Head);
+    CHECK(errorOf(Start + Head + "\r\nabcGET /x HTTP/1.1\r\n\r\n") ==
+          http_read_error::Malformed);
+  }
+  CHECK(errorOf("GET http://x/ HTTP/1.1\r\n\r\n") ==
+        http_read_error::Malformed);
+  CHECK(errorOf("CONNECT x:1 HTTP/1.1\r\n\r\n") ==
+        http_read_error::UnsupportedMethod);
+}
+
+TEST_CASE("a head above its limit is refused before it ends") {
+  const std::string Text =
+      "GET / HTTP/1.1\r\nX-Long: " + std::string(5'000, 'a');
+  CHECK(errorOf(Text) == http_read_error::HeadTooLarge);
+}
+
+TEST_CASE("responses end by length, by chunks or with their connection") {
+  http_reader Reader(http_message::Response);
+  Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+  CHECK(Reader.complete());
+  CHECK_FALSE(Reader.endsWithConnection());
+
+  Reader.reset();
+  Reader.feed("HTTP/1.1 200 OK\r\n\r\nab");
+  CHECK_FALSE(Reader.complete());
+  CHECK(Reader.endsWithConnection());
+  CHECK_FALSE(Reader.keepAlive());
+  Reader.feedEnd();
+  CHECK(Reader.complete());
+  CHECK(Reader.takeBody() == "ab");
+
+  Reader.reset();
+  Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab");
+  Reader.feedEnd();
+  CHECK_FALSE(Reader.complete());
+
+  Reader.reset();
+  Reader.expectNoBody();
+  Reader.feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+  CHECK(Reader.complete());
+
+  Reader.reset();
+  Reader.feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No\r\n\r\n");
+  CHECK(Reader.complete());
+  CHECK(Reader.response().Status == 204);
+}
+
+TEST_CASE("no mutation of a message makes the reader fail or overrun") {
+  const std::string Text = "POST /a HTTP/1.1\r\nHost: x\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "5\r\nhello\r\n0\r\n\r\n";
+  std::mt19937_64 Random(7);
+  for (int Round = 0; Round < 20'000; ++Round) {
+    std::string Mutated = Text;
+    for (std::size_t Count = 1 + Random() % 4; Count > 0; --Count) {
+      const std::size_t At = Random() % Mutated.size();
+      switch (Random() % 3) {
+      case 0:
+        Mutated[At] = static_cast<char>(Random());
+        break;
+      case 1:
+        Mutated.erase(At, 1 + Random() % 5);
+        break;
+      default:
+        Mutated.insert(At, Mutated.substr(Random() % Mutated.size(), 8));
+        break;
+      }
+      if (Mutated.empty())
+        Mutated = "x";
+    }
+    http_reader Reader(http_message::Request, 4'096);
+    const std::size_t Used = Reader.feed(Mutated);
+    CHECK(Used <= Mutated.size());
+    if (Reader.error() == http_read_error::None && !Reader.complete())
+      CHECK(Used == Mutated.size());
+  }
+}
+
+TEST_CASE("fields that concern one connection are removed") {
+  http_fields Fields{{"Connection", "close, X-Mine"},
+                     {"X-Mine", "1"},
+                     {"Keep-Alive", "timeout=5"},
+                     {"Content-Length", "3"},
+                     {"X-Other", "2"}};
+  removeHopByHopFields(Fields);
+  REQUIRE(Fields.size() == 1);
+  CHECK(Fields.front().Name == "X-Other");
+}
+
+TEST_CASE("frames are cut from a stream, and a wild length is an error") {
+  frame_reader Reader;
+  const std::string Bytes = encodeFrame("one") + encodeFrame("");
+  for (const char Byte : Bytes.substr(0, Bytes.size() - 1))
+    Reader.add(std::string_view(&Byte, 1));
+  CHECK(Reader.next() == "one");
+  CHECK_FALSE(Reader.next());
+  Reader.add(Bytes.substr(Bytes.size() - 1));
+  CHECK(Reader.next() == "");
+  Reader.add("\xff\xff\xff\xff");
+  CHECK_THROWS(Reader.next());
+}
+
+TEST_CASE("the data of events is read behind other fields") {
+  event_parser Parser;
+  std::vector<std::string> Data;
+  const auto take = [&](std::string_view Text) { Data.emplace_back(Text); };
+  Parser.add("x-weight-versions: 3\nid: 1\nda", take);
+  Parser.add("ta: one\n\nid: 2\ndata:two\ndata: lines\n\n: comment\n\n", take);
+  CHECK(Data == std::vector<std::string>{"one", "two\nlines"});
+}
+
+TEST_CASE("addresses need a number and a port") {
+  CHECK(parseAddress("10.0.0.1:80"));
+  CHECK_FALSE(parseAddress("10.0.0.1"));
+  CHECK_FALSE(parseAddress("host:80"));
+  CHECK_FALSE(parseAddress("10.0.0.1:0"));
+  CHECK_FALSE(parseAddress("10.0.0.1:70000"));
+  CHECK_FALSE(parseAddress("10.0.0.1:8x"));
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,221 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "platform/config_decoder.h"
+#include "platform/machine_settings.h"
+#include "platform/request_headers.h"
+#include "platform/store_protocol.h"
+#include "settings/settings_error.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+using namespace lentilhoist;
+using namespace lentilhoist::platform;
+using std::chrono::milliseconds;
+
+namespace {
+
+const char *const SettingsText = R"({"node-name":"edge-1","zone":"riga-a",
+  "ip":"10.1.0.38","listen":{"frontend":"10.1.0.38:8149",
+  "ready":"10.1.0.38:8141"},"port-range":[7380,7395],"first-start":true,
+  "limits":{"memory-mb":110,"disk-mb":0},"data-dir":null,"new-field":[1],
+  "fault-tolerance":{"machines":2},"bounds":{"grace-s":8},
+  "platform":{"address":"10.200.1.7:8142"}})";
+
+store_item makeServer(const std::string &Spec) {
+  store_item Item;
+  Item.Name = "i-1";
+  Item.Spec = Spec;
+  return Item;
+}
+
+http_request_head makeHead(http_fields Fields) {
+  return {"POST", "/a/b", std::move(Fields)};
+}
+
+} // namespace
+
+TEST_CASE("the machine's settings are read, unknown fields ignored") {
+  const auto Settings = parseMachineSettings(SettingsText, "node.json");
+  CHECK(Settings.Name == "edge-1");
+  CHECK(Settings.Domain == "riga-a");
+  CHECK(Settings.CallerAddress == "10.1.0.38:8149");
+  CHECK(Settings.FirstPort == 7'380);
+  CHECK(Settings.FirstStart);
+  CHECK(Settings.DataFolder.empty());
+  CHECK(Settings.DisksLost == 2);
+  CHECK(Settings.MemoryBytes == 110UL * 1024 * 1024);
+}
+
+TEST_CASE("settings that can't be used name the file") {
+  for (const char *Text :
+       {"", "{}", "[1]", R"({"node-name":1})",
+        R"({"node-name":"a","zone":"b","ip":"c","port-range":[0,1]})"})
+    CHECK_THROWS_WITH_AS(parseMachineSettings(Text, "node.json"),
+                         doctest::Contains("node.json"), settings_error);
+  CHECK_THROWS_AS(readMachineSettings("/does/not/exist"), settings_error);
+}
+
+TEST_CASE("a configuration is decoded into routes, services and limits") {
+  const auto Config = decodeConfig(R"({"version":7,"routes":[
+    {"name":"r1","host":"h","path-prefix":"/p/","type":"streaming",
+     "timeout-ms":4000,"goal-ms":250,"priority":1,"max-attempts":2,
+     "split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+     "retained":true,"retention-s":60.0,"sticky":true},
+    {"name":"r2","host":"h","path-prefix":"/q/","type":"new-kind",
+     "service":"b"}],
+    "services":[{"name":"a","max-conns":150,"inference-engine":
+      {"slots":12,"kv-capacity-tokens":107036,"chunk-tokens":10}}],
+    "limits":{"max-header-bytes":100,"idle-timeout-ms":15000}})");
+  REQUIRE(Config);
+  CHECK(Config->Version == 7);
+  REQUIRE(Config->Routes.size() == 2);
+  const route &Turns = Config->Routes[0];
+  CHECK(Turns.Kind == route_kind::Streaming);
+  CHECK(Turns.KeepsHistory);
+  CHECK(Turns.Retention == milliseconds(60'000));
+  CHECK(Turns.Targets.size() == 2);
+  CHECK(Turns.MaxAttempts == 2);
+  // What may be repeated must be said.
+  CHECK(Config->Routes[1].Kind == route_kind::NonIdempotent);
+  CHECK(Config->Services[0].Engine->TokensPerEvent == 10);
+  CHECK(Config->Limits.MaxHeadBytes == 100);
+  CHECK_FALSE(decodeConfig("{"));
+  CHECK_FALSE(decodeConfig(R"({"version":1})"));
+}
+
+TEST_CASE("entries of other writers name no runner") {
+  const nlohmann::json Good = {{"service", "s"},   {"address", "10.0.0.9:80"},
+                               {"zone", "z"},      {"slots", 12},
+                               {"state", "ready"}, {"born", 1'700}};
+  const auto Runner = decodeRunner(makeServer(Good.dump()));
+  REQUIRE(Runner);
+  CHECK(Runner->Id == "i-1");
+  CHECK(Runner->BornMs == 1'700);
+  const auto with = [&](const char *Field, const nlohmann::json &Value) {
+    nlohmann::json Changed = Good;
+    Changed[Field] = Value;
+    return decodeRunner(makeServer(Changed.dump()));
+  };
+  CHECK(with("state", "draining")->Draining);
+  CHECK_FALSE(with("state", "resting"));
+  CHECK_FALSE(with("state", 3));
+  CHECK_FALSE(with("address", "nowhere"));
+  CHECK_FALSE(with("address", nullptr));
+  CHECK_FALSE(with("slots", "many"));
+  CHECK_FALSE(with("slots", 0));
+  CHECK_FALSE(with("born", 1.5));
+  CHECK_FALSE(decodeRunner(makeServer("\xff\xfe")));
+  CHECK_FALSE(decodeRunner(makeServer("[]")));
+}
+
+TEST_CASE("only the system sets what is the system's to set") {
+  const auto Head =
+      encodeRunnerRequest(makeHead({{"Host", "h"},
+                                    {"X-Attempt-Id", "1"},
+                                    {"X-Kv-Hold", "stolen"},
+                                    {"x-pin-ms", "4000"},
+                                    {"X-KV-BACKUP", "10.0.0.1:1"},
+                                    {"Kv-From", "10.0.0.1:1/2"},
+                                    {"Kv-Fetch", "10.0.0.1:1"},
+                                    {"X-Expect-Instance", "other"},
+                                    {"X-Deadline-Ms", "9000"},
+                                    {"Connection", "keep-alive, X-Hop"},
+                                    {"X-Hop", "1"},
+                                    {"X-Custom", "kept"}}),
+                          {"i-1", milliseconds(1'234)});
+  std::vector<std::string> Names;
+  for (const http_field &Field : Head.Fields)
+    Names.push_back(Field.Name);
+  CHECK(Names == std::vector<std::string>{"Host", "X-Attempt-Id", "X-Custom",
+                                          "X-Deadline-Ms",
+                                          "X-Expect-Instance"});
+  CHECK(fieldValue(Head.Fields, "X-Deadline-Ms") == "1234");
+  CHECK(fieldValue(Head.Fields, "X-Expect-Instance") == "i-1");
+}
+
+TEST_CASE("a caller's headers become typed values") {
+  const auto Traits =
+      decodeCallerRequest(makeHead({{"X-Attempt-Id", "a1"},
+                                    {"X-Deadline-Ms", "3999.5"},
+                                    {"X-Token-Usage", "1840,290"},
+                                    {"X-Token-Budget", "2320"},
+                                    {"X-Previous-Turn", "p1"},
+                                    {"X-Prompt-Prefix", "aa:800, bb:410"}}));
+  REQUIRE(Traits);
+  CHECK(Traits->Deadline == milliseconds(3'999));
+  CHECK(Traits->PromptTokens == 1'840);
+  CHECK(Traits->MaxOutputTokens == 290);
+  CHECK(Traits->TokenBudget == 2'320);
+  CHECK(Traits->PreviousTurn == "p1");
+  REQUIRE(Traits->Prompt.size() == 2);
+  CHECK(Traits->Prompt[1].Id == "bb");
+  CHECK(Traits->Prompt[1].Tokens == 410);
+  CHECK_FALSE(decodeCallerRequest(makeHead({{"Host", "h"}})));
+  const auto Odd =
+      decodeCallerRequest(makeHead({{"X-Attempt-Id", "a"},
+                                    {"X-Deadline-Ms", "soon"},
+                                    {"X-Prompt-Prefix", "aa:many"}}));
+  CHECK_FALSE(Odd->Deadline);
+  CHECK(Odd->Prompt.empty());
+}
+
+TEST_CASE("a runner's answer says whether it ran and how loaded it is") {
+  http_response_head Head{200,
+                          {{"X-Attempt-Id", "a"},
+                           {"X-Server-Seal", "s"},
+                           {"X-Server-Load", "3,1,8"},
+                           {"Keep-Alive", "timeout=7"},
+                           {"Content-Type", "text/event-stream"}}};
+  const auto Answer = decodeRunnerAnswer(Head);
+  CHECK(Answer.Sealed);
+  CHECK(Answer.Events);
+  CHECK_FALSE(Answer.NotExecuted);
+  CHECK(Answer.Load->Waiting == 1);
+  CHECK(Answer.KeepAlive == std::chrono::seconds(7));
+  Head.Status = 421;
+  CHECK(decodeRunnerAnswer(Head).NotExecuted);
+  CHECK(decodeRunnerAnswer({503, {{"X-Not-Executed", "1"}}}).NotExecuted);
+  CHECK_FALSE(decodeRunnerAnswer({503, {}}).NotExecuted);
+}
+
+TEST_CASE("an own answer says when to return, in seconds") {
+  const auto Head = encodeOwnAnswer(503, "a", milliseconds(250));
+  CHECK(fieldValue(Head.Fields, "Retry-After") == "0.250");
+  CHECK(fieldValue(Head.Fields, "X-Attempt-Id") == "a");
+  CHECK_FALSE(findField(encodeOwnAnswer(504, "", milliseconds(0)).Fields,
+                        "Retry-After"));
+}
+
+TEST_CASE("lists and changes of the store are read, broken ones refused") {
+  const auto Page = decodePage(
+      R"({"items":[{"metadata":{"name":"a","revision":3},"spec":{"x":1}},
+          {"spec":1},"odd"],"truncated":true,"store-revision":9})");
+  REQUIRE(Page);
+  CHECK(Page->Items.size() == 1);
+  CHECK(Page->Truncated);
+  CHECK(Page->Revision == 9);
+  CHECK(Page->Items[0].Spec == R"({"x":1})");
+  CHECK_FALSE(decodePage("{}"));
+  CHECK_FALSE(decodePage("nothing"));
+  const auto Events = decodeEvents(
+      R"({"events":[{"removed":true,"object":{"metadata":{"name":"a"}}}],
+          "store-revision":12})");
+  REQUIRE(Events);
+  CHECK(Events->Events[0].Removed);
+  CHECK(Events->Revision == 12);
+  CHECK_FALSE(decodeEvents(R"({"events":[]})"));
+}
+
+TEST_CASE("statuses of the store tell what was done") {
+  CHECK(decodeStoreStatus(201) == store_status::Done);
+  CHECK(decodeStoreStatus(409) == store_status::Conflict);
+  CHECK(decodeStoreStatus(410) == store_status::HistoryGone);
+  CHECK(decodeStoreStatus(429) == store_status::Refused);
+  CHECK(decodeStoreStatus(503) == store_status::Refused);
+  CHECK(decodeStoreStatus(500) == store_status::Unknown);
+  CHECK(isRetirementStarted(encodeRetirementStatus(false)));
+  CHECK_FALSE(isRetirementCompleted(encodeRetirementStatus(false)));
+  CHECK(isRetirementCompleted(encodeRetirementStatus(true)));
+  CHECK_FALSE(isRetirementStarted("null"));
+}
