--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -286,6 +286,31 @@
   }
 }
 
+std::vector<replica_change> relocateRecords(replica_state &State,
+                                            segment_number From,
+                                            segment_number To) {
+  std::vector<replica_change> Changes;
+  const auto move = [&](segment_number &Segment) {
+    --State.Live[Segment];
+    Segment = To;
+    ++State.Live[To];
+  };
+  for (auto &[Id, Turn] : State.Turns) {
+    if (Turn.Segment != From)
+      continue;
+    Changes.push_back(turnChange(Turn.Record));
+    move(Turn.Segment);
+  }
+  for (auto &[Program, Ledger] : State.Ledgers)
+    for (auto &[Attempt, Held] : Ledger.Entries) {
+      if (Held.Segment != From)
+        continue;
+      Changes.push_back(entryChange(Program, Held.Entry, Ledger.RetentionMs));
+      move(Held.Segment);
+    }
+  return Changes;
+}
+
 std::vector<segment_number> emptySegments(const replica_state &State,
                                           segment_number Active) {
   std::vector<segment_number> Empty;
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -130,6 +130,15 @@
 /// \param Now the present time.
 void expireRecords(replica_state &State, instant Now);
 
+/// Moves the records of a segment that are still needed.
+/// \param State the replica.
+/// \param From the segment to empty.
+/// \param To the segment that will hold them.
+/// \returns the records to sync there before the other one is deleted.
+std::vector<replica_change> relocateRecords(replica_state &State,
+                                            segment_number From,
+                                            segment_number To);
+
 /// \param State the replica.
 /// \param Active the segment that is being written.
 /// \returns segments that hold nothing any more, which may be deleted.
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -2,11 +2,15 @@
 
 #include "log/log.h"
 
+#include <algorithm>
+
 namespace lentilhoist {
 
 replica_store::replica_store(asio::io_context &Loop, const std::string &Folder,
                              std::size_t DiskBytes, replica_limits GivenLimits)
-    : Limits(GivenLimits), Log(Folder), Writer(Loop, Log, DiskBytes) {
+    : Limits(GivenLimits), Log(Folder),
+      MaxSegments(std::max<std::size_t>(2, DiskBytes / 2 / MaxSegmentBytes)),
+      Writer(Loop, Log, DiskBytes) {
   const instant Now = readClock();
   std::size_t Records = 0;
   // The writer's thread waits for its first task until this is done.
@@ -91,6 +95,31 @@
     State.Live.erase(Segment);
     Writer.removeSegment(Segment);
   }
+  if (State.Live.size() > MaxSegments && !Emptying)
+    emptyOldestSegment();
+}
+
+void replica_store::emptyOldestSegment() {
+  const segment_number Oldest = State.Live.begin()->first;
+  if (Oldest == Active)
+    return;
+  Emptying = true;
+  const auto Changes = relocateRecords(State, Oldest, Active);
+  logEvent(log_level::Info, "segment_emptied",
+           {{"segment", std::to_string(Oldest)},
+            {"records", std::to_string(Changes.size())},
+            {"segments", std::to_string(State.Live.size())}});
+  persist(Changes, [this, Oldest](bool Durable) {
+    Emptying = false;
+    if (!Durable) {
+      logEvent(log_level::Error, "segment_kept",
+               {{"segment", std::to_string(Oldest)},
+                {"reason", "its records could not be moved"}});
+      return;
+    }
+    State.Live.erase(Oldest);
+    Writer.removeSegment(Oldest);
+  });
 }
 
 } // namespace lentilhoist
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -37,7 +37,9 @@
   /// \param OnDone told whether it is durable.
   void apply(const replica_change &Change, std::function<void(bool)> OnDone);
 
-  /// Drops what has outlived its retention, with the segments that held it.
+  /// Drops what has outlived its retention, with the segments that held it. A
+  /// segment that a few long-lived records keep is emptied once the disk is
+  /// half full.
   void expire();
 
   const replica_state &state() const { return State; }
@@ -46,6 +48,7 @@
   void persist(const std::vector<replica_change> &Changes,
                std::function<void(bool)> OnDone);
   void beginSegment();
+  void emptyOldestSegment();
   std::string segmentHeader() const;
 
   replica_limits Limits;
@@ -53,6 +56,8 @@
   segment_log Log;
   segment_number Active = 0;
   std::size_t ActiveBytes = 0;
+  std::size_t MaxSegments; ///< More are emptied, oldest first.
+  bool Emptying = false;
   journal_writer Writer; ///< Last: its thread ends first.
 };
 
--- /dev/null
+++ b/tests/replica_test.cpp
@@ -0,0 +1,139 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "replica/replica_store.h"
+
+#include <doctest/doctest.h>
+#include <filesystem>
+
+using namespace lentilhoist;
+
+namespace {
+
+constexpr std::size_t DiskBytes = 100'000'000;
+const replica_limits Limits{10'000'000, milliseconds(0)};
+
+/// A folder that goes with the test.
+struct temporary_folder {
+  temporary_folder()
+      : Path(std::filesystem::temp_directory_path() / "lentilhoist-replica") {
+    std::filesystem::remove_all(Path);
+  }
+  ~temporary_folder() { std::filesystem::remove_all(Path); }
+  std::filesystem::path Path;
+};
+
+replica_request commitOf(const std::string &Id, std::uint64_t RetentionMs) {
+  replica_request Request;
+  Request.Operation = replica_operation::Commit;
+  Request.SetVersion = 1;
+  Request.Turn = {Id, "", "p", "in", "out\n", 10, RetentionMs};
+  return Request;
+}
+
+/// Handles a request and waits until it is answered.
+replica_status handleNow(asio::io_context &Loop, replica_store &Store,
+                         const replica_request &Request) {
+  std::optional<replica_status> Status;
+  Store.handle(Request,
+               [&](const replica_reply &Reply) { Status = Reply.Status; });
+  const auto Guard = asio::make_work_guard(Loop);
+  while (!Status) {
+    Loop.restart();
+    Loop.run_one_for(seconds(5));
+  }
+  return *Status;
+}
+
+} // namespace
+
+TEST_CASE("what was answered is there after a restart") {
+  const temporary_folder Folder;
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    CHECK_FALSE(Store.state().Complete);
+    Store.apply({change_kind::Complete, {}, {}, 0, {}, {}}, [](bool) {});
+    CHECK(handleNow(Loop, Store, commitOf("t1", 60'000)) ==
+          replica_status::Done);
+    CHECK(handleNow(Loop, Store, commitOf("t2", 60'000)) ==
+          replica_status::Done);
+  }
+  asio::io_context Loop;
+  const replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+  CHECK(Store.state().Complete);
+  CHECK(Store.state().SetVersion == 1);
+  CHECK(Store.state().Turns.size() == 2);
+  CHECK(Store.state().Ledgers.at("p").Entries.at("t1").Entry.Tokens == 10);
+}
+
+TEST_CASE("a full disk refuses, and nothing that was answered is lost") {
+  const temporary_folder Folder;
+  asio::io_context Loop;
+  replica_store Store(Loop, Folder.Path.string(), 1'000, Limits);
+  int Accepted = 0;
+  bool Refused = false;
+  for (int Index = 0; Index < 20 && !Refused; ++Index) {
+    Refused =
+        handleNow(Loop, Store, commitOf("t" + std::to_string(Index), 60'000)) ==
+        replica_status::Refused;
+    Accepted += Refused ? 0 : 1;
+  }
+  CHECK(Refused);
+  CHECK(Accepted > 0);
+  asio::io_context OtherLoop;
+  const replica_store Restarted(OtherLoop, Folder.Path.string(), DiskBytes,
+                                Limits);
+  CHECK(Restarted.state().Turns.size() == static_cast<std::size_t>(Accepted));
+}
+
+TEST_CASE("segments whose records have expired are deleted") {
+  const temporary_folder Folder;
+  asio::io_context Loop;
+  replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+  Store.apply({change_kind::Complete, {}, {}, 0, {}, {}}, [](bool) {});
+  replica_request Large = commitOf("large", 0);
+  Large.Turn.Program = "short-lived";
+  Large.Turn.Input.assign(MaxSegmentBytes, 'x');
+  CHECK(handleNow(Loop, Store, Large) == replica_status::Done);
+  CHECK(handleNow(Loop, Store, commitOf("small", 60'000)) ==
+        replica_status::Done);
+  Store.expire();
+  CHECK(handleNow(Loop, Store, commitOf("last", 60'000)) ==
+        replica_status::Done);
+  std::uintmax_t Bytes = 0;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder.Path))
+    Bytes += Entry.file_size();
+  CHECK(Bytes < MaxSegmentBytes / 2);
+  // The markers of the deleted segment hold in the newer one.
+  asio::io_context OtherLoop;
+  const replica_store Restarted(OtherLoop, Folder.Path.string(), DiskBytes,
+                                Limits);
+  CHECK(Restarted.state().Complete);
+  CHECK(Restarted.state().Turns.contains("small"));
+}
+
+TEST_CASE(
+    "a segment that few records keep is emptied when many have piled up") {
+  const temporary_folder Folder;
+  asio::io_context Loop;
+  replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes, Limits);
+  for (int Index = 0; Index < 3; ++Index) {
+    const std::string Id = "t" + std::to_string(Index);
+    CHECK(handleNow(Loop, Store, commitOf(Id, 60'000)) == replica_status::Done);
+    replica_request Large = commitOf("large" + Id, 0);
+    Large.Turn.Program = "short-lived";
+    Large.Turn.Input.assign(MaxSegmentBytes, 'x');
+    CHECK(handleNow(Loop, Store, Large) == replica_status::Done);
+    Store.expire();
+  }
+  CHECK(handleNow(Loop, Store, commitOf("last", 60'000)) ==
+        replica_status::Done);
+  Store.expire();
+  CHECK(handleNow(Loop, Store, commitOf("really last", 60'000)) ==
+        replica_status::Done);
+  CHECK(Store.state().Live.begin()->first > 1);
+  asio::io_context OtherLoop;
+  const replica_store Restarted(OtherLoop, Folder.Path.string(),
+                                5 * MaxSegmentBytes, Limits);
+  for (const char *Id : {"t0", "t1", "t2", "last"})
+    CHECK(Restarted.state().Turns.contains(Id));
+}
