Mark the replica of the segment test as complete

Cause: the test committed with the change before had been left failing: its replica was incomplete, so that it answered so. Change: the marker is written first. Result: the test passes; with the emptying taken out it fails.

--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -116,6 +116,7 @@
   const temporary_folder Folder;
   asio::io_context Loop;
   replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes, Limits);
+  Store.apply({change_kind::Complete, {}, {}, 0, {}, {}}, [](bool) {});
   for (int Index = 0; Index < 3; ++Index) {
     const std::string Id = "t" + std::to_string(Index);
     CHECK(handleNow(Loop, Store, commitOf(Id, 60'000)) == replica_status::Done);
