Report not ready while the history does not answer

Change: a replica that leaves a request open for 250 ms is suspected and probed; with too few others the instance is not ready, and a reservation ends at 0.5 s.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -67,9 +67,9 @@
     return {asio::ip::make_address(Settings.Address), Settings.FirstPort};
   }
 
-  bool ready() const {
+  bool ready() {
     return !Context.Draining && Context.Routes && RunnersKnown &&
-           History.ready();
+           History.available(readClock());
   }
 
   text_answer readiness() {
@@ -80,7 +80,7 @@
                 {"draining", Context.Draining ? "true" : "false"},
                 {"configuration", Context.Routes ? "true" : "false"},
                 {"runners", RunnersKnown ? "true" : "false"},
-                {"history", History.ready() ? "true" : "false"}});
+                {"replica_set", std::to_string(History.replicas().Version)}});
       WasReady = Now;
     }
     return {Now ? 200 : 503, Now ? "ready\n" : "not ready\n"};
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -22,8 +22,9 @@
 /// Part of the caller's time for which a request is held while all runners
 /// refuse; behind it the caller has time to come back to another instance.
 constexpr double HoldPart = 0.4;
-/// Part of the caller's time that a reservation may take.
-constexpr double ReservePart = 0.4;
+/// Longest wait for a reservation. It covers a restart of all replicas in part;
+/// an instance that alone is cut off from them must not hold its callers.
+constexpr milliseconds ReserveLimit{500};
 /// Answers of plain services above this size pass through unbuffered.
 constexpr std::size_t MaxBufferedAnswer = 256UL * 1024UL;
 /// Bytes waiting for a slow caller beyond which the runner is held back.
@@ -149,8 +150,7 @@
   Reservation.RetentionMs =
       static_cast<std::uint64_t>(Route->Retention.count());
   Reserved = true;
-  const auto Limit = milliseconds(static_cast<std::int64_t>(
-      static_cast<double>(timeLeft(readClock()).count()) * ReservePart));
+  const milliseconds Limit = std::min(ReserveLimit, timeLeft(readClock()));
   History =
       Context.History.reserve(std::move(Reservation), Limit,
                               [Weak = weak_from_this()](reserve_result Result) {
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -192,6 +192,16 @@
   return *Link;
 }
 
+bool history_client::available(instant Now) {
+  if (!ready())
+    return false;
+  const quorum_round Round = beginRound(Set);
+  std::size_t Answering = 0;
+  for (const replica_slot &Slot : Set.Slots)
+    Answering += link(Slot.Address).suspect(Now) ? 0 : 1;
+  return Answering >= Round.Needed;
+}
+
 void history_client::setReplicas(const replica_set &Given, const char *Source) {
   const bool Newer = Given.Version > Set.Version;
   if (!Newer)
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -67,6 +67,10 @@
   bool ready() const { return Set.Established; }
   const replica_set &replicas() const { return Set; }
 
+  /// \param Now the present time.
+  /// \returns whether enough replicas seem to answer.
+  bool available(instant Now);
+
   /// Called when a replica knows a newer set but can't tell it.
   void onSetOutdated(std::function<void()> Handler) {
     OnSetOutdated = std::move(Handler);
--- a/src/history/history_link.cpp
+++ b/src/history/history_link.cpp
@@ -14,6 +14,9 @@
 /// 20 ms; this is far above it and below what a caller waits for a first event.
 constexpr milliseconds FirstSilenceLimit{500};
 constexpr milliseconds MaxSilenceLimit{4'000};
+/// A replica that has not answered for this long is suspected: twenty times
+/// the usual time, and a quarter of a caller's objective.
+constexpr milliseconds SuspectAge{250};
 /// Pause before a new connection; a restarted process is back in about 300 ms.
 constexpr milliseconds ReconnectDelay{100};
 
@@ -28,6 +31,8 @@
   Request.Sequence = Sequence;
   std::string Frame = encodeMessage(Request);
   const bool WasIdle = Outstanding.empty();
+  if (WaitingSince.Steady.count() == 0)
+    WaitingSince = readClock();
   OutstandingBytes += Frame.size();
   Outstanding[Sequence] = {Frame, std::move(OnReply)};
   while (OutstandingBytes > MaxOutstandingBytes && Outstanding.size() > 1)
@@ -115,6 +120,7 @@
 
 void history_link::onBytes(std::string_view Bytes) {
   HeardSinceCheck = true;
+  WaitingSince = {};
   SilenceLimit = FirstSilenceLimit;
   Frames.add(Bytes);
   try {
@@ -132,6 +138,19 @@
   } catch (const std::runtime_error &Error) {
     loseConnection(Error.what());
   }
+  if (!Outstanding.empty())
+    WaitingSince = readClock();
+}
+
+bool history_link::suspect(instant Now) {
+  const bool Waiting = WaitingSince.Steady.count() != 0;
+  if (!Waiting || Now.Steady - WaitingSince.Steady < SuspectAge)
+    return false;
+  if (!Probing) {
+    Probing = true;
+    send({}, [this](const replica_reply &) { Probing = false; });
+  }
+  return true;
 }
 
 void history_link::checkSilence() {
--- a/src/history/history_link.h
+++ b/src/history/history_link.h
@@ -43,6 +43,11 @@
   bool connected() const { return Stream && Stream->connected(); }
   std::size_t outstanding() const { return Outstanding.size(); }
 
+  /// \param Now the present time.
+  /// \returns whether the replica has left a request unanswered for longer
+  /// than it usually takes. A probe then finds out when it is back.
+  bool suspect(instant Now);
+
 private:
   /// A request that is not answered yet.
   struct pending_request {
@@ -74,6 +79,9 @@
   /// is not asked the same over and over.
   std::chrono::milliseconds SilenceLimit;
   bool HeardSinceCheck = false;
+  bool Probing = false;
+  /// Since when requests wait without a sign of the replica; zero if none do.
+  instant WaitingSince{};
   bool EverConnected = false;
   bool Closed = false;
 };
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -286,9 +286,8 @@
   }
 }
 
-std::vector<replica_change> relocateRecords(replica_state &State,
-                                            segment_number From,
-                                            segment_number To) {
+std::vector<replica_change>
+relocateRecords(replica_state &State, segment_number From, segment_number To) {
   std::vector<replica_change> Changes;
   const auto move = [&](segment_number &Segment) {
     --State.Live[Segment];
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -135,9 +135,8 @@
 /// \param From the segment to empty.
 /// \param To the segment that will hold them.
 /// \returns the records to sync there before the other one is deleted.
-std::vector<replica_change> relocateRecords(replica_state &State,
-                                            segment_number From,
-                                            segment_number To);
+std::vector<replica_change>
+relocateRecords(replica_state &State, segment_number From, segment_number To);
 
 /// \param State the replica.
 /// \param Active the segment that is being written.
