Reach the history over other instances, and start without the store

After a loss of power while the store was away nobody knew a configuration until it returned (465 refusals). Change: instances greet the replicas, learn each other's relay address from them and pass requests on for who is cut off.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -1,6 +1,7 @@
 #include "edge/edge.h"
 
 #include "forward/caller_connection.h"
+#include "history/relay_server.h"
 #include "log/log.h"
 #include "net/address.h"
 #include "net/text_server.h"
@@ -30,6 +31,13 @@
 constexpr std::size_t ChainMemoryDivisor = 10;
 /// The replica set rarely changes, and replicas tell of newer sets themselves.
 constexpr milliseconds ReplicaSetWait{20'000};
+/// Port on which requests for the history are passed on, counted from the
+/// first of the free ones, which serves metrics.
+constexpr std::uint16_t RelayPortOffset = 1;
+/// Pause between greetings of the replicas.
+constexpr seconds GreetInterval{3};
+/// Time that the store has to answer before the replicas are asked instead.
+constexpr milliseconds BackupDelay{400};
 /// Changes of the registry within this time are taken together.
 constexpr milliseconds RegistryGap{100};
 
@@ -47,7 +55,9 @@
         MetricsServer(
             Loop, metricsAddress(),
             [this](const http_request_head &) { return renderMetrics(); }),
-        Signals(Loop, SIGTERM, SIGINT, SIGHUP), Sweep(Loop), DrainTimer(Loop) {
+        Relay(Loop, relayEndpoint(), History),
+        Signals(Loop, SIGTERM, SIGINT, SIGHUP), Sweep(Loop), GreetTimer(Loop),
+        BackupTimer(Loop), DrainTimer(Loop) {
     Context.MaxBodyBytes = Settings.MemoryBytes / BodyMemoryDivisor;
   }
 
@@ -58,6 +68,8 @@
     accept();
     waitForSignal();
     sweep();
+    greet();
+    askForBackups();
     Loop.run();
     return 0;
   }
@@ -67,6 +79,64 @@
     return {asio::ip::make_address(Settings.Address), Settings.FirstPort};
   }
 
+  asio::ip::tcp::endpoint relayEndpoint() const {
+    return {asio::ip::make_address(Settings.Address),
+            static_cast<std::uint16_t>(Settings.FirstPort + RelayPortOffset)};
+  }
+
+  void greet() {
+    History.greet(Settings.Address + ":" +
+                  std::to_string(relayEndpoint().port()));
+    GreetTimer.expires_after(GreetInterval);
+    GreetTimer.async_wait([this](const asio::error_code &) { greet(); });
+  }
+
+  /// While the store is away, a process that has just started learns from the
+  /// replicas what they saw there last.
+  void askForBackups() {
+    BackupTimer.expires_after(BackupDelay);
+    BackupTimer.async_wait([this](const asio::error_code &) {
+      if (Context.Routes && RunnersKnown && History.ready()) {
+        for (auto &[Address, Link] : SeedLinks)
+          Link->close();
+        SeedLinks.clear();
+        return;
+      }
+      for (const std::string &Seed : Settings.Seeds) {
+        auto &Link = SeedLinks[Seed];
+        if (!Link)
+          Link = std::make_shared<history_link>(Loop, Seed);
+        if (Link->outstanding() != 0)
+          continue;
+        replica_request Request;
+        Request.Operation = replica_operation::Backups;
+        Link->send(std::move(Request),
+                   [this](const replica_reply &Reply) { takeBackups(Reply); });
+      }
+      askForBackups();
+    });
+  }
+
+  void takeBackups(const replica_reply &Reply) {
+    for (const replica_set &Set : Reply.Set)
+      if (Set.Established)
+        History.setReplicas(Set, "replica");
+    for (const store_backup &Backup : Reply.Backups) {
+      std::vector<store_item> Items(Backup.Names.size());
+      for (std::size_t Index = 0; Index < Items.size(); ++Index) {
+        Items[Index].Name = Backup.Names[Index];
+        Items[Index].Spec = Backup.Specs.at(Index);
+      }
+      if (Backup.Kind == platform::ConfigKind)
+        for (const store_item &Item : Items)
+          takeConfig(Item, "replica");
+      // A list of the store itself, once there is one, is newer.
+      if (Backup.Kind == platform::RunnerKind && !RunnersKnown &&
+          !Items.empty())
+        takeRunners(Items, "replica");
+    }
+  }
+
   bool ready() {
     return !Context.Draining && Context.Routes && RunnersKnown &&
            History.available(readClock());
@@ -137,17 +207,17 @@
     store_watch::handlers Handlers;
     Handlers.OnList = [this](const std::vector<store_item> &Items) {
       for (const store_item &Item : Items)
-        takeConfig(Item);
+        takeConfig(Item, "store");
     };
     Handlers.OnEvent = [this](const store_event &Event) {
       if (!Event.Removed)
-        takeConfig(Event.Item);
+        takeConfig(Event.Item, "store");
     };
     Handlers.OnContact = [](bool) {};
     ConfigWatch->start(std::move(Handlers));
   }
 
-  void takeConfig(const store_item &Item) {
+  void takeConfig(const store_item &Item, const char *Source) {
     if (Item.Name != platform::ConfigName)
       return;
     auto Config = platform::decodeConfig(Item.Spec);
@@ -161,6 +231,7 @@
     logEvent(log_level::Info, "configuration_changed",
              {{"version", std::to_string(Config->Version)},
               {"revision", std::to_string(Item.Revision)},
+              {"source", Source},
               {"routes", std::to_string(Config->Routes.size())}});
     Context.Routes = std::make_shared<const route_table>(std::move(*Config));
     Context.ConfigTime = readClock();
@@ -173,7 +244,7 @@
                                                 platform::RunnerKind, Timing);
     store_watch::handlers Handlers;
     Handlers.OnList = [this](const std::vector<store_item> &Items) {
-      takeRunners(Items);
+      takeRunners(Items, "store");
     };
     Handlers.OnEvent = [this](const store_event &Event) {
       takeRunnerEvent(Event);
@@ -195,7 +266,7 @@
     return Settled.Steady > Now.Steady ? Settled : Now;
   }
 
-  void takeRunners(const std::vector<store_item> &Items) {
+  void takeRunners(const std::vector<store_item> &Items, const char *Source) {
     const instant Now = readClock();
     std::vector<runner_entry> Entries;
     for (const store_item &Item : Items)
@@ -209,6 +280,7 @@
     Context.RunnersTime = Now;
     logEvent(log_level::Info, "runners_listed",
              {{"entries", std::to_string(Items.size())},
+              {"source", Source},
               {"runners", std::to_string(Context.Runners.Runners.size())},
               {"missing", std::to_string(Context.Runners.Missing.size())}});
   }
@@ -372,12 +444,17 @@
   asio::ip::tcp::acceptor Callers;
   text_server Readiness;
   text_server MetricsServer;
+  relay_server Relay;
   asio::signal_set Signals;
   asio::steady_timer Sweep;
+  asio::steady_timer GreetTimer;
+  asio::steady_timer BackupTimer;
   asio::steady_timer DrainTimer;
   std::shared_ptr<store_watch> ConfigWatch;
   std::shared_ptr<store_watch> RunnerWatch;
   std::shared_ptr<store_watch> ReplicaWatch;
+  /// To replicas that are known without the store, while it is needed.
+  std::map<std::string, std::shared_ptr<history_link>> SeedLinks;
   std::set<std::shared_ptr<caller_connection>> Connections;
   instant RegistryReturned{}; ///< Zero if the registry was never away.
   bool RegistryAway = false;
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -2,6 +2,7 @@
 
 #include "log/log.h"
 
+#include <algorithm>
 #include <asio/steady_timer.hpp>
 
 namespace lentilhoist {
@@ -12,6 +13,12 @@
 /// old is asked again.
 constexpr milliseconds AskAgainDelay{150};
 
+/// Requests that wait for a replica beyond which it is not greeted as well.
+constexpr std::size_t MaxGreetBacklog = 4;
+
+/// Instances kept as relays; one would do, the others stand in for it.
+constexpr std::size_t MaxRelays = 3;
+
 /// How long a settlement is repeated; the attempt counts with its most after.
 constexpr milliseconds SettleLimit{10'000};
 
@@ -80,20 +87,33 @@
   instant Deadline{};
 
 private:
+  /// A request under way.
+  struct question {
+    std::size_t Slot;
+    std::string Address; ///< Of the replica, or of the relay.
+    std::uint64_t Sequence;
+  };
+
   void ask(std::size_t Slot) {
     const replica_slot &Replica = Client.Set.Slots[Slot];
     replica_request Message = Request;
     Message.SetVersion = Client.Set.Version;
     // Texts come from the nearest replica only; the others say what they know.
     Message.WantChain = Request.WantChain && Replica.Domain == Client.Domain;
-    history_link &Link = Client.link(Replica.Address);
+    history_link *Link = &Client.link(Replica.Address);
+    const instant Now = readClock();
+    if (Link->suspect(Now))
+      if (history_link *Relay = Client.relay(Now)) {
+        Message.Target = Replica.Address;
+        Link = Relay;
+      }
     const auto Sequence =
-        Link.send(std::move(Message),
-                  [Weak = weak_from_this(), Slot](replica_reply Reply) {
-                    if (const auto Self = Weak.lock())
-                      Self->onReply(Slot, std::move(Reply));
-                  });
-    Questions.emplace_back(Replica.Address, Sequence);
+        Link->send(std::move(Message),
+                   [Weak = weak_from_this(), Slot](replica_reply Reply) {
+                     if (const auto Self = Weak.lock())
+                       Self->onReply(Slot, std::move(Reply));
+                   });
+    Questions.push_back({Slot, Link->address(), Sequence});
   }
 
   void onReply(std::size_t Slot, replica_reply Reply) {
@@ -129,12 +149,23 @@
       ask(Slot);
     }
     for (std::size_t Slot = 0; Slot < Round.Answers.size(); ++Slot)
-      if (Round.Answers[Slot] &&
-          Round.Answers[Slot]->Status != replica_status::Done)
+      if (Round.Answers[Slot]
+              ? Round.Answers[Slot]->Status != replica_status::Done
+              : askedSuspect(Slot))
         ask(Slot);
     scheduleAgain();
   }
 
+  /// Whether a slot's replica was asked itself and is suspected now.
+  bool askedSuspect(std::size_t Slot) {
+    const std::string &Address = Client.Set.Slots[Slot].Address;
+    const auto Last =
+        std::find_if(Questions.rbegin(), Questions.rend(),
+                     [&](const question &Asked) { return Asked.Slot == Slot; });
+    return Last != Questions.rend() && Last->Address == Address &&
+           Client.link(Address).suspect(readClock());
+  }
+
   void finish(bool Decided) {
     if (Done)
       return;
@@ -147,10 +178,10 @@
   }
 
   void forgetQuestions() {
-    for (const auto &[Address, Sequence] : Questions)
-      if (const auto Link = Client.Links.find(Address);
-          Link != Client.Links.end())
-        Link->second->cancel(Sequence);
+    for (const question &Asked : Questions)
+      for (auto *Links : {&Client.Links, &Client.Relays})
+        if (const auto Link = Links->find(Asked.Address); Link != Links->end())
+          Link->second->cancel(Asked.Sequence);
     Questions.clear();
   }
 
@@ -167,7 +198,7 @@
   history_client &Client;
   replica_request Request;
   quorum_round Round;
-  std::vector<std::pair<std::string, std::uint64_t>> Questions;
+  std::vector<question> Questions;
   asio::steady_timer LimitTimer;
   asio::steady_timer AgainTimer;
   bool Done = false;
@@ -180,9 +211,11 @@
 history_client::~history_client() { close(); }
 
 void history_client::close() {
-  for (auto &[Address, Link] : Links)
-    Link->close();
-  Links.clear();
+  for (auto *Connections : {&Links, &Relays}) {
+    for (auto &[Address, Link] : *Connections)
+      Link->close();
+    Connections->clear();
+  }
 }
 
 history_link &history_client::link(const std::string &Address) {
@@ -199,7 +232,43 @@
   std::size_t Answering = 0;
   for (const replica_slot &Slot : Set.Slots)
     Answering += link(Slot.Address).suspect(Now) ? 0 : 1;
-  return Answering >= Round.Needed;
+  return Answering >= Round.Needed || relay(Now) != nullptr;
+}
+
+history_link *history_client::relay(instant Now) {
+  for (auto &[Address, Link] : Relays)
+    if (Link->connected() && !Link->suspect(Now))
+      return Link.get();
+  return nullptr;
+}
+
+void history_client::greet(const std::string &RelayAddress) {
+  for (const replica_slot &Slot : Set.Slots) {
+    history_link &Replica = link(Slot.Address);
+    if (Replica.outstanding() > MaxGreetBacklog)
+      continue;
+    replica_request Ping;
+    Ping.SetVersion = Set.Version;
+    Ping.RelayAddress = RelayAddress;
+    Replica.send(
+        std::move(Ping), [this, RelayAddress](const replica_reply &Reply) {
+          for (const std::string &Address : Reply.Relays) {
+            if (Address == RelayAddress || Relays.contains(Address) ||
+                Relays.size() >= MaxRelays)
+              continue;
+            const auto Link = std::make_shared<history_link>(Loop, Address);
+            Relays[Address] = Link;
+            Link->open();
+          }
+        });
+  }
+  // Relays that have gone are learnt anew if they return.
+  std::erase_if(Relays, [](const auto &Item) {
+    const bool Gone = !Item.second->connected();
+    if (Gone)
+      Item.second->close();
+    return Gone;
+  });
 }
 
 void history_client::setReplicas(const replica_set &Given, const char *Source) {
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -101,6 +101,15 @@
   void settle(std::string Program, ledger_entry Entry,
               std::uint64_t RetentionMs);
 
+  /// Greets all replicas: keeps the connections under watch, tells where this
+  /// instance passes requests on, and learns where others do.
+  /// \param RelayAddress where this instance passes requests on.
+  void greet(const std::string &RelayAddress);
+
+  /// \param Address a replica.
+  /// \returns the connection to it.
+  history_link &link(const std::string &Address);
+
   /// Ends an operation without an answer.
   /// \param Operation the operation; null is allowed.
   void cancel(const operation_ptr &Operation);
@@ -111,7 +120,7 @@
 private:
   friend class operation;
 
-  history_link &link(const std::string &Address);
+  history_link *relay(instant Now);
   operation_ptr start(replica_request Request, milliseconds Limit,
                       std::function<bool(const quorum_round &, instant)> Enough,
                       std::function<void(const quorum_round *)> OnDone);
@@ -129,6 +138,8 @@
   std::string Domain;
   replica_set Set;
   std::map<std::string, std::shared_ptr<history_link>> Links;
+  /// Connections to instances that pass requests on.
+  std::map<std::string, std::shared_ptr<history_link>> Relays;
   std::list<std::weak_ptr<operation>> Active;
   std::function<void()> OnSetOutdated;
   chain_cache Chains;
--- a/src/history/history_link.h
+++ b/src/history/history_link.h
@@ -35,6 +35,12 @@
   /// \param Sequence the handle.
   void cancel(std::uint64_t Sequence);
 
+  /// Connects before there is a request.
+  void open() {
+    if (!Stream)
+      connect();
+  }
+
   /// Ends the connection for good.
   void close();
 
--- /dev/null
+++ b/src/history/relay_server.cpp
@@ -0,0 +1,72 @@
+#include "history/relay_server.h"
+
+#include "log/log.h"
+#include "net/address.h"
+
+#include <stdexcept>
+
+namespace lentilhoist {
+
+/// A connection of another instance.
+struct relay_server::peer {
+  std::shared_ptr<tcp_stream> Stream;
+  frame_reader Frames;
+};
+
+relay_server::relay_server(asio::io_context &GivenLoop,
+                           const asio::ip::tcp::endpoint &Address,
+                           history_client &GivenClient)
+    : Loop(GivenLoop), Acceptor(listenOn(GivenLoop, Address)),
+      Client(GivenClient) {
+  accept();
+}
+
+void relay_server::accept() {
+  Acceptor.async_accept([this](const asio::error_code &Error,
+                               asio::ip::tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    if (!Error) {
+      const auto Peer = std::make_shared<peer>();
+      Peer->Stream =
+          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+      tcp_stream::handlers Handlers;
+      // The handlers own the peer; the stream drops them when it ends.
+      Handlers.OnBytes = [this, Peer](std::string_view Bytes) {
+        onBytes(Peer, Bytes);
+      };
+      Peer->Stream->setHandlers(std::move(Handlers));
+      Peer->Stream->start();
+    }
+    accept();
+  });
+}
+
+void relay_server::onBytes(const std::shared_ptr<peer> &Peer,
+                           std::string_view Bytes) {
+  Peer->Frames.add(Bytes);
+  try {
+    while (const auto Frame = Peer->Frames.next()) {
+      replica_request Request = decodeReplicaRequest(*Frame);
+      const std::string Target = std::exchange(Request.Target, {});
+      if (!Client.replicas().find(Target)) {
+        logEvent(log_level::Info, "relay_refused", {{"target", Target}});
+        continue;
+      }
+      const std::uint64_t Sequence = Request.Sequence;
+      Client.link(Target).send(
+          std::move(Request),
+          [Sequence, Weak = std::weak_ptr<peer>(Peer)](replica_reply Reply) {
+            Reply.Sequence = Sequence;
+            if (const auto Self = Weak.lock())
+              Self->Stream->write(encodeMessage(Reply));
+          });
+    }
+  } catch (const std::runtime_error &Error) {
+    logEvent(log_level::Warning, "peer_message_unreadable",
+             {{"reason", Error.what()}});
+    Peer->Stream->close();
+  }
+}
+
+} // namespace lentilhoist
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -18,6 +18,7 @@
   Settle,  ///< Settle the tokens of an attempt that left no turn.
   Read,    ///< Read turns with the chains that lead to them.
   Copy,    ///< Read a part of all that the replica holds.
+  Backups, ///< Read what the replica keeps of the platform's store.
 };
 
 /// How a replica answered.
@@ -46,8 +47,14 @@
   std::vector<std::string> Turns; ///< Read: ids.
   std::uint64_t Cursor = 0;       ///< Copy: last position that arrived.
   std::vector<replica_set> Set;   ///< Copy: the set that the sender acts on.
+  /// Replica that an entry instance is to pass the request on to; empty if the
+  /// receiver is meant.
+  std::string Target;
+  /// Ping: where the sender passes on requests; empty if it does not.
+  std::string RelayAddress;
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
-                 Previous, WantChain, Turn, Turns, Cursor, Set)
+                 Previous, WantChain, Turn, Turns, Cursor, Set, Target,
+                 RelayAddress)
 };
 
 /// The tokens of one program, as a replica knows them.
@@ -58,6 +65,16 @@
   MSGPACK_DEFINE(Program, RetentionMs, Entries)
 };
 
+/// What a replica keeps of one kind of objects of the platform's store, for
+/// instances that start while the store is away.
+struct store_backup {
+  std::string Kind;
+  std::vector<std::string> Names; ///< Of the objects.
+  std::vector<std::string> Specs; ///< Their contents, in the same order.
+  MSGPACK_DEFINE(Kind, Names, Specs)
+  bool operator==(const store_backup &) const = default;
+};
+
 /// A replica's answer.
 struct replica_reply {
   std::uint64_t Sequence = 0;
@@ -69,9 +86,12 @@
   std::vector<program_ledger> Ledgers; ///< Copy.
   std::uint64_t Cursor = 0;            ///< Copy: position of the last item.
   std::uint64_t Head = 0;              ///< Copy: position of the newest item.
-  std::vector<replica_set> Set; ///< OldSet: the newer set, if it is known.
+  /// OldSet: the newer set, if it is known. Backups: the newest known.
+  std::vector<replica_set> Set;
+  std::vector<std::string> Relays;   ///< Ping: instances that pass on requests.
+  std::vector<store_backup> Backups; ///< Backups: all.
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
-                 Ledgers, Cursor, Head, Set)
+                 Ledgers, Cursor, Head, Set, Relays, Backups)
 };
 
 /// \param Message the message.
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -178,6 +178,9 @@
   case change_kind::Incomplete:
     State.Complete = false;
     return;
+  case change_kind::Backup:
+    State.Backups[Change.Backup.Kind] = Change.Backup;
+    return;
   }
 }
 
@@ -201,15 +204,28 @@
     applyChange(State, Change, Segment, Limits, Now);
     Outcome.Changes.push_back(std::move(Change));
   };
+  const auto recordSet = [&](const replica_set &Set) {
+    replica_change Change;
+    Change.Kind = change_kind::Set;
+    Change.Set = Set;
+    record(std::move(Change));
+  };
   for (const replica_set &Set : Request.Set)
     if (meetSet(State, Set))
-      record({change_kind::Set, {}, {}, 0, {}, Set});
+      recordSet(Set);
   if (Request.SetVersion > State.SetVersion) {
-    replica_change Change{change_kind::Set, {}, {}, 0, {}, {}};
-    Change.Set.Version = Request.SetVersion;
-    record(std::move(Change));
+    replica_set Unknown;
+    Unknown.Version = Request.SetVersion;
+    recordSet(Unknown);
   }
   Reply.SetVersion = State.SetVersion;
+  if (Request.Operation == replica_operation::Backups) {
+    for (const auto &[Kind, Backup] : State.Backups)
+      Reply.Backups.push_back(Backup);
+    if (State.Set.Version == State.SetVersion)
+      Reply.Set.push_back(State.Set);
+    return Outcome;
+  }
   if (Request.SetVersion < State.SetVersion) {
     Reply.Status = replica_status::OldSet;
     if (State.Set.Version == State.SetVersion)
@@ -226,6 +242,7 @@
   }
   switch (Request.Operation) {
   case replica_operation::Ping:
+  case replica_operation::Backups:
     break;
   case replica_operation::Reserve:
     answerReserve(State, Request, Reply);
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -17,6 +17,7 @@
   Set,        ///< The replica met a newer replica set.
   Complete,   ///< The replica holds all that was acknowledged before.
   Incomplete, ///< The replica may lack acknowledged records.
+  Backup,     ///< Objects of the platform's store, as last seen.
 };
 
 /// One journal record.
@@ -27,7 +28,8 @@
   std::uint64_t RetentionMs = 0;
   turn_record Turn;
   replica_set Set;
-  MSGPACK_DEFINE(Kind, Program, Entry, RetentionMs, Turn, Set)
+  store_backup Backup;
+  MSGPACK_DEFINE(Kind, Program, Entry, RetentionMs, Turn, Set, Backup)
 };
 
 /// Number of the journal segment that holds a record.
@@ -75,6 +77,7 @@
   std::map<std::uint64_t, std::pair<std::string, std::string>> Order;
   std::uint64_t LastPosition = 0;
   std::map<segment_number, std::uint64_t> Live; ///< Records by segment.
+  std::map<std::string, store_backup> Backups;  ///< By kind.
   std::size_t Bytes = 0;
 };
 
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -13,15 +13,16 @@
 #include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
-#include <fmt/format.h>
 
 namespace lentilhoist {
 
 namespace {
 
-/// Port of the replica, counted from the first of the free ones; the first one
-/// serves metrics.
-constexpr std::uint16_t ReplicaPortOffset = 1;
+/// Changes of the registry are kept on disk no more often than this.
+constexpr milliseconds BackupInterval{300};
+/// An entry instance that has not greeted for this long is no relay any more;
+/// they greet every three seconds.
+constexpr seconds RelayLifetime{10};
 /// Pause between looks at the membership.
 constexpr milliseconds MembershipInterval{300};
 /// A replica that was not reached for this long may be replaced; a restarted
@@ -35,6 +36,9 @@
 constexpr double RecordMemoryPart = 0.7;
 /// The replica set changes rarely, but a lost one should be seen soon.
 constexpr milliseconds SetWait{5'000};
+/// A copy may lag by seconds; the wait only bounds how long a silent connection
+/// goes unseen.
+constexpr milliseconds BackupWait{10'000};
 /// Orders to empty an instance may take seconds to be carried out.
 constexpr milliseconds RetirementWait{2'000};
 constexpr const char *SetName = "main";
@@ -50,8 +54,7 @@
 public:
   replica(instance_settings Given, std::string Path)
       : Settings(std::move(Given)), SettingsPath(std::move(Path)),
-        Address(fmt::format("{}:{}", Settings.Address,
-                            Settings.FirstPort + ReplicaPortOffset)),
+        Address(Settings.ReplicaAddress),
         Store(Loop, Settings.DataFolder + "/history", Settings.DiskBytes,
               limits()),
         Peers(listenOn(Loop, *parseAddress(Address))),
@@ -67,6 +70,8 @@
     accept();
     watchSet();
     watchRetirements();
+    ConfigWatch = backUp(platform::ConfigKind);
+    RunnerWatch = backUp(platform::RunnerKind);
     waitForSignal();
     scheduleMembership();
     scheduleExpiry();
@@ -127,13 +132,21 @@
         const instant Start = readClock();
         const replica_request Request = decodeReplicaRequest(*Frame);
         Metrics.count("lentilhoist_replica_requests_total");
-        Store.handle(Request, [this, Start, Weak = std::weak_ptr<peer>(Peer)](
-                                  const replica_reply &Reply) {
-          Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
-                          readClock().Steady - Start.Steady);
-          if (const auto Self = Weak.lock())
-            Self->Stream->write(encodeMessage(Reply));
-        });
+        const bool Greeting = Request.Operation == replica_operation::Ping &&
+                              !Request.RelayAddress.empty();
+        if (Greeting)
+          Relays[Request.RelayAddress] = Start;
+        Store.handle(Request,
+                     [this, Start, Greeting,
+                      Weak = std::weak_ptr<peer>(Peer)](replica_reply Reply) {
+                       Metrics.observe("lentilhoist_replica_answer_seconds", "",
+                                       "", readClock().Steady - Start.Steady);
+                       if (Greeting)
+                         for (const auto &[Relay, Greeted] : Relays)
+                           Reply.Relays.push_back(Relay);
+                       if (const auto Self = Weak.lock())
+                         Self->Stream->write(encodeMessage(Reply));
+                     });
       }
     } catch (const std::runtime_error &Error) {
       logEvent(log_level::Warning, "peer_message_unreadable",
@@ -199,6 +212,49 @@
                        });
   }
 
+  /// Keeps a copy of what entry instances need to start while the store is
+  /// away. It may lag: reads that may be old cost a tenth.
+  std::shared_ptr<store_watch> backUp(const char *Kind) {
+    watch_settings Timing;
+    Timing.Wait = BackupWait;
+    Timing.MinGap = BackupInterval;
+    Timing.MayBeOld = true;
+    auto Watch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
+                                               Kind, Timing);
+    store_watch::handlers Handlers;
+    Handlers.OnList = [this, Kind](const std::vector<store_item> &Items) {
+      auto &Objects = Backups[Kind];
+      Objects.clear();
+      for (const store_item &Item : Items)
+        Objects[Item.Name] = Item.Spec;
+    };
+    Handlers.OnEvent = [this, Kind](const store_event &Event) {
+      if (Event.Removed)
+        Backups[Kind].erase(Event.Item.Name);
+      else
+        Backups[Kind][Event.Item.Name] = Event.Item.Spec;
+    };
+    Handlers.OnContact = [](bool) {};
+    Watch->start(std::move(Handlers));
+    return Watch;
+  }
+
+  void storeBackups() {
+    for (const auto &[Kind, Objects] : Backups) {
+      replica_change Change;
+      Change.Kind = change_kind::Backup;
+      Change.Backup.Kind = Kind;
+      for (const auto &[Name, Spec] : Objects) {
+        Change.Backup.Names.push_back(Name);
+        Change.Backup.Specs.push_back(Spec);
+      }
+      const auto Known = Store.state().Backups.find(Kind);
+      if (Known == Store.state().Backups.end() ||
+          !(Known->second == Change.Backup))
+        Store.apply(Change, [](bool) {});
+    }
+  }
+
   void watchRetirements() {
     watch_settings Timing;
     Timing.Wait = RetirementWait;
@@ -226,6 +282,7 @@
     MembershipTimer.expires_after(MembershipInterval);
     MembershipTimer.async_wait([this](const asio::error_code &) {
       decide();
+      storeBackups();
       scheduleMembership();
     });
   }
@@ -444,6 +501,10 @@
     ExpiryTimer.expires_after(ExpiryInterval);
     ExpiryTimer.async_wait([this](const asio::error_code &) {
       Store.expire();
+      const auto Oldest = readClock().Steady - RelayLifetime;
+      std::erase_if(Relays, [&](const auto &Relay) {
+        return Relay.second.Steady < Oldest;
+      });
       scheduleExpiry();
     });
   }
@@ -477,6 +538,11 @@
   asio::steady_timer ExpiryTimer;
   std::shared_ptr<store_watch> SetWatch;
   std::shared_ptr<store_watch> RetirementWatch;
+  std::shared_ptr<store_watch> ConfigWatch;
+  std::shared_ptr<store_watch> RunnerWatch;
+  /// Objects by kind and name, as last seen in the store.
+  std::map<std::string, std::map<std::string, std::string>> Backups;
+  std::map<std::string, instant> Relays; ///< By address, when they greeted.
 
   std::optional<replica_set> Set;
   std::int64_t SetRevision = 0;
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -40,7 +40,14 @@
   Set.Kind = change_kind::Set;
   Set.Set = State.Set;
   Set.Set.Version = State.SetVersion;
-  return encodeRecord(Completeness) + encodeRecord(Set);
+  std::string Header = encodeRecord(Completeness) + encodeRecord(Set);
+  for (const auto &[Kind, Backup] : State.Backups) {
+    replica_change Change;
+    Change.Kind = change_kind::Backup;
+    Change.Backup = Backup;
+    Header += encodeRecord(Change);
+  }
+  return Header;
 }
 
 void replica_store::beginSegment() {
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -4,16 +4,29 @@
 
 namespace lentilhoist {
 
+namespace {
+
+std::string quoteAll(const std::vector<std::string> &Texts) {
+  std::string Out;
+  for (const std::string &Text : Texts)
+    Out += fmt::format("{}\"{}\"", Out.empty() ? "" : ", ", Text);
+  return Out;
+}
+
+} // namespace
+
 std::string describeInstanceSettings(const instance_settings &Settings) {
   return fmt::format(
       "name = \"{}\"\ndomain = \"{}\"\naddress = \"{}\"\n"
       "caller_address = \"{}\"\nreadiness_address = \"{}\"\n"
-      "first_port = {}\nlast_port = {}\nstore_address = \"{}\"\n"
+      "replica_address = \"{}\"\nseeds = [{}]\nfirst_port = {}\nlast_port = "
+      "{}\nstore_address = \"{}\"\n"
       "data_folder = \"{}\"\nfirst_start = {}\ndisks_lost = {}\n"
       "memory_bytes = {}\ndisk_bytes = {}\ngrace_time = \"{}ms\"\n"
       "registry_return_time = \"{}ms\"\n",
       Settings.Name, Settings.Domain, Settings.Address, Settings.CallerAddress,
-      Settings.ReadinessAddress, Settings.FirstPort, Settings.LastPort,
+      Settings.ReadinessAddress, Settings.ReplicaAddress,
+      quoteAll(Settings.Seeds), Settings.FirstPort, Settings.LastPort,
       Settings.StoreAddress, Settings.DataFolder, Settings.FirstStart,
       Settings.DisksLost, Settings.MemoryBytes, Settings.DiskBytes,
       Settings.GraceTime.count(), Settings.RegistryReturnTime.count());
--- a/src/settings/instance_settings.h
+++ b/src/settings/instance_settings.h
@@ -14,7 +14,10 @@
   std::string Address;          ///< IP number of the machine.
   std::string CallerAddress;    ///< IP:PORT for callers; empty if not served.
   std::string ReadinessAddress; ///< IP:PORT for readiness; empty if none.
-  std::uint16_t FirstPort = 0;  ///< First port free for the system's own use.
+  std::string ReplicaAddress;   ///< IP:PORT for requests of the history.
+  /// Addresses of replicas that are known without the store; may be stale.
+  std::vector<std::string> Seeds;
+  std::uint16_t FirstPort = 0; ///< First port free for the system's own use.
   std::uint16_t LastPort = 0;
   std::string StoreAddress;    ///< IP:PORT of the platform's store.
   std::string DataFolder;      ///< Folder on a disk; empty if there is none.
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -46,7 +46,8 @@
 }
 
 void store_watch::list(const std::string &After) {
-  Client->call(platform::listCall(Kind, After), Settings.ListLimit,
+  Client->call(platform::listCall(Kind, After, Settings.MayBeOld),
+               Settings.ListLimit,
                [Weak = weak_from_this(), After](const store_answer &Answer) {
                  const auto Self = Weak.lock();
                  if (!Self || Self->Stopped)
@@ -78,32 +79,32 @@
 }
 
 void store_watch::watch() {
-  Client->call(platform::watchCall(Kind, Revision, Settings.Wait),
-               Settings.Wait + Settings.AnswerSlack,
-               [Weak = weak_from_this()](const store_answer &Answer) {
-                 const auto Self = Weak.lock();
-                 if (!Self || Self->Stopped)
-                   return;
-                 if (Answer.Status == store_status::HistoryGone) {
-                   Self->Listed = false;
-                   Self->next();
-                   return;
-                 }
-                 const auto Events = Answer.Status == store_status::Done
-                                         ? platform::decodeEvents(Answer.Body)
-                                         : std::nullopt;
-                 if (!Events) {
-                   Self->onFailure(Answer.Status);
-                   return;
-                 }
-                 Self->Revision = std::max(Self->Revision, Events->Revision);
-                 Self->onSuccess();
-                 for (const store_event &Event : Events->Events)
-                   Self->Handlers.OnEvent(Event);
-                 Self->scheduleNext(Events->Events.empty()
-                                        ? milliseconds(0)
-                                        : Self->Settings.MinGap);
-               });
+  Client->call(
+      platform::watchCall(Kind, Revision, Settings.Wait, Settings.MayBeOld),
+      Settings.Wait + Settings.AnswerSlack,
+      [Weak = weak_from_this()](const store_answer &Answer) {
+        const auto Self = Weak.lock();
+        if (!Self || Self->Stopped)
+          return;
+        if (Answer.Status == store_status::HistoryGone) {
+          Self->Listed = false;
+          Self->next();
+          return;
+        }
+        const auto Events = Answer.Status == store_status::Done
+                                ? platform::decodeEvents(Answer.Body)
+                                : std::nullopt;
+        if (!Events) {
+          Self->onFailure(Answer.Status);
+          return;
+        }
+        Self->Revision = std::max(Self->Revision, Events->Revision);
+        Self->onSuccess();
+        for (const store_event &Event : Events->Events)
+          Self->Handlers.OnEvent(Event);
+        Self->scheduleNext(Events->Events.empty() ? milliseconds(0)
+                                                  : Self->Settings.MinGap);
+      });
 }
 
 void store_watch::onSuccess() {
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -17,6 +17,7 @@
   milliseconds Wait{2'000};        ///< How long the store may hold a call.
   milliseconds AnswerSlack{600};   ///< Longest delay beyond the wait.
   milliseconds ListLimit{1'500};   ///< Longest wait for a list.
+  bool MayBeOld = false;           ///< Cheap reads that may lag by seconds.
   milliseconds MinGap{0};          ///< Least pause between calls, to batch.
   milliseconds MinRetryDelay{100}; ///< First pause after a failure.
   milliseconds MaxRetryDelay{800}; ///< Longest pause after failures.
