Let relays say that they reach no replica, and write logs in small pieces

Cause: two instances that were cut off relayed over each other (p90 of a reservation 140 ms there); one log line in a hundred was spoilt on a busy instance, because a batch went into one write. Change: a relay whose own connection is suspected answers so at once and is avoided for a second; a write has at most 4 KiB.

--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -16,6 +16,9 @@
 /// Requests that wait for a replica beyond which it is not greeted as well.
 constexpr std::size_t MaxGreetBacklog = 4;
 
+/// How long a relay that reaches no replica itself is not asked.
+constexpr milliseconds AvoidRelayTime{1'000};
+
 /// Instances kept as relays; one would do, the others stand in for it.
 constexpr std::size_t MaxRelays = 3;
 
@@ -107,15 +110,26 @@
         Message.Target = Replica.Address;
         Link = Relay;
       }
-    const auto Sequence =
-        Link->send(std::move(Message),
-                   [Weak = weak_from_this(), Slot](replica_reply Reply) {
-                     if (const auto Self = Weak.lock())
-                       Self->onReply(Slot, std::move(Reply));
-                   });
+    const auto Sequence = Link->send(
+        std::move(Message), [Weak = weak_from_this(), Slot,
+                             Asked = Link->address()](replica_reply Reply) {
+          const auto Self = Weak.lock();
+          if (!Self)
+            return;
+          if (Reply.Status == replica_status::Unreachable)
+            Self->onUnreachable(Slot, Asked);
+          else
+            Self->onReply(Slot, std::move(Reply));
+        });
     Questions.push_back({Slot, Link->address(), Sequence});
   }
 
+  void onUnreachable(std::size_t Slot, const std::string &Relay) {
+    Client.AvoidedRelays[Relay] = later(readClock(), AvoidRelayTime);
+    if (!Done && Slot < Client.Set.Slots.size())
+      ask(Slot);
+  }
+
   void onReply(std::size_t Slot, replica_reply Reply) {
     if (Done || Slot >= Round.Answers.size())
       return;
@@ -236,9 +250,13 @@
 }
 
 history_link *history_client::relay(instant Now) {
-  for (auto &[Address, Link] : Relays)
-    if (Link->connected() && !Link->suspect(Now))
+  for (auto &[Address, Link] : Relays) {
+    const auto Avoided = AvoidedRelays.find(Address);
+    const bool Avoid =
+        Avoided != AvoidedRelays.end() && Avoided->second.Steady > Now.Steady;
+    if (!Avoid && Link->connected() && !Link->suspect(Now))
       return Link.get();
+  }
   return nullptr;
 }
 
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -140,6 +140,7 @@
   std::map<std::string, std::shared_ptr<history_link>> Links;
   /// Connections to instances that pass requests on.
   std::map<std::string, std::shared_ptr<history_link>> Relays;
+  std::map<std::string, instant> AvoidedRelays; ///< And until when.
   std::list<std::weak_ptr<operation>> Active;
   std::function<void()> OnSetOutdated;
   chain_cache Chains;
--- a/src/history/relay_server.cpp
+++ b/src/history/relay_server.cpp
@@ -49,11 +49,17 @@
     while (const auto Frame = Peer->Frames.next()) {
       replica_request Request = decodeReplicaRequest(*Frame);
       const std::string Target = std::exchange(Request.Target, {});
-      if (!Client.replicas().find(Target)) {
-        logEvent(log_level::Info, "relay_refused", {{"target", Target}});
+      const std::uint64_t Sequence = Request.Sequence;
+      // Without a target it is a probe of this instance itself.
+      const bool Known = Client.replicas().find(Target).has_value();
+      if (!Known || Client.link(Target).suspect(readClock())) {
+        replica_reply Reply;
+        Reply.Sequence = Sequence;
+        if (!Target.empty())
+          Reply.Status = replica_status::Unreachable;
+        Peer->Stream->write(encodeMessage(Reply));
         continue;
       }
-      const std::uint64_t Sequence = Request.Sequence;
       Client.link(Target).send(
           std::move(Request),
           [Sequence, Weak = std::weak_ptr<peer>(Peer)](replica_reply Reply) {
--- a/src/history/replica_message.cpp
+++ b/src/history/replica_message.cpp
@@ -37,6 +37,8 @@
     return "old_set";
   case replica_status::Refused:
     return "refused";
+  case replica_status::Unreachable:
+    return "unreachable";
   }
   return "unknown";
 }
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -24,9 +24,10 @@
 /// How a replica answered.
 enum class replica_status {
   Done,
-  Incomplete, ///< Stored, but the replica may lack acknowledged records.
-  OldSet,     ///< The request names an older replica set; nothing was done.
-  Refused,    ///< The disk failed or is full, or memory is.
+  Incomplete,  ///< Stored, but the replica may lack acknowledged records.
+  OldSet,      ///< The request names an older replica set; nothing was done.
+  Refused,     ///< The disk failed or is full, or memory is.
+  Unreachable, ///< From a relay: it does not reach the replica either.
 };
 
 /// \param Status the value to name.
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -3,14 +3,17 @@
 #include "core/bounded_ring.h"
 #include "core/instant.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
-#include <cstdio>
+#include <cerrno>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <poll.h>
 #include <thread>
+#include <unistd.h>
 
 namespace lentilhoist {
 
@@ -19,6 +22,8 @@
 constexpr std::size_t RingCapacity = 4'096;
 constexpr milliseconds DrainWait{500};
 constexpr milliseconds BatchTime{50};
+/// Writes up to this size reach a pipe whole (POSIX, PIPE_BUF).
+constexpr std::size_t MaxWriteBytes = 4'096;
 constexpr std::array<std::string_view, 4> LevelNames{"debug", "info", "warning",
                                                      "error"};
 
@@ -37,10 +42,23 @@
   return State;
 }
 
-void writeText(const std::string &Text) {
-  // A reader that is gone must not end the process; there is nobody to tell.
-  (void)std::fwrite(Text.data(), 1, Text.size(), stdout);
-  (void)std::fflush(stdout);
+/// Writes all of the text, also to a pipe whose reader is slow: only this
+/// thread waits, and the ring drops what comes meanwhile.
+void writeText(std::string_view Text) {
+  while (!Text.empty()) {
+    const ssize_t Length = ::write(STDOUT_FILENO, Text.data(),
+                                   std::min(Text.size(), MaxWriteBytes));
+    if (Length > 0) {
+      Text.remove_prefix(static_cast<std::size_t>(Length));
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN && errno != EWOULDBLOCK)
+      return; // A reader that is gone leaves nobody to tell.
+    pollfd Output{STDOUT_FILENO, POLLOUT, 0};
+    ::poll(&Output, 1, static_cast<int>(DrainWait.count()));
+  }
 }
 
 void runWriter(log_state &State) {
