--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -10,11 +10,11 @@
 
 namespace lentilhoist {
 
-/// Timing of a watch. Each call is priced, a waiting one as one; a connection
-/// may go silent without a reset, so that the wait bounds how late a change is
-/// learnt.
+/// Timing of a watch. Each call is priced, a waiting one as one. A connection
+/// that goes silent without a reset is found by the probes of its socket, so
+/// that waits may be long.
 struct watch_settings {
-  milliseconds Wait{2'000};        ///< How long the store may hold a call.
+  milliseconds Wait{10'000};       ///< How long the store may hold a call.
   milliseconds AnswerSlack{600};   ///< Longest delay beyond the wait.
   milliseconds ListLimit{1'500};   ///< Longest wait for a list.
   bool MayBeOld = false;           ///< Cheap reads that may lag by seconds.
