--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -45,8 +45,9 @@
   const int Timeout = static_cast<int>(Settings.UserTimeout.count());
   Socket.set_option(keep_idle_option(Interval), Ignored);
   Socket.set_option(keep_interval_option(Interval), Ignored);
-  Socket.set_option(keep_count_option(std::max(1, Timeout / 1000 / Interval)),
-                    Ignored);
+  // The first probe goes out after one interval, so one fewer is left.
+  Socket.set_option(
+      keep_count_option(std::max(1, Timeout / 1000 / Interval - 1)), Ignored);
   Socket.set_option(user_timeout_option(Timeout), Ignored);
 }
 
