Show the new daemons to operators: status pages and subcommands

Cause: lentilhoistctl knew only the daemon with its own interface. Change: the metrics address of the new daemons also serves /status and /runners; lentilhoistctl has entry, engines, replica and metrics.

--- a/bin/lentilhoistctl.cpp
+++ b/bin/lentilhoistctl.cpp
@@ -67,7 +67,28 @@
   return Answer->body;
 }
 
+/// Reads a page of a daemon that serves no methods.
+void showPage(const ctl_command &Command) {
+  const http_timeouts Timeouts{std::chrono::milliseconds(2'000),
+                               std::chrono::milliseconds(5'000),
+                               std::chrono::milliseconds(2'000)};
+  const auto Client = makeHttpClient(parseEndpoint(FLAGS_address), Timeouts);
+  const auto Answer = Client->Get(std::string(Command.Page));
+  if (!Answer)
+    throw no_answer(fmt::format("{} does not answer: {}", FLAGS_address,
+                                httplib::to_string(Answer.error())));
+  const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
+  if (FLAGS_json || Json.is_discarded())
+    fmt::print("{}", Answer->body);
+  else
+    fmt::print("{}", renderTable(Json));
+}
+
 void runCommand(const ctl_command &Command, nlohmann::json Parameters) {
+  if (!Command.Page.empty()) {
+    showPage(Command);
+    return;
+  }
   const std::string Token = readToken(FLAGS_token_file);
   if (Command.Changes)
     Parameters["by"] = FLAGS_by;
--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -67,6 +67,14 @@
       {"unknown", "unknown", "", "list side effects of unknown outcome"},
       {"resolve", "resolve", "program call outcome reason",
        "record an outcome (ran or not_run) with a reason", true},
+      {"entry", "", "", "show an entry daemon: readiness, configuration", false,
+       "/status"},
+      {"engines", "", "", "list the runners as an entry daemon sees them",
+       false, "/runners"},
+      {"replica", "", "", "show a history daemon: set, copy, records", false,
+       "/status"},
+      {"metrics", "", "", "print a daemon's counters and histograms", false,
+       "/metrics"},
   };
   return Commands;
 }
--- a/src/ctl/command_table.h
+++ b/src/ctl/command_table.h
@@ -14,6 +14,8 @@
   std::string_view Parameters; ///< Names of its arguments, with blanks.
   std::string_view Help;       ///< What it does, in one line.
   bool Changes = false;        ///< Needs --by, and is logged.
+  /// Page of a daemon's metrics address that it reads; empty for a method.
+  std::string_view Page = {};
 };
 
 /// \returns all subcommands.
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -11,6 +11,7 @@
 
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <unistd.h>
 
@@ -54,7 +55,7 @@
                   [this](const http_request_head &) { return readiness(); }),
         MetricsServer(
             Loop, metricsAddress(),
-            [this](const http_request_head &) { return renderMetrics(); }),
+            [this](const http_request_head &Head) { return page(Head); }),
         Relay(Loop, relayEndpoint(), History),
         Signals(Loop, SIGTERM, SIGINT, SIGHUP), Sweep(Loop), GreetTimer(Loop),
         BackupTimer(Loop), DrainTimer(Loop) {
@@ -156,6 +157,61 @@
     return {Now ? 200 : 503, Now ? "ready\n" : "not ready\n"};
   }
 
+  text_answer page(const http_request_head &Head) {
+    if (Head.Target == "/status")
+      return {200, status().dump() + "\n"};
+    if (Head.Target == "/runners")
+      return {200, runners().dump() + "\n"};
+    return renderMetrics();
+  }
+
+  static std::int64_t ageMs(instant Then) {
+    return (readClock().Steady - Then.Steady).count() / 1000;
+  }
+
+  nlohmann::ordered_json status() {
+    nlohmann::ordered_json Json;
+    Json["instance"] = Settings.Name;
+    Json["domain"] = Settings.Domain;
+    Json["ready"] = ready();
+    Json["draining"] = Context.Draining;
+    Json["config_version"] =
+        Context.Routes ? Context.Routes->config().Version : -1;
+    Json["config_age_ms"] = Context.Routes ? ageMs(Context.ConfigTime) : -1;
+    Json["registry_age_ms"] = RunnersKnown ? ageMs(Context.RunnersTime) : -1;
+    Json["registry_away"] = RegistryAway;
+    Json["history_answers"] = History.available(readClock());
+    Json["replica_set_version"] = History.replicas().Version;
+    Json["replicas"] = nlohmann::ordered_json::array();
+    for (const replica_slot &Slot : History.replicas().Slots)
+      Json["replicas"].push_back(
+          {{"node", Slot.Node},
+           {"address", Slot.Address},
+           {"domain", Slot.Domain},
+           {"suspected", History.link(Slot.Address).suspect(readClock())}});
+    Json["active_requests"] = Context.ActiveRequests;
+    Json["caller_connections"] = Connections.size();
+    return Json;
+  }
+
+  nlohmann::ordered_json runners() {
+    const instant Now = readClock();
+    nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
+    for (const auto &[Id, Runner] : Context.Runners.Runners)
+      Rows.push_back(
+          {{"runner", Id},
+           {"service", Runner.Entry.Service},
+           {"address", Runner.Entry.Address},
+           {"domain", Runner.Entry.Domain},
+           {"draining", Runner.Entry.Draining},
+           {"slots", Runner.Entry.Slots},
+           {"outstanding", Runner.Outstanding},
+           {"load", static_cast<std::int64_t>(estimateLoad(Runner, Now))},
+           {"load_age_ms", Runner.Load ? ageMs(Runner.LoadTime) : -1},
+           {"failures_in_row", Runner.FailuresInRow}});
+    return {{"instance", Settings.Name}, {"runners", Rows}};
+  }
+
   text_answer renderMetrics() {
     Metrics.gauge("lentilhoist_active_requests",
                   static_cast<double>(Context.ActiveRequests));
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 namespace lentilhoist {
 
@@ -61,7 +62,11 @@
         MetricsServer(
             Loop,
             {asio::ip::make_address(Settings.Address), Settings.FirstPort},
-            [this](const http_request_head &) { return render(); }),
+            [this](const http_request_head &Head) {
+              return Head.Target == "/status"
+                         ? text_answer{200, status().dump() + "\n"}
+                         : render();
+            }),
         Client(std::make_shared<store_client>(Loop, Settings.StoreAddress)),
         Signals(Loop, SIGTERM, SIGINT, SIGHUP), MembershipTimer(Loop),
         ExpiryTimer(Loop) {}
@@ -87,6 +92,29 @@
     return Limits;
   }
 
+  nlohmann::ordered_json status() const {
+    const replica_state &State = Store.state();
+    nlohmann::ordered_json Json;
+    Json["instance"] = Settings.Name;
+    Json["address"] = Address;
+    Json["member"] = Set && Set->find(Address).has_value();
+    Json["complete"] = State.Complete;
+    Json["replica_set_version"] = State.SetVersion;
+    Json["turns"] = State.Turns.size();
+    Json["programs"] = State.Ledgers.size();
+    Json["record_bytes"] = State.Bytes;
+    Json["segments"] = State.Live.size();
+    Json["sources_copied"] = Progress.Copied.size();
+    Json["replicas"] = nlohmann::ordered_json::array();
+    if (Set)
+      for (const replica_slot &Slot : Set->Slots)
+        Json["replicas"].push_back({{"node", Slot.Node},
+                                    {"address", Slot.Address},
+                                    {"domain", Slot.Domain},
+                                    {"former", Slot.Former}});
+    return Json;
+  }
+
   text_answer render() {
     const replica_state &State = Store.state();
     Metrics.gauge("lentilhoist_replica_turns",
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -40,3 +40,14 @@
   for (const ctl_command &Command : ctlCommands())
     CHECK(completionScript().find(Command.Name) != std::string::npos);
 }
+
+TEST_CASE("commands for the platform's daemons read pages") {
+  for (const char *Name : {"entry", "engines", "replica", "metrics"}) {
+    INFO(Name);
+    const ctl_command *Command = findCommand(Name);
+    REQUIRE(Command != nullptr);
+    CHECK(Command->Page.starts_with("/"));
+    CHECK_FALSE(Command->Changes);
+  }
+  CHECK(findCommand("status")->Page.empty());
+}
