Bound each connect at 250 ms, in one place

Cause: after a loss of power of all, a connection whose first packet met a dark replica came again only after a second; 19 turns were refused for it. Change: tcp_stream ends an attempt to connect; the exchange's own timer for it goes.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -14,9 +14,6 @@
 
 using std::chrono::duration_cast;
 
-/// Longest time to establish a connection to a runner; two crossings between
-/// failure domains take 11 ms, and a lost first packet comes again after 1 s.
-constexpr milliseconds ConnectLimit{400};
 /// Pause before a request that found no runner with room is placed again.
 constexpr milliseconds HoldStep{30};
 /// Part of the caller's time for which a request is held while all runners
@@ -298,19 +295,11 @@
   }
   Context.Metrics.count("lentilhoist_runner_connections_total");
   Stage = stage::Connecting;
-  StepTimer.expires_after(ConnectLimit);
-  StepTimer.async_wait([Weak, Mine](const asio::error_code &Error) {
-    const auto Self = Weak.lock();
-    if (Self && !Error && Self->Stage == stage::Connecting &&
-        Self->Stream.get() == Mine)
-      Self->failSend(send_outcome::NotSent, "connect_timeout");
-  });
   // The address was checked when the entry was read.
   Stream->connect(*parseAddress(RunnerAddress));
 }
 
 void exchange::writeRequest() {
-  StepTimer.cancel();
   Stage = stage::Awaiting;
   const platform::runner_order Order{RunnerId, timeLeft(readClock())};
   std::string Bytes =
--- a/src/history/history_link.cpp
+++ b/src/history/history_link.cpp
@@ -160,7 +160,8 @@
     const auto Self = Weak.lock();
     if (!Self || Error || Self->Closed || Self->Outstanding.empty())
       return;
-    if (!Self->HeardSinceCheck) {
+    // While it connects, the connection has a limit of its own.
+    if (!Self->HeardSinceCheck && Self->connected()) {
       Self->SilenceLimit = std::min(Self->SilenceLimit * 2, MaxSilenceLimit);
       Self->loseConnection("silent");
     }
--- a/src/net/socket_settings.h
+++ b/src/net/socket_settings.h
@@ -10,6 +10,9 @@
   /// long. Below the three seconds after which a silent connection to the store
   /// excuses no late change any more.
   std::chrono::milliseconds UserTimeout{2'000};
+  /// Longest time to establish a connection. Two crossings between failure
+  /// domains take 11 ms; a lost first packet comes again only after a second.
+  std::chrono::milliseconds ConnectTimeout{250};
   /// Idle time before the first keep-alive probe, and between probes.
   std::chrono::seconds ProbeInterval{1};
 };
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <asio/buffer.hpp>
-#include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <netinet/tcp.h>
 
@@ -35,7 +34,8 @@
 
 tcp_stream::tcp_stream(asio::ip::tcp::socket Given,
                        const socket_settings &GivenSettings)
-    : Socket(std::move(Given)), Settings(GivenSettings) {}
+    : Socket(std::move(Given)), ConnectTimer(Socket.get_executor()),
+      Settings(GivenSettings) {}
 
 void tcp_stream::setOptions() {
   asio::error_code Ignored; // An option that is not granted costs only time.
@@ -56,6 +56,13 @@
   Socket.open(Target.protocol(), Error);
   if (!Error)
     setOptions();
+  ConnectTimer.expires_after(Settings.ConnectTimeout);
+  ConnectTimer.async_wait(
+      [Weak = weak_from_this()](const asio::error_code &Expired) {
+        const auto Self = Weak.lock();
+        if (Self && !Expired && !Self->Connected)
+          Self->end(stream_end::ConnectFailed);
+      });
   Socket.async_connect(
       Target, [Self = shared_from_this()](const asio::error_code &Failure) {
         if (Self->Closed)
@@ -65,6 +72,7 @@
           return;
         }
         Self->Connected = true;
+        Self->ConnectTimer.cancel();
         if (const auto Keep = Self->Handlers; Keep->OnConnected)
           Keep->OnConnected();
         if (Self->Closed)
@@ -207,6 +215,7 @@
     return;
   Closed = true;
   Connected = false;
+  ConnectTimer.cancel();
   asio::error_code Ignored; // Nothing is left to do about a failed close.
   Socket.close(Ignored);
   Handlers = std::make_shared<handlers>();
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -3,6 +3,7 @@
 #include "net/socket_settings.h"
 
 #include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -45,7 +46,7 @@
     Handlers = std::make_shared<handlers>(std::move(Given));
   }
 
-  /// Connects, then reads.
+  /// Connects within the settings' time, then reads.
   /// \param Target the peer.
   void connect(const asio::ip::tcp::endpoint &Target);
 
@@ -89,6 +90,7 @@
   void shutdownAfterWrites();
 
   asio::ip::tcp::socket Socket;
+  asio::steady_timer ConnectTimer;
   socket_settings Settings;
   /// Shared, so that a handler may close the connection that runs it.
   std::shared_ptr<handlers> Handlers = std::make_shared<handlers>();
