--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -19,9 +19,9 @@
 /// Part of the caller's time for which a request is held while all runners
 /// refuse; behind it the caller has time to come back to another instance.
 constexpr double HoldPart = 0.4;
-/// Longest wait for a reservation. It covers a restart of all replicas in part;
-/// an instance that alone is cut off from them must not hold its callers.
-constexpr milliseconds ReserveLimit{500};
+/// Longest wait for a reservation. It covers a restart of all replicas, which
+/// takes about a second: a refusal would use up one of the caller's few tries.
+constexpr milliseconds ReserveLimit{1'200};
 /// Answers of plain services above this size pass through unbuffered.
 constexpr std::size_t MaxBufferedAnswer = 256UL * 1024UL;
 /// Bytes waiting for a slow caller beyond which the runner is held back.
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -71,19 +71,19 @@
       takePosition(State, Change.Program, Change.Entry.Attempt, Segment);
 }
 
-void applyTurn(replica_state &State, const replica_change &Change,
-               segment_number Segment, const replica_limits &Limits,
-               instant Now) {
-  const turn_record &Turn = Change.Turn;
-  const auto [Found, Added] = State.Turns.try_emplace(Turn.Id);
+void applyTurn(replica_state &State, turn_record Turn, segment_number Segment,
+               const replica_limits &Limits, instant Now) {
+  const std::string Id = Turn.Id;
+  const instant Expiry = expiryOf(Turn.RetentionMs, Limits, Now);
+  const auto [Found, Added] = State.Turns.try_emplace(Id);
   if (Added) {
     held_turn &Held = Found->second;
-    Held.Record = Turn;
-    Held.Segment = Segment;
-    Held.Position = takePosition(State, Turn.Id, "", Segment);
     State.Bytes += sizeOf(Turn);
+    Held.Record = std::move(Turn);
+    Held.Segment = Segment;
+    Held.Position = takePosition(State, Id, "", Segment);
   }
-  extendChain(State, Turn.Id, expiryOf(Turn.RetentionMs, Limits, Now));
+  extendChain(State, Id, Expiry);
 }
 
 replica_change entryChange(const std::string &Program,
@@ -153,7 +153,7 @@
 
 } // namespace
 
-void applyChange(replica_state &State, const replica_change &Change,
+void applyChange(replica_state &State, replica_change Change,
                  segment_number Segment, const replica_limits &Limits,
                  instant Now) {
   switch (Change.Kind) {
@@ -166,7 +166,7 @@
         State,
         entryChange(Change.Turn.Program, Settled, Change.Turn.RetentionMs),
         Segment, Limits, Now);
-    applyTurn(State, Change, Segment, Limits, Now);
+    applyTurn(State, std::move(Change.Turn), Segment, Limits, Now);
     return;
   }
   case change_kind::Set:
@@ -179,7 +179,7 @@
     State.Complete = false;
     return;
   case change_kind::Backup:
-    State.Backups[Change.Backup.Kind] = Change.Backup;
+    State.Backups[Change.Backup.Kind] = std::move(Change.Backup);
     return;
   }
 }
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -93,7 +93,7 @@
 /// \param Segment the journal segment that holds it.
 /// \param Limits its limits.
 /// \param Now the present time.
-void applyChange(replica_state &State, const replica_change &Change,
+void applyChange(replica_state &State, replica_change Change,
                  segment_number Segment, const replica_limits &Limits,
                  instant Now);
 
--- a/src/history/segment_log.cpp
+++ b/src/history/segment_log.cpp
@@ -9,7 +9,6 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
-#include <sstream>
 #include <sys/stat.h>
 #include <system_error>
 #include <unistd.h>
@@ -38,6 +37,24 @@
   throw std::system_error(errno, std::generic_category(), What);
 }
 
+std::string readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  std::string Bytes(std::filesystem::file_size(Path), '\0');
+  File.read(Bytes.data(), static_cast<std::streamsize>(Bytes.size()));
+  Bytes.resize(static_cast<std::size_t>(File.gcount()));
+  return Bytes;
+}
+
+/// Decodes a record. Its texts are copied once, from the segment's bytes.
+replica_change decodeRecord(std::string_view Payload) {
+  const auto keepInPlace = [](msgpack::type::object_type, std::size_t, void *) {
+    return true;
+  };
+  return msgpack::unpack(Payload.data(), Payload.size(), keepInPlace)
+      .get()
+      .as<replica_change>();
+}
+
 } // namespace
 
 std::string encodeRecord(const replica_change &Change) {
@@ -52,9 +69,8 @@
   return Out;
 }
 
-std::size_t
-readRecords(std::string_view Bytes,
-            const std::function<void(const replica_change &)> &OnRecord) {
+std::size_t readRecords(std::string_view Bytes,
+                        const std::function<void(replica_change)> &OnRecord) {
   std::size_t At = 0;
   while (Bytes.size() - At >= HeaderBytes) {
     const std::size_t Length = getNumber(Bytes.substr(At, LengthBytes));
@@ -65,9 +81,7 @@
     const std::string_view Payload = Bytes.substr(At + HeaderBytes, Length);
     if (stableHash(Payload) != Checksum)
       break;
-    OnRecord(msgpack::unpack(Payload.data(), Payload.size())
-                 .get()
-                 .as<replica_change>());
+    OnRecord(decodeRecord(Payload));
     At += HeaderBytes + Length;
   }
   return At;
@@ -87,21 +101,18 @@
 }
 
 segment_number segment_log::load(
-    const std::function<void(const replica_change &, segment_number)>
-        &OnRecord) {
+    const std::function<void(replica_change, segment_number)> &OnRecord) {
   std::vector<segment_number> Numbers;
   for (const auto &Entry : std::filesystem::directory_iterator(Folder))
     if (Entry.path().extension() == Extension)
       Numbers.push_back(std::stoull(Entry.path().stem().string()));
   std::sort(Numbers.begin(), Numbers.end());
   for (const segment_number Number : Numbers) {
-    std::ifstream File(pathOf(Number), std::ios::binary);
-    std::ostringstream Text;
-    Text << File.rdbuf();
-    const std::string Bytes = std::move(Text).str();
+    const std::string Bytes = readFile(pathOf(Number));
     Total += Bytes.size();
-    readRecords(
-        Bytes, [&](const replica_change &Change) { OnRecord(Change, Number); });
+    readRecords(Bytes, [&](replica_change Change) {
+      OnRecord(std::move(Change), Number);
+    });
   }
   return Numbers.empty() ? 1 : Numbers.back() + 1;
 }
--- a/src/history/segment_log.h
+++ b/src/history/segment_log.h
@@ -21,9 +21,8 @@
 /// \param Bytes content of the segment.
 /// \param OnRecord takes each record in order.
 /// \returns bytes that held whole records.
-std::size_t
-readRecords(std::string_view Bytes,
-            const std::function<void(const replica_change &)> &OnRecord);
+std::size_t readRecords(std::string_view Bytes,
+                        const std::function<void(replica_change)> &OnRecord);
 
 /// The journal of a replica: append-only segments in one folder. Used by one
 /// thread at a time. Errors of the disk are exceptions.
@@ -39,8 +38,8 @@
   /// Reads all segments, oldest first.
   /// \param OnRecord takes each record with its segment.
   /// \returns the number for the next segment.
-  segment_number load(const std::function<void(const replica_change &,
-                                               segment_number)> &OnRecord);
+  segment_number
+  load(const std::function<void(replica_change, segment_number)> &OnRecord);
 
   /// Begins a segment that survives a loss of power.
   /// \param Number its number.
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -14,9 +14,9 @@
   const instant Now = readClock();
   std::size_t Records = 0;
   // The writer's thread waits for its first task until this is done.
-  Active = Log.load([&](const replica_change &Change, segment_number Segment) {
+  Active = Log.load([&](replica_change Change, segment_number Segment) {
     ++Records;
-    applyChange(State, Change, Segment, Limits, Now);
+    applyChange(State, std::move(Change), Segment, Limits, Now);
   });
   --Active;
   beginSegment();
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "forward/caller_connection.h"
+#include "history/relay_server.h"
 #include "history/replica_state.h"
 #include "net/address.h"
 #include "net/frame.h"
@@ -129,6 +130,9 @@
   }
 
   replica_state State;
+  std::vector<std::string> Relays; ///< Told to those that greet.
+  /// Connections from this one on are not heard; none by default.
+  std::size_t FirstDeaf = ~std::size_t{0};
 
 private:
   void accept() {
@@ -141,15 +145,10 @@
       const auto Frames = std::make_shared<frame_reader>();
       tcp_stream::handlers Handlers;
       Handlers.OnBytes =
-          [this, Frames,
+          [this, Frames, Index = Streams.size(),
            Weak = std::weak_ptr<tcp_stream>(Stream)](std::string_view Bytes) {
-            Frames->add(Bytes);
-            while (const auto Frame = Frames->next())
-              if (const auto Self = Weak.lock())
-                Self->write(encodeMessage(
-                    handleRequest(State, decodeReplicaRequest(*Frame), 1,
-                                  {100'000'000, seconds(5)}, readClock())
-                        .Reply));
+            if (Index < FirstDeaf)
+              answer(*Frames, Bytes, Weak.lock());
           };
       Stream->setHandlers(std::move(Handlers));
       Stream->start();
@@ -158,6 +157,21 @@
     });
   }
 
+  void answer(frame_reader &Frames, std::string_view Bytes,
+              const std::shared_ptr<tcp_stream> &Stream) {
+    Frames.add(Bytes);
+    while (const auto Frame = Frames.next()) {
+      const replica_request Request = decodeReplicaRequest(*Frame);
+      replica_reply Reply =
+          handleRequest(State, Request, 1, {100'000'000, seconds(5)},
+                        readClock())
+              .Reply;
+      if (!Request.RelayAddress.empty())
+        Reply.Relays = Relays;
+      Stream->write(encodeMessage(Reply));
+    }
+  }
+
   asio::ip::tcp::acceptor Acceptor;
   std::list<std::shared_ptr<tcp_stream>> Streams;
 };
@@ -603,3 +617,60 @@
     CHECK(Ended == (Kind == route_kind::Idempotent ? 1 : 0));
   }
 }
+
+TEST_CASE("an instance cut off from the replicas reaches them over another") {
+  asio::io_context Loop;
+  const auto runFor = [&](milliseconds Time) {
+    Loop.restart();
+    Loop.run_for(Time);
+  };
+  std::list<memory_replica> Replicas;
+  replica_set Set{1, 1, true, {}};
+  for (int Index = 0; Index < 3; ++Index) {
+    Replicas.emplace_back(Loop);
+    Set.Slots.push_back({"n", Replicas.back().address(), "here", ""});
+  }
+  history_client Near(Loop, "here", 1'000);
+  Near.setReplicas(Set, "test");
+  runFor(milliseconds(50));
+  // A free port of this moment; the relay listens there at once.
+  asio::ip::tcp::endpoint RelayAddress;
+  {
+    const auto Free = listenOn(Loop, {asio::ip::address_v4::loopback(), 0});
+    RelayAddress = Free.local_endpoint();
+  }
+  const relay_server Relay(Loop, RelayAddress, Near);
+  for (memory_replica &Replica : Replicas)
+    Replica.Relays = {"127.0.0.1:" + std::to_string(RelayAddress.port())};
+  history_client Far(Loop, "there", 1'000);
+  Far.setReplicas(Set, "test");
+  Far.greet("127.0.0.1:1");
+  runFor(milliseconds(50));
+  for (memory_replica &Replica : Replicas)
+    Replica.FirstDeaf = 1; // Only the first client's connection is heard.
+
+  std::optional<reserve_outcome> Outcome;
+  const auto reserve = [&](const char *Attempt) {
+    Outcome.reset();
+    const auto Operation = Far.reserve(
+        {"p", Attempt, "", 10, 100, 60'000}, milliseconds(1'000),
+        [&](const reserve_result &Result) { Outcome = Result.Outcome; });
+    const auto Start = readClock();
+    while (!Outcome && readClock().Steady - Start.Steady < seconds(3))
+      runFor(milliseconds(5));
+  };
+  reserve("t1");
+  CHECK(Outcome == reserve_outcome::Granted);
+  CHECK(Far.available(readClock()));
+  CHECK(Replicas.front().State.Ledgers.contains("p"));
+
+  SUBCASE("a relay that reaches no replica says so") {
+    for (memory_replica &Replica : Replicas)
+      Replica.FirstDeaf = 0;
+    reserve("t2");
+    CHECK(Outcome == reserve_outcome::Unavailable);
+    CHECK_FALSE(Near.available(readClock()));
+  }
+  Far.close();
+  Near.close();
+}
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -29,6 +29,12 @@
   return Request;
 }
 
+void markComplete(replica_store &Store) {
+  replica_change Change;
+  Change.Kind = change_kind::Complete;
+  Store.apply(Change, [](bool) {});
+}
+
 /// Handles a request and waits until it is answered.
 replica_status handleNow(asio::io_context &Loop, replica_store &Store,
                          const replica_request &Request) {
@@ -51,7 +57,7 @@
     asio::io_context Loop;
     replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
     CHECK_FALSE(Store.state().Complete);
-    Store.apply({change_kind::Complete, {}, {}, 0, {}, {}}, [](bool) {});
+    markComplete(Store);
     CHECK(handleNow(Loop, Store, commitOf("t1", 60'000)) ==
           replica_status::Done);
     CHECK(handleNow(Loop, Store, commitOf("t2", 60'000)) ==
@@ -89,7 +95,7 @@
   const temporary_folder Folder;
   asio::io_context Loop;
   replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
-  Store.apply({change_kind::Complete, {}, {}, 0, {}, {}}, [](bool) {});
+  markComplete(Store);
   replica_request Large = commitOf("large", 0);
   Large.Turn.Program = "short-lived";
   Large.Turn.Input.assign(MaxSegmentBytes, 'x');
@@ -116,7 +122,7 @@
   const temporary_folder Folder;
   asio::io_context Loop;
   replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes, Limits);
-  Store.apply({change_kind::Complete, {}, {}, 0, {}, {}}, [](bool) {});
+  markComplete(Store);
   for (int Index = 0; Index < 3; ++Index) {
     const std::string Id = "t" + std::to_string(Index);
     CHECK(handleNow(Loop, Store, commitOf(Id, 60'000)) == replica_status::Done);
@@ -138,3 +144,31 @@
   for (const char *Id : {"t0", "t1", "t2", "last"})
     CHECK(Restarted.state().Turns.contains(Id));
 }
+
+TEST_CASE("copies of the platform's objects survive, also in newer segments") {
+  const temporary_folder Folder;
+  const store_backup Backup{"config", {"main"}, {"{\"version\":7}"}};
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    markComplete(Store);
+    replica_change Change;
+    Change.Kind = change_kind::Backup;
+    Change.Backup = Backup;
+    Store.apply(Change, [](bool) {});
+    CHECK(handleNow(Loop, Store, commitOf("t1", 60'000)) ==
+          replica_status::Done);
+  }
+  for (int Restart = 0; Restart < 2; ++Restart) {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    replica_request Request;
+    Request.Operation = replica_operation::Backups;
+    Request.SetVersion = 1;
+    std::vector<store_backup> Read;
+    Store.handle(Request,
+                 [&](const replica_reply &Reply) { Read = Reply.Backups; });
+    REQUIRE(Read.size() == 1);
+    CHECK(Read.front() == Backup);
+  }
+}
