Keep idle connections for the limit in force when it expires

A connection was half closed at 8.23 s by a timer armed under an idle limit that a configuration had raised since; the caller sent a request into it at 9.02 s, and the second for which a finished connection lingers ended it at 9.23 s without an answer. Change: the timer looks at the limit in force and adds the two seconds in which a configuration comes into force; what arrives on an idle connection that we have finished is reset at once. Result: the test of a raised limit fails without the change to caller_connection.cpp and passes with it.

--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -13,6 +13,10 @@
 /// Bytes kept of what a caller sends ahead of its answer.
 constexpr std::size_t MaxInput = 64UL * 1024UL;
 
+/// Idle connections are kept this long beyond their limit: callers learn of a
+/// raised limit up to the time in which a configuration comes into force here.
+constexpr milliseconds IdleMargin{2'000};
+
 /// Limits before the first configuration: those of the usual one.
 const caller_limits DefaultLimits;
 
@@ -180,7 +184,7 @@
 }
 
 void caller_connection::armTimer() {
-  milliseconds Limit = limits().IdleTimeout;
+  milliseconds Limit = limits().IdleTimeout + IdleMargin;
   if (Reader.started() && !Reader.headComplete())
     Limit = limits().HeadTimeout;
   Timer.expires_after(Limit);
@@ -198,10 +202,11 @@
     reject(408, "head_timeout");
     return;
   }
-  const bool Progress =
-      readClock().Steady - LastBytes.Steady < limits().IdleTimeout;
-  if (Reader.started() && Progress) {
-    armTimer(); // A body that keeps coming.
+  // The limit may have been raised since the timer was armed, and a body may
+  // have made progress.
+  const auto Silent = readClock().Steady - LastBytes.Steady;
+  if (Silent < limits().IdleTimeout + IdleMargin) {
+    armTimer();
     return;
   }
   if (Reader.started())
@@ -214,7 +219,7 @@
   if (Ending || !idle())
     return;
   Ending = true;
-  Stream->finish();
+  Stream->finishIdle();
   closed();
 }
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -192,6 +192,14 @@
   writeSome();
 }
 
+void tcp_stream::finishIdle() {
+  finish();
+  Handlers->OnBytes = [Weak = weak_from_this()](std::string_view) {
+    if (const auto Self = Weak.lock())
+      Self->abort();
+  };
+}
+
 void tcp_stream::shutdownAfterWrites() {
   asio::error_code Ignored; // The peer may have gone first.
   Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -65,6 +65,10 @@
   /// sends is read and dropped until it ends too or LingerTime is over.
   void finish();
 
+  /// Like finish(), for a connection on which nothing is under way: what the
+  /// peer still sends is met by a reset at once, so that it need not wait.
+  void finishIdle();
+
   /// Ends the connection at once; the peer sees a reset if data were unread.
   void close();
 
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -568,6 +568,37 @@
   CHECK_FALSE(Fixture.CallerEnded);
 }
 
+TEST_CASE("a raised idle limit holds for connections that are idle already") {
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_answer{
+            sealed(attemptOf(Head), "<" + attemptOf(Head) + ">")};
+      });
+  const auto setIdle = [&](milliseconds Limit) {
+    configuration Config = Fixture.Context.Routes->config();
+    Config.Limits.IdleTimeout = Limit;
+    Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  };
+  // Two seconds are added to each limit; negative ones keep the test short.
+  setIdle(milliseconds(-1'900));
+  Fixture.runFor(milliseconds(50));
+  SUBCASE("raised") {
+    setIdle(milliseconds(-1'000));
+    Fixture.runFor(milliseconds(400));
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(200));
+    CHECK(Fixture.Received.find("<1>") != std::string::npos);
+  }
+  SUBCASE("not raised") {
+    Fixture.runFor(milliseconds(400));
+    CHECK(Fixture.Closed);
+    // Whatever comes late is reset at once, not held until it times out.
+    const instant Start = readClock();
+    CHECK(Fixture.CallerEnded);
+    CHECK(readClock().Steady - Start.Steady < milliseconds(200));
+  }
+}
+
 TEST_CASE("a smuggled request reaches no runner") {
   caller_fixture Fixture(
       [](const http_request_head &Head, const std::string &) {
