Mend what the linter finds in the new code

Cause: clang-tidy had not run over it. Change: names of local functions, copies that were never needed, two unused members, a branch that stood twice.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -446,8 +446,7 @@
   Turn.RetentionMs = static_cast<std::uint64_t>(Route->Retention.count());
   Reserved = false; // The commit settles the tokens.
   History = Context.History.commit(
-      std::move(Turn), Chain, CommitLimit,
-      [Weak = weak_from_this()](bool Durable) {
+      Turn, Chain, CommitLimit, [Weak = weak_from_this()](bool Durable) {
         const auto Self = Weak.lock();
         if (!Self || Self->Stage != stage::Committing)
           return;
@@ -612,7 +611,7 @@
   const stage Last = std::exchange(Stage, stage::Done);
   DeadlineTimer.cancel();
   StepTimer.cancel();
-  const auto since = [&](instant Then) {
+  const auto Since = [&](instant Then) {
     return Then.Steady.count() == 0
                ? std::string("-1")
                : std::to_string(
@@ -634,10 +633,10 @@
             {"runner", RunnerId},
             {"sends_not_run", std::to_string(Sends.NotRun)},
             {"sends_unknown", std::to_string(Sends.MayHaveRun)},
-            {"reserved_ms", since(ReservedAt)},
-            {"first_byte_ms", since(FirstByte)},
-            {"runner_done_ms", since(AnsweredAt)},
-            {"total_ms", since(Now)},
+            {"reserved_ms", Since(ReservedAt)},
+            {"first_byte_ms", Since(FirstByte)},
+            {"runner_done_ms", Since(AnsweredAt)},
+            {"total_ms", Since(Now)},
             {"events", std::to_string(EventCount)},
             {"bytes", std::to_string(AnswerBytes)}});
   // The sink may own this exchange.
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -94,8 +94,6 @@
     return 402;
   case own_answer::TimedOut:
     return Sends.MayHaveRun == 0 ? 503 : 504;
-  case own_answer::RunnerFailed:
-    return Sends.MayHaveRun == 0 ? 503 : 502;
   default:
     return Sends.MayHaveRun == 0 ? 503 : 502;
   }
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -399,14 +399,13 @@
   auto Turns = std::make_shared<std::map<std::string, turn_record>>();
   for (const turn_record &Turn : View.Turns)
     Turns->emplace(Turn.Id, Turn);
-  readMissing(Reservation, Outer, std::move(Turns), Limit, std::move(Result),
-              OnDone);
+  readMissing(Reservation, Outer, Turns, Limit, std::move(Result), OnDone);
 }
 
 void history_client::readMissing(
     const std::shared_ptr<turn_reservation> &Reservation,
     const operation_ptr &Outer,
-    std::shared_ptr<std::map<std::string, turn_record>> Turns,
+    const std::shared_ptr<std::map<std::string, turn_record>> &Turns,
     milliseconds Limit, reserve_result Result,
     const std::function<void(reserve_result)> &OnDone) {
   chain_view View = joinChain(*Turns, Reservation->Previous);
@@ -419,15 +418,15 @@
   replica_request Request;
   Request.Operation = replica_operation::Read;
   Request.Turns = {View.Missing};
-  const auto hasMissing = [Missing = View.Missing](const replica_reply &Reply) {
+  const auto HasMissing = [Missing = View.Missing](const replica_reply &Reply) {
     for (const turn_record &Turn : Reply.Turns)
       if (Turn.Id == Missing)
         return true;
     return false;
   };
-  const auto Enough = [hasMissing](const quorum_round &Round, instant Now) {
+  const auto Enough = [HasMissing](const quorum_round &Round, instant Now) {
     for (const auto &Answer : Round.Answers)
-      if (Answer && hasMissing(*Answer))
+      if (Answer && HasMissing(*Answer))
         return true;
     return isDecided(Round, Now);
   };
@@ -459,7 +458,7 @@
 }
 
 history_client::operation_ptr
-history_client::commit(turn_record Turn, const std::string &Chain,
+history_client::commit(const turn_record &Turn, const std::string &Chain,
                        milliseconds Limit, std::function<void(bool)> OnDone) {
   replica_request Request;
   Request.Operation = replica_operation::Commit;
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -90,7 +90,7 @@
   /// \param Limit longest wait.
   /// \param OnDone told whether the turn is durable.
   /// \returns the operation, for cancel().
-  operation_ptr commit(turn_record Turn, const std::string &Chain,
+  operation_ptr commit(const turn_record &Turn, const std::string &Chain,
                        milliseconds Limit, std::function<void(bool)> OnDone);
 
   /// Settles the tokens of an attempt that leaves no turn. Nobody waits for it:
@@ -128,11 +128,12 @@
                      const operation_ptr &Outer, const quorum_round *Round,
                      milliseconds Limit,
                      const std::function<void(reserve_result)> &OnDone);
-  void readMissing(const std::shared_ptr<turn_reservation> &Reservation,
-                   const operation_ptr &Outer,
-                   std::shared_ptr<std::map<std::string, turn_record>> Turns,
-                   milliseconds Limit, reserve_result Result,
-                   const std::function<void(reserve_result)> &OnDone);
+  void
+  readMissing(const std::shared_ptr<turn_reservation> &Reservation,
+              const operation_ptr &Outer,
+              const std::shared_ptr<std::map<std::string, turn_record>> &Turns,
+              milliseconds Limit, reserve_result Result,
+              const std::function<void(reserve_result)> &OnDone);
 
   asio::io_context &Loop;
   std::string Domain;
--- a/src/history/journal_writer.cpp
+++ b/src/history/journal_writer.cpp
@@ -82,7 +82,7 @@
 void journal_writer::execute(std::vector<task> &Batch) {
   std::string Bytes;
   std::vector<std::function<void(bool)>> Waiting;
-  const auto finish = [&] {
+  const auto Finish = [&] {
     const bool Durable = flush(Bytes);
     Bytes.clear();
     if (Waiting.empty())
@@ -99,7 +99,7 @@
       continue;
     }
     if (Task.Begin != 0) {
-      finish();
+      Finish();
       try {
         Log.begin(Task.Begin);
         Failed = false;
@@ -113,7 +113,7 @@
     if (Task.OnDone)
       Waiting.push_back(std::move(Task.OnDone));
   }
-  finish();
+  Finish();
 }
 
 } // namespace lentilhoist
--- a/src/history/relay_server.cpp
+++ b/src/history/relay_server.cpp
@@ -13,11 +13,10 @@
   frame_reader Frames;
 };
 
-relay_server::relay_server(asio::io_context &GivenLoop,
+relay_server::relay_server(asio::io_context &Loop,
                            const asio::ip::tcp::endpoint &Address,
                            history_client &GivenClient)
-    : Loop(GivenLoop), Acceptor(listenOn(GivenLoop, Address)),
-      Client(GivenClient) {
+    : Acceptor(listenOn(Loop, Address)), Client(GivenClient) {
   accept();
 }
 
--- a/src/history/relay_server.h
+++ b/src/history/relay_server.h
@@ -26,7 +26,6 @@
   void accept();
   void onBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes);
 
-  asio::io_context &Loop;
   asio::ip::tcp::acceptor Acceptor;
   history_client &Client;
 };
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -200,23 +200,23 @@
   replica_outcome Outcome;
   replica_reply &Reply = Outcome.Reply;
   Reply.Sequence = Request.Sequence;
-  const auto record = [&](replica_change Change) {
+  const auto Record = [&](replica_change Change) {
     applyChange(State, Change, Segment, Limits, Now);
     Outcome.Changes.push_back(std::move(Change));
   };
-  const auto recordSet = [&](const replica_set &Set) {
+  const auto RecordSet = [&](const replica_set &Set) {
     replica_change Change;
     Change.Kind = change_kind::Set;
     Change.Set = Set;
-    record(std::move(Change));
+    Record(std::move(Change));
   };
   for (const replica_set &Set : Request.Set)
     if (meetSet(State, Set))
-      recordSet(Set);
+      RecordSet(Set);
   if (Request.SetVersion > State.SetVersion) {
     replica_set Unknown;
     Unknown.Version = Request.SetVersion;
-    recordSet(Unknown);
+    RecordSet(Unknown);
   }
   Reply.SetVersion = State.SetVersion;
   if (Request.Operation == replica_operation::Backups) {
@@ -246,13 +246,13 @@
     break;
   case replica_operation::Reserve:
     answerReserve(State, Request, Reply);
-    record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
+    Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
   case replica_operation::Commit:
-    record(turnChange(Request.Turn));
+    Record(turnChange(Request.Turn));
     break;
   case replica_operation::Settle:
-    record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
+    Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
   case replica_operation::Read:
     for (const std::string &Id : Request.Turns)
@@ -306,7 +306,7 @@
 std::vector<replica_change>
 relocateRecords(replica_state &State, segment_number From, segment_number To) {
   std::vector<replica_change> Changes;
-  const auto move = [&](segment_number &Segment) {
+  const auto MoveTo = [&](segment_number &Segment) {
     --State.Live[Segment];
     Segment = To;
     ++State.Live[To];
@@ -315,14 +315,14 @@
     if (Turn.Segment != From)
       continue;
     Changes.push_back(turnChange(Turn.Record));
-    move(Turn.Segment);
+    MoveTo(Turn.Segment);
   }
   for (auto &[Program, Ledger] : State.Ledgers)
     for (auto &[Attempt, Held] : Ledger.Entries) {
       if (Held.Segment != From)
         continue;
       Changes.push_back(entryChange(Program, Held.Entry, Ledger.RetentionMs));
-      move(Held.Segment);
+      MoveTo(Held.Segment);
     }
   return Changes;
 }
--- a/src/history/segment_log.cpp
+++ b/src/history/segment_log.cpp
@@ -47,10 +47,10 @@
 
 /// Decodes a record. Its texts are copied once, from the segment's bytes.
 replica_change decodeRecord(std::string_view Payload) {
-  const auto keepInPlace = [](msgpack::type::object_type, std::size_t, void *) {
+  const auto KeepInPlace = [](msgpack::type::object_type, std::size_t, void *) {
     return true;
   };
-  return msgpack::unpack(Payload.data(), Payload.size(), keepInPlace)
+  return msgpack::unpack(Payload.data(), Payload.size(), KeepInPlace)
       .get()
       .as<replica_change>();
 }
--- a/src/history_explore/history_world.cpp
+++ b/src/history_explore/history_world.cpp
@@ -125,7 +125,7 @@
     Request.SetVersion = std::max(Request.SetVersion, Replica.State.SetVersion);
   replica_outcome Outcome =
       handleRequest(Replica.State, Request, 1, Limits, Clock.now());
-  std::function<void()> answer = [this, Index, Reply = std::move(Outcome.Reply),
+  std::function<void()> Answer = [this, Index, Reply = std::move(Outcome.Reply),
                                   OnReply = std::move(OnReply)] {
     if (Replicas[Index].Cut || (FaultsOn && Choice.chance(10)))
       return;
@@ -133,10 +133,10 @@
                 [Reply, OnReply] { OnReply(Reply); });
   };
   if (Settings.Planted == planted_history_fault::NoSync) {
-    answer();
-    answer = nullptr;
+    Answer();
+    Answer = nullptr;
   }
-  persist(Index, std::move(Outcome.Changes), std::move(answer));
+  persist(Index, std::move(Outcome.Changes), std::move(Answer));
 }
 
 void history_world::persist(std::size_t Index,
--- a/src/history_explore/history_world.h
+++ b/src/history_explore/history_world.h
@@ -114,7 +114,7 @@
                  const std::string &Text, bool Known);
   void handOut(std::size_t Edge, std::size_t Program, turn_record Turn,
                std::string Chain, std::uint64_t Most, std::uint64_t Tokens);
-  void commit(std::size_t Edge, std::size_t Program, turn_record Turn,
+  void commit(std::size_t Edge, std::size_t Program, const turn_record &Turn,
               const std::string &Chain);
   void settle(std::size_t Edge, std::size_t Program, const std::string &Attempt,
               std::uint64_t Tokens);
--- a/src/history_explore/history_world_edges.cpp
+++ b/src/history_explore/history_world_edges.cpp
@@ -259,12 +259,12 @@
                 }
                 Turn.Tokens = Tokens;
                 Turn.Output = "[" + Turn.Id + "]\n";
-                commit(Edge, Program, std::move(Turn), Chain);
+                commit(Edge, Program, Turn, Chain);
               });
 }
 
 void history_world::commit(std::size_t Edge, std::size_t Program,
-                           turn_record Turn, const std::string &Chain) {
+                           const turn_record &Turn, const std::string &Chain) {
   replica_request Request;
   Request.Operation = replica_operation::Commit;
   Request.Program = Turn.Program;
--- a/src/net/frame.h
+++ b/src/net/frame.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,7 +9,7 @@
 namespace lentilhoist {
 
 /// Largest frame between processes of the system; a batch of a copy fits.
-inline constexpr std::size_t MaxFrameBytes = 16U * 1024U * 1024U;
+inline constexpr std::size_t MaxFrameBytes = std::size_t{16} * 1024 * 1024;
 
 /// \param Payload the message.
 /// \returns the message behind its length in four bytes, big-endian.
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -85,7 +85,8 @@
   /// How long finish() waits for the peer's end; a peer that keeps the
   /// connection open sees a reset after that.
   static constexpr std::chrono::milliseconds LingerTime{1'000};
-  static constexpr std::size_t ReadSize = 16 * 1024; ///< Bytes a read takes.
+  static constexpr std::size_t ReadSize =
+      16UL * 1024UL; ///< Bytes a read takes.
 
   void setOptions();
   void readSome();
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -7,12 +7,10 @@
 
 namespace lentilhoist {
 
-store_watch::store_watch(asio::io_context &GivenLoop,
-                         const std::string &Address, std::string GivenKind,
-                         watch_settings GivenSettings)
-    : Loop(GivenLoop),
-      Client(std::make_shared<store_client>(GivenLoop, Address)),
-      Kind(std::move(GivenKind)), Settings(GivenSettings), Timer(GivenLoop),
+store_watch::store_watch(asio::io_context &Loop, const std::string &Address,
+                         std::string GivenKind, watch_settings GivenSettings)
+    : Client(std::make_shared<store_client>(Loop, Address)),
+      Kind(std::move(GivenKind)), Settings(GivenSettings), Timer(Loop),
       RetryDelay(GivenSettings.MinRetryDelay) {}
 
 void store_watch::start(handlers Given) {
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -62,7 +62,6 @@
   void onSuccess();
   void scheduleNext(milliseconds Delay);
 
-  asio::io_context &Loop;
   std::shared_ptr<store_client> Client;
   std::string Kind;
   watch_settings Settings;
