--- /dev/null
+++ b/bench/platform_bench.cpp
@@ -0,0 +1,183 @@
+/// Measures the slopes of the platform's daemons for docs/CAPACITY.md.
+#include "bench/fit.h"
+#include "history/quorum.h"
+#include "history/segment_log.h"
+#include "placement/placement.h"
+
+#include <ctime>
+#include <fmt/format.h>
+#include <malloc.h>
+
+namespace {
+
+using namespace lentilhoist;
+
+/// A turn of the deployments' sheets: 4.3 kB in, seven events out.
+constexpr std::size_t InputBytes = 4'300;
+constexpr std::size_t OutputBytes = 560;
+constexpr std::size_t TurnsPerProgram = 8;
+
+const instant Now{seconds(1'000), milliseconds(0)};
+const replica_limits Limits{4'000'000'000, milliseconds(5'000)};
+
+double cpuSeconds() {
+  timespec Time{};
+  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
+  return static_cast<double>(Time.tv_sec) +
+         static_cast<double>(Time.tv_nsec) / 1e9;
+}
+
+double heapMegabytes() {
+  const struct mallinfo2 Heap = ::mallinfo2();
+  return static_cast<double>(Heap.uordblks + Heap.hblkhd) / 1e6;
+}
+
+void printFit(const char *What, const char *Unit,
+              const std::vector<std::pair<double, double>> &Points) {
+  const linear_fit Fit = fitLine(Points);
+  fmt::print("  fit {}: {:.4g} + {:.4g} x size {}, residual {:.1f}%\n", What,
+             Fit.Base, Fit.Slope, Unit, Fit.Residual * 100);
+}
+
+replica_request reserveOf(std::size_t Index) {
+  replica_request Request;
+  Request.Operation = replica_operation::Reserve;
+  Request.SetVersion = 1;
+  Request.Program = fmt::format("program-{:08d}", Index / TurnsPerProgram);
+  Request.Entry = {fmt::format("attempt-{:08d}", Index), 290, false};
+  Request.RetentionMs = 60'000;
+  if (Index % TurnsPerProgram != 0)
+    Request.Previous = fmt::format("attempt-{:08d}", Index - 1);
+  return Request;
+}
+
+replica_request commitOf(const replica_request &Reserve) {
+  replica_request Request;
+  Request.Operation = replica_operation::Commit;
+  Request.SetVersion = 1;
+  Request.Turn = {Reserve.Entry.Attempt,
+                  Reserve.Previous,
+                  Reserve.Program,
+                  std::string(InputBytes, 'i'),
+                  std::string(OutputBytes, 'o'),
+                  70,
+                  60'000};
+  return Request;
+}
+
+/// What filling a replica cost.
+struct fill_cost {
+  double ReserveUs = 0; ///< Each.
+  double CommitUs = 0;  ///< Each.
+};
+
+/// Fills a replica.
+/// \param Turns how many turns.
+/// \param[out] State the replica.
+/// \param[out] Journal gains the records; null for none.
+/// \returns the processor time, encoding of the records included.
+fill_cost fillReplica(std::size_t Turns, replica_state &State,
+                      std::string *Journal) {
+  fill_cost Cost;
+  State.Complete = true;
+  for (std::size_t Index = 0; Index < Turns; ++Index) {
+    const replica_request Reserve = reserveOf(Index);
+    const replica_request Commit = commitOf(Reserve);
+    const double Start = cpuSeconds();
+    const auto First = handleRequest(State, Reserve, 1, Limits, Now);
+    std::string Bytes = encodeRecord(First.Changes.back());
+    const double Middle = cpuSeconds();
+    const auto Second = handleRequest(State, Commit, 1, Limits, Now);
+    Bytes += encodeRecord(Second.Changes.back());
+    Cost.CommitUs += cpuSeconds() - Middle;
+    Cost.ReserveUs += Middle - Start;
+    if (Journal != nullptr)
+      *Journal += Bytes;
+  }
+  Cost.ReserveUs *= 1e6 / static_cast<double>(Turns);
+  Cost.CommitUs *= 1e6 / static_cast<double>(Turns);
+  return Cost;
+}
+
+/// Processor time and memory of a replica by the turns that it holds.
+void replicaSection() {
+  fmt::print("replica: turns, MB, us a reservation, us a commit\n");
+  std::vector<std::pair<double, double>> Memory;
+  for (const std::size_t Turns : {2'000UL, 8'000UL, 32'000UL}) {
+    replica_state State;
+    const double Before = heapMegabytes();
+    const fill_cost Cost = fillReplica(Turns, State, nullptr);
+    const double Used = heapMegabytes() - Before;
+    Memory.emplace_back(static_cast<double>(Turns), Used);
+    fmt::print("  {:6} {:8.1f} {:8.1f} {:8.1f}\n", Turns, Used, Cost.ReserveUs,
+               Cost.CommitUs);
+  }
+  printFit("memory", "MB", Memory);
+}
+
+/// Processor time to read a journal back after a restart.
+void journalSection() {
+  fmt::print("journal: records, ms\n");
+  std::vector<std::pair<double, double>> Points;
+  for (const std::size_t Turns : {1'000UL, 4'000UL, 16'000UL}) {
+    std::string Journal;
+    {
+      replica_state State;
+      fillReplica(Turns, State, &Journal);
+    }
+    replica_state Loaded;
+    const double Start = cpuSeconds();
+    readRecords(Journal, [&](replica_change Change) {
+      applyChange(Loaded, std::move(Change), 1, Limits, Now);
+    });
+    const double Spent = (cpuSeconds() - Start) * 1e3;
+    Points.emplace_back(static_cast<double>(2 * Turns), Spent);
+    fmt::print("  {:6} {:8.1f}\n", 2 * Turns, Spent);
+  }
+  printFit("journal", "ms", Points);
+}
+
+/// Processor time of a placement by the runners of all services.
+void placementSection() {
+  fmt::print("placement: runners, us a request\n");
+  std::vector<std::pair<double, double>> Points;
+  for (const int Count : {14, 100, 1'000, 12'000}) {
+    runner_directory Directory;
+    for (int Index = 0; Index < Count; ++Index) {
+      runner_entry Entry;
+      Entry.Id = fmt::format("runner-{:06d}", Index);
+      Entry.Service = Index % 3 == 0 ? "plain" : "engine";
+      Entry.Address = "10.0.0.1:80";
+      Entry.Domain = Index % 2 == 0 ? "here" : "there";
+      Entry.Slots = 12;
+      putRunner(Directory, Entry);
+    }
+    request_traits Request;
+    Request.PromptTokens = 1'400;
+    Request.Prompt = {{"shared", 512}, {"session", 654}};
+    placement_question Question;
+    Question.Service = "engine";
+    Question.Domain = "here";
+    Question.Request = &Request;
+    Question.Engine = engine_traits{12, 107'036, 10};
+    const int Rounds = 2'000'000 / Count / 10 + 10;
+    const double Start = cpuSeconds();
+    std::size_t Chosen = 0;
+    for (int Round = 0; Round < Rounds; ++Round)
+      Chosen += placeRequest(Directory, Question, Now).Candidates;
+    const double Each = (cpuSeconds() - Start) * 1e6 / Rounds;
+    Points.emplace_back(Count, Each);
+    fmt::print("  {:6} {:8.2f} ({} candidates)\n", Count, Each,
+               Chosen / static_cast<std::size_t>(Rounds));
+  }
+  printFit("placement", "us", Points);
+}
+
+} // namespace
+
+int main() {
+  replicaSection();
+  journalSection();
+  placementSection();
+  return 0;
+}
