--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -570,12 +570,11 @@
   const bool LetRun = Route && Route->Kind == route_kind::NonIdempotent &&
                       Stage == stage::Awaiting;
   if (LetRun) {
-    auto Self = shared_from_this();
     Sink.Write = [](const std::string &) {};
     Sink.PendingBytes = [] { return std::size_t{0}; };
-    // Keeps the exchange until it ends.
-    Sink.Finish = [Self](bool) {};
-    Sink.Abort = [Self] {};
+    Sink.Finish = [](bool) {};
+    Sink.Abort = [] {};
+    Context.Detached.insert(shared_from_this());
     return;
   }
   Context.History.cancel(Stage == stage::Committing ? nullptr : History);
@@ -639,8 +638,8 @@
             {"total_ms", Since(Now)},
             {"events", std::to_string(EventCount)},
             {"bytes", std::to_string(AnswerBytes)}});
-  // The sink may own this exchange.
   Sink = {};
+  Context.Detached.erase(shared_from_this());
 }
 
 } // namespace lentilhoist
--- a/src/forward/relay_context.h
+++ b/src/forward/relay_context.h
@@ -7,10 +7,14 @@
 #include "placement/runner_directory.h"
 
 #include <asio/io_context.hpp>
+#include <memory>
+#include <set>
 #include <string>
 
 namespace lentilhoist {
 
+class exchange;
+
 /// What the requests of one instance share. Used on the event loop only.
 struct relay_context {
   asio::io_context &Loop;
@@ -26,6 +30,8 @@
   std::size_t BodyBytes = 0; ///< Bodies of requests under way.
   std::size_t MaxBodyBytes = 0;
   std::size_t ActiveRequests = 0;
+  /// Requests whose caller has left and whose run must not be cut off.
+  std::set<std::shared_ptr<exchange>> Detached{};
 };
 
 } // namespace lentilhoist
--- a/src/history/relay_server.cpp
+++ b/src/history/relay_server.cpp
@@ -30,10 +30,13 @@
       Peer->Stream =
           std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
       tcp_stream::handlers Handlers;
-      // The handlers own the peer; the stream drops them when it ends.
-      Handlers.OnBytes = [this, Peer](std::string_view Bytes) {
-        onBytes(Peer, Bytes);
+      const std::weak_ptr<peer> Weak = Peer;
+      Handlers.OnBytes = [this, Weak](std::string_view Bytes) {
+        if (const auto Self = Weak.lock())
+          onBytes(Self, Bytes);
       };
+      Handlers.OnEnd = [this, Weak](stream_end) { Peers.erase(Weak.lock()); };
+      Peers.insert(Peer);
       Peer->Stream->setHandlers(std::move(Handlers));
       Peer->Stream->start();
     }
@@ -71,6 +74,7 @@
     logEvent(log_level::Warning, "peer_message_unreadable",
              {{"reason", Error.what()}});
     Peer->Stream->close();
+    Peers.erase(Peer);
   }
 }
 
--- a/src/history/relay_server.h
+++ b/src/history/relay_server.h
@@ -5,6 +5,7 @@
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
 #include <memory>
+#include <set>
 
 namespace lentilhoist {
 
@@ -27,6 +28,7 @@
   void onBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes);
 
   asio::ip::tcp::acceptor Acceptor;
+  std::set<std::shared_ptr<peer>> Peers;
   history_client &Client;
 };
 
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -74,9 +74,12 @@
       Connection->Stream =
           std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
       tcp_stream::handlers Handlers;
-      Handlers.OnBytes = [this, Connection](std::string_view Bytes) {
-        onBytes(*Connection, Bytes);
+      Handlers.OnBytes = [this, Weak = std::weak_ptr<connection>(Connection)](
+                             std::string_view Bytes) {
+        if (const auto Self = Weak.lock())
+          onBytes(*Self, Bytes);
       };
+      Open.push_back(Connection);
       Handlers.OnEnd = [this](stream_end) { ++Ended; };
       Connection->Stream->setHandlers(std::move(Handlers));
       Connection->Stream->start();
@@ -107,6 +110,7 @@
   asio::io_context &Loop;
   asio::ip::tcp::acceptor Acceptor;
   script Script;
+  std::list<std::shared_ptr<connection>> Open;
 };
 
 /// A replica of the history on loopback, without a disk.
