End operations under way when the history client closes

Cause: a settlement that nobody waits for owned itself past its client (leak in the forward test under the address sanitizer). Change: close() cancels them.

--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -225,6 +225,9 @@
 history_client::~history_client() { close(); }
 
 void history_client::close() {
+  for (const auto &Weak : Active)
+    if (const auto Operation = Weak.lock())
+      Operation->cancel();
   for (auto *Connections : {&Links, &Relays}) {
     for (auto &[Address, Link] : *Connections)
       Link->close();
