Notice the store's return at once, not at the end of a held watch

A watch was lost at 4.2 s; contact counted as regained only when the next one answered, at 22.26 s, as it waits up to 10 s. A runner removed at 22.24 s was then taken for one that had lapsed and was kept 2 s more. Change: while there is no contact, a watch waits 50 ms.

--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -77,32 +77,34 @@
 }
 
 void store_watch::watch() {
-  Client->call(
-      platform::watchCall(Kind, Revision, Settings.Wait, Settings.MayBeOld),
-      Settings.Wait + Settings.AnswerSlack,
-      [Weak = weak_from_this()](const store_answer &Answer) {
-        const auto Self = Weak.lock();
-        if (!Self || Self->Stopped)
-          return;
-        if (Answer.Status == store_status::HistoryGone) {
-          Self->Listed = false;
-          Self->next();
-          return;
-        }
-        const auto Events = Answer.Status == store_status::Done
-                                ? platform::decodeEvents(Answer.Body)
-                                : std::nullopt;
-        if (!Events) {
-          Self->onFailure(Answer.Status);
-          return;
-        }
-        Self->Revision = std::max(Self->Revision, Events->Revision);
-        Self->onSuccess();
-        for (const store_event &Event : Events->Events)
-          Self->Handlers.OnEvent(Event);
-        Self->scheduleNext(Events->Events.empty() ? milliseconds(0)
-                                                  : Self->Settings.MinGap);
-      });
+  const milliseconds Wait =
+      Contact ? Settings.Wait : std::min(Settings.Wait, Settings.ReturnWait);
+  Client->call(platform::watchCall(Kind, Revision, Wait, Settings.MayBeOld),
+               Wait + Settings.AnswerSlack,
+               [Weak = weak_from_this()](const store_answer &Answer) {
+                 const auto Self = Weak.lock();
+                 if (!Self || Self->Stopped)
+                   return;
+                 if (Answer.Status == store_status::HistoryGone) {
+                   Self->Listed = false;
+                   Self->next();
+                   return;
+                 }
+                 const auto Events = Answer.Status == store_status::Done
+                                         ? platform::decodeEvents(Answer.Body)
+                                         : std::nullopt;
+                 if (!Events) {
+                   Self->onFailure(Answer.Status);
+                   return;
+                 }
+                 Self->Revision = std::max(Self->Revision, Events->Revision);
+                 Self->onSuccess();
+                 for (const store_event &Event : Events->Events)
+                   Self->Handlers.OnEvent(Event);
+                 Self->scheduleNext(Events->Events.empty()
+                                        ? milliseconds(0)
+                                        : Self->Settings.MinGap);
+               });
 }
 
 void store_watch::onSuccess() {
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -14,7 +14,10 @@
 /// that goes silent without a reset is found by the probes of its socket, so
 /// that waits may be long.
 struct watch_settings {
-  milliseconds Wait{10'000};       ///< How long the store may hold a call.
+  milliseconds Wait{10'000}; ///< How long the store may hold a call.
+  /// The same after a failure: the store's return is noticed by the answer, so
+  /// that a whole wait would date it seconds late.
+  milliseconds ReturnWait{50};
   milliseconds AnswerSlack{600};   ///< Longest delay beyond the wait.
   milliseconds ListLimit{1'500};   ///< Longest wait for a list.
   bool MayBeOld = false;           ///< Cheap reads that may lag by seconds.
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -75,10 +75,11 @@
 
 /// A watch with short times and what it told.
 struct fixture {
-  explicit fixture(scripted_store::script Script)
+  explicit fixture(scripted_store::script Script,
+                   milliseconds Wait = milliseconds(50))
       : Store(Loop, std::move(Script)) {
     watch_settings Timing;
-    Timing.Wait = milliseconds(50);
+    Timing.Wait = Wait;
     Timing.AnswerSlack = milliseconds(50);
     Timing.ListLimit = milliseconds(100);
     Timing.MinRetryDelay = milliseconds(5);
@@ -187,6 +188,29 @@
   CHECK(Fixture.Lists.size() == 1);
 }
 
+TEST_CASE("the return of the store is noticed long before a wait is over") {
+  // A store that has returned holds a watch without changes for its whole wait.
+  int Watches = 0;
+  fixture Fixture(
+      [&](const std::string &Target) -> std::string {
+        if (!isWatch(Target))
+          return emptyList(5);
+        if (++Watches == 1)
+          return jsonAnswer(503, "{}");
+        const bool Long = Target.find("wait-ms=60000") != std::string::npos;
+        return Long ? ""
+                    : jsonAnswer(200, R"({"events":[],"store-revision":5})");
+      },
+      milliseconds(60'000));
+  Fixture.runUntil([&] { return Fixture.Contacts.size() == 2; });
+  CHECK(Fixture.Contacts == std::vector<bool>{false, true});
+  // Behind the return the waits are long again.
+  Fixture.runUntil([&] {
+    return Fixture.Store.Calls.back().find("wait-ms=60000") !=
+           std::string::npos;
+  });
+}
+
 TEST_CASE("refusals and broken answers are tried again") {
   int Lists = 0;
   fixture Fixture([&](const std::string &Target) -> std::string {
