Make one piece serve both daemons; drop what nothing reads

Change: replica_server serves both, daemon_main both programs and SIGHUP, bench/measure.h both benches; what had no reader goes.

--- a/bench/lentilhoist_bench.cpp
+++ b/bench/lentilhoist_bench.cpp
@@ -1,15 +1,13 @@
 /// Measures the slopes behind docs/CAPACITY.md and docs/MEASUREMENTS.md.
-#include "bench/fit.h"
+#include "bench/measure.h"
 #include "decision/call_flow.h"
 #include "decision/runner_table.h"
 #include "explore/virtual_clock.h"
 #include "membership/membership.h"
 
 #include <algorithm>
-#include <ctime>
 #include <fmt/format.h>
 #include <gflags/gflags.h>
-#include <malloc.h>
 
 DEFINE_string(section, "all",
               "commit, membership, detection, calls, takeover, placement");
@@ -18,24 +16,6 @@
 
 using namespace lentilhoist;
 
-double cpuSeconds() {
-  timespec Time{};
-  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
-
-double heapMegabytes() {
-  return static_cast<double>(::mallinfo2().uordblks) / 1e6;
-}
-
-void printFit(const char *What, const char *Unit,
-              const std::vector<std::pair<double, double>> &Points) {
-  const linear_fit Fit = fitLine(Points);
-  fmt::print("  fit {}: {:.4g} + {:.4g} x size {}, residual {:.1f}%\n", What,
-             Fit.Base, Fit.Slope, Unit, Fit.Residual * 100);
-}
-
 double quantile(std::vector<double> Values, double Share) {
   if (Values.empty())
     return 0;
--- a/bench/platform_bench.cpp
+++ b/bench/platform_bench.cpp
@@ -1,12 +1,10 @@
 /// Measures the slopes of the platform's daemons for docs/CAPACITY.md.
-#include "bench/fit.h"
+#include "bench/measure.h"
 #include "history/quorum.h"
 #include "history/segment_log.h"
 #include "placement/placement.h"
 
-#include <ctime>
 #include <fmt/format.h>
-#include <malloc.h>
 
 namespace {
 
@@ -20,25 +18,6 @@
 const instant Now{seconds(1'000), milliseconds(0)};
 const replica_limits Limits{4'000'000'000, milliseconds(5'000)};
 
-double cpuSeconds() {
-  timespec Time{};
-  ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
-  return static_cast<double>(Time.tv_sec) +
-         static_cast<double>(Time.tv_nsec) / 1e9;
-}
-
-double heapMegabytes() {
-  const struct mallinfo2 Heap = ::mallinfo2();
-  return static_cast<double>(Heap.uordblks + Heap.hblkhd) / 1e6;
-}
-
-void printFit(const char *What, const char *Unit,
-              const std::vector<std::pair<double, double>> &Points) {
-  const linear_fit Fit = fitLine(Points);
-  fmt::print("  fit {}: {:.4g} + {:.4g} x size {}, residual {:.1f}%\n", What,
-             Fit.Base, Fit.Slope, Unit, Fit.Residual * 100);
-}
-
 replica_request reserveOf(std::size_t Index) {
   replica_request Request;
   Request.Operation = replica_operation::Reserve;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -6,14 +6,12 @@
 #include "net/address.h"
 #include "net/text_server.h"
 #include "platform/config_decoder.h"
-#include "platform/machine_settings.h"
 #include "store/store_watch.h"
 
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <set>
-#include <unistd.h>
 
 namespace lentilhoist {
 
@@ -45,8 +43,8 @@
 /// The parts of one entry instance, joined on one event loop.
 class edge {
 public:
-  edge(instance_settings Given, std::string Path)
-      : Settings(std::move(Given)), SettingsPath(std::move(Path)),
+  edge(instance_settings Given, std::function<void()> GivenOnHangup)
+      : Settings(std::move(Given)), OnHangup(std::move(GivenOnHangup)),
         History(Loop, Settings.Domain,
                 Settings.MemoryBytes / ChainMemoryDivisor),
         Pool(Loop), Context{Loop, Settings.Domain, Metrics, History, Pool},
@@ -423,27 +421,13 @@
       if (Error)
         return;
       if (Signal == SIGHUP)
-        reload();
+        OnHangup();
       else
         drain(Signal);
       waitForSignal();
     });
   }
 
-  /// Addresses belong to the process; a change of them needs a restart, which
-  /// the platform makes itself.
-  void reload() {
-    try {
-      const instance_settings Read =
-          platform::readMachineSettings(SettingsPath);
-      logEvent(log_level::Info, "settings_reloaded",
-               {{"changed", Read == Settings ? "false" : "true"}});
-    } catch (const std::runtime_error &Error) {
-      logEvent(log_level::Error, "settings_unreadable",
-               {{"reason", Error.what()}});
-    }
-  }
-
   void drain(int Signal) {
     if (Context.Draining)
       return;
@@ -492,7 +476,7 @@
 
   asio::io_context Loop;
   instance_settings Settings;
-  std::string SettingsPath;
+  std::function<void()> OnHangup;
   metrics Metrics;
   history_client History;
   runner_pool Pool;
@@ -523,8 +507,8 @@
 } // namespace
 
 int runEdge(const instance_settings &Settings,
-            const std::string &SettingsPath) {
-  edge Edge(Settings, SettingsPath);
+            const std::function<void()> &OnHangup) {
+  edge Edge(Settings, OnHangup);
   return Edge.run();
 }
 
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -302,10 +302,8 @@
 void exchange::writeRequest() {
   Stage = stage::Awaiting;
   const platform::runner_order Order{RunnerId, timeLeft(readClock())};
-  std::string Bytes =
-      encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body);
-  RequestBytes = Bytes.size();
-  Stream->write(std::move(Bytes));
+  Stream->write(
+      encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body));
 }
 
 void exchange::onRunnerBytes(std::string_view Bytes) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -115,7 +115,6 @@
   std::string RunnerAddress;
   std::shared_ptr<tcp_stream> Stream;
   bool Reused = false; ///< The runner's connection was kept from before.
-  std::size_t RequestBytes = 0;
   http_reader Reader{http_message::Response};
   answer_traits Answer;
   std::string AnswerBody; ///< Bytes that are not passed on yet.
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -50,7 +50,6 @@
         LimitTimer(GivenClient.Loop), AgainTimer(GivenClient.Loop) {}
 
   void begin(milliseconds Limit) {
-    Deadline = later(readClock(), Limit);
     LimitTimer.expires_after(Limit);
     LimitTimer.async_wait(
         [Weak = weak_from_this()](const asio::error_code &Error) {
@@ -87,7 +86,6 @@
   std::function<bool(const quorum_round &, instant)> Enough;
   std::function<void(const quorum_round *)> OnDone;
   operation_ptr Next; ///< Follows this operation; cancelled with it.
-  instant Deadline{};
 
 private:
   /// A request under way.
--- a/src/history/relay_server.cpp
+++ b/src/history/relay_server.cpp
@@ -1,81 +1,36 @@
 #include "history/relay_server.h"
 
-#include "log/log.h"
-#include "net/address.h"
-
-#include <stdexcept>
-
 namespace lentilhoist {
 
-/// A connection of another instance.
-struct relay_server::peer {
-  std::shared_ptr<tcp_stream> Stream;
-  frame_reader Frames;
-};
-
 relay_server::relay_server(asio::io_context &Loop,
                            const asio::ip::tcp::endpoint &Address,
                            history_client &GivenClient)
-    : Acceptor(listenOn(Loop, Address)), Client(GivenClient) {
-  accept();
-}
-
-void relay_server::accept() {
-  Acceptor.async_accept([this](const asio::error_code &Error,
-                               asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    if (!Error) {
-      const auto Peer = std::make_shared<peer>();
-      Peer->Stream =
-          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
-      tcp_stream::handlers Handlers;
-      const std::weak_ptr<peer> Weak = Peer;
-      Handlers.OnBytes = [this, Weak](std::string_view Bytes) {
-        if (const auto Self = Weak.lock())
-          onBytes(Self, Bytes);
-      };
-      Handlers.OnEnd = [this, Weak](stream_end) { Peers.erase(Weak.lock()); };
-      Peers.insert(Peer);
-      Peer->Stream->setHandlers(std::move(Handlers));
-      Peer->Stream->start();
-    }
-    accept();
-  });
-}
-
-void relay_server::onBytes(const std::shared_ptr<peer> &Peer,
-                           std::string_view Bytes) {
-  Peer->Frames.add(Bytes);
-  try {
-    while (const auto Frame = Peer->Frames.next()) {
-      replica_request Request = decodeReplicaRequest(*Frame);
-      const std::string Target = std::exchange(Request.Target, {});
-      const std::uint64_t Sequence = Request.Sequence;
-      // Without a target it is a probe of this instance itself.
-      const bool Known = Client.replicas().find(Target).has_value();
-      if (!Known || Client.link(Target).suspect(readClock())) {
-        replica_reply Reply;
-        Reply.Sequence = Sequence;
-        if (!Target.empty())
-          Reply.Status = replica_status::Unreachable;
-        Peer->Stream->write(encodeMessage(Reply));
-        continue;
-      }
-      Client.link(Target).send(
-          std::move(Request),
-          [Sequence, Weak = std::weak_ptr<peer>(Peer)](replica_reply Reply) {
-            Reply.Sequence = Sequence;
-            if (const auto Self = Weak.lock())
-              Self->Stream->write(encodeMessage(Reply));
-          });
-    }
-  } catch (const std::runtime_error &Error) {
-    logEvent(log_level::Warning, "peer_message_unreadable",
-             {{"reason", Error.what()}});
-    Peer->Stream->close();
-    Peers.erase(Peer);
+    : Client(GivenClient),
+      Server(Loop, Address,
+             [this](replica_request Request,
+                    const replica_server::on_reply &OnReply) {
+               passOn(std::move(Request), OnReply);
+             }) {}
+
+void relay_server::passOn(replica_request Request,
+                          const replica_server::on_reply &OnReply) {
+  const std::string Target = std::exchange(Request.Target, {});
+  const std::uint64_t Sequence = Request.Sequence;
+  // Without a target it is a probe of this instance itself.
+  const bool Known = Client.replicas().find(Target).has_value();
+  if (!Known || Client.link(Target).suspect(readClock())) {
+    replica_reply Reply;
+    Reply.Sequence = Sequence;
+    if (!Target.empty())
+      Reply.Status = replica_status::Unreachable;
+    OnReply(Reply);
+    return;
   }
+  Client.link(Target).send(std::move(Request),
+                           [Sequence, OnReply](replica_reply Reply) {
+                             Reply.Sequence = Sequence;
+                             OnReply(Reply);
+                           });
 }
 
 } // namespace lentilhoist
--- a/src/history/relay_server.h
+++ b/src/history/relay_server.h
@@ -1,11 +1,7 @@
 #pragma once
 
 #include "history/history_client.h"
-
-#include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
-#include <memory>
-#include <set>
+#include "history/replica_server.h"
 
 namespace lentilhoist {
 
@@ -22,14 +18,10 @@
                history_client &Client);
 
 private:
-  struct peer;
-
-  void accept();
-  void onBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes);
+  void passOn(replica_request Request, const replica_server::on_reply &OnReply);
 
-  asio::ip::tcp::acceptor Acceptor;
-  std::set<std::shared_ptr<peer>> Peers;
   history_client &Client;
+  replica_server Server;
 };
 
 } // namespace lentilhoist
--- a/src/history_explore/history_world.cpp
+++ b/src/history_explore/history_world.cpp
@@ -94,8 +94,8 @@
   });
 }
 
-void history_world::request(const std::string &From, bool FromCut,
-                            const std::string &Address, replica_request Request,
+void history_world::request(bool FromCut, const std::string &Address,
+                            replica_request Request,
                             std::function<void(replica_reply)> OnReply) {
   const auto Index = indexOf(Address);
   if (!Index)
@@ -109,7 +109,7 @@
   const auto Extra =
       Blocked ? Choice.between(milliseconds(500), seconds(4)) : microseconds(0);
   Clock.after(Delay + Extra,
-              [this, From, Index = *Index, Request = std::move(Request),
+              [this, Index = *Index, Request = std::move(Request),
                OnReply = std::move(OnReply)]() mutable {
                 onReplica(Index, [this, Index, Request = std::move(Request),
                                   OnReply = std::move(OnReply)]() mutable {
@@ -242,7 +242,7 @@
     return;
   for (const replica_slot &Slot : Replica.Set->Slots) {
     Replica.LastHeard.try_emplace(Slot.Address, Clock.now());
-    request(Replica.Name, Replica.Cut, Slot.Address, {},
+    request(Replica.Cut, Slot.Address, {},
             [this, Index, Life = Replica.Life,
              Address = Slot.Address](const replica_reply &) {
               if (Replicas[Index].Life == Life)
@@ -314,7 +314,7 @@
   Request.Cursor = Cursor;
   Request.Set.push_back(*Replica.Set);
   request(
-      Replica.Name, Replica.Cut, Source, std::move(Request),
+      Replica.Cut, Source, std::move(Request),
       [this, Index, Source, Target, Life = Replica.Life,
        Version = Replica.Copy.Version](const replica_reply &Reply) {
         model_replica &Self = Replicas[Index];
--- a/src/history_explore/history_world.h
+++ b/src/history_explore/history_world.h
@@ -89,8 +89,8 @@
   void startReplica(std::size_t Index);
   void stopReplica(std::size_t Index);
   void onReplica(std::size_t Index, std::function<void()> Event);
-  void request(const std::string &From, bool FromCut,
-               const std::string &Address, replica_request Request,
+  void request(bool FromCut, const std::string &Address,
+               replica_request Request,
                std::function<void(replica_reply)> OnReply);
   void handle(std::size_t Index, replica_request Request,
               std::function<void(replica_reply)> OnReply);
@@ -113,7 +113,7 @@
   void startTurn(std::size_t Program, const std::string &Previous,
                  const std::string &Text, bool Known);
   void handOut(std::size_t Edge, std::size_t Program, turn_record Turn,
-               std::string Chain, std::uint64_t Most, std::uint64_t Tokens);
+               std::string Chain, std::uint64_t Tokens);
   void commit(std::size_t Edge, std::size_t Program, const turn_record &Turn,
               const std::string &Chain);
   void settle(std::size_t Edge, std::size_t Program, const std::string &Attempt,
--- a/src/history_explore/history_world_edges.cpp
+++ b/src/history_explore/history_world_edges.cpp
@@ -61,7 +61,7 @@
   replica_request Message = Question->Request;
   Message.SetVersion = Edge.Set.Version;
   request(
-      Edge.Name, Edge.Cut, Edge.Set.Slots[Slot].Address, std::move(Message),
+      Edge.Cut, Edge.Set.Slots[Slot].Address, std::move(Message),
       [this, Question, Slot, Version = Edge.Set.Version](replica_reply Reply) {
         if (Question->Done || Question->Version != Version ||
             Edges[Question->Edge].Life != Question->Life)
@@ -200,7 +200,7 @@
                              *Chain + "\" instead of \"" + Text + "\"");
                       return;
                     }
-                    handOut(Edge, Program, Turn, *Chain, MostTokens, Tokens);
+                    handOut(Edge, Program, Turn, *Chain, Tokens);
                   });
       });
 }
@@ -241,7 +241,7 @@
 
 void history_world::handOut(std::size_t Edge, std::size_t Program,
                             turn_record Turn, std::string Chain,
-                            std::uint64_t Most, std::uint64_t Tokens) {
+                            std::uint64_t Tokens) {
   const std::uint64_t Life = Edges[Edge].Life;
   // Some of it has reached the caller whatever happens to the instance.
   const bool Late = Settings.Planted == planted_history_fault::LateReservation;
@@ -249,8 +249,7 @@
   checkBudgets();
   Clock.after(Choice.between(milliseconds(20), milliseconds(300)),
               [this, Edge, Program, Turn = std::move(Turn),
-               Chain = std::move(Chain), Tokens, Life, Most]() mutable {
-                (void)Most;
+               Chain = std::move(Chain), Tokens, Life]() mutable {
                 if (Edges[Edge].Life != Life)
                   return;
                 if (Choice.chance(100)) { // The runner breaks off.
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -161,7 +161,6 @@
                     [Self = shared_from_this()](const asio::error_code &Error,
                                                 std::size_t Length) {
                       Self->Writing = false;
-                      Self->Written += Length;
                       Self->Pending -= std::min(Self->Pending, Length);
                       Self->Sending.clear();
                       if (Self->Closed)
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -78,8 +78,6 @@
   bool connected() const { return Connected; }
   bool closed() const { return Closed; }
   std::size_t pendingBytes() const { return Pending; }
-  /// \returns bytes handed to the system for the peer so far.
-  std::size_t writtenBytes() const { return Written; }
 
 private:
   /// How long finish() waits for the peer's end; a peer that keeps the
@@ -103,7 +101,6 @@
   std::deque<std::string> Queue;
   std::vector<std::string> Sending; ///< Owned by the write under way.
   std::size_t Pending = 0;
-  std::size_t Written = 0;
   bool Connected = false;
   bool Reading = false;
   bool Paused = false;
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -2,11 +2,11 @@
 
 #include "history/copy_progress.h"
 #include "history/history_link.h"
+#include "history/replica_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "net/address.h"
 #include "net/text_server.h"
-#include "platform/machine_settings.h"
 #include "replica/replica_store.h"
 #include "store/store_watch.h"
 
@@ -44,21 +44,19 @@
 constexpr milliseconds RetirementWait{2'000};
 constexpr const char *SetName = "main";
 
-/// A connection of an entry instance or of another replica.
-struct peer : std::enable_shared_from_this<peer> {
-  std::shared_ptr<tcp_stream> Stream;
-  frame_reader Frames;
-};
-
 /// The parts of one replica, joined on one event loop.
 class replica {
 public:
-  replica(instance_settings Given, std::string Path)
-      : Settings(std::move(Given)), SettingsPath(std::move(Path)),
+  replica(instance_settings Given, std::function<void()> GivenOnHangup)
+      : Settings(std::move(Given)), OnHangup(std::move(GivenOnHangup)),
         Address(Settings.ReplicaAddress),
         Store(Loop, Settings.DataFolder + "/history", Settings.DiskBytes,
               limits()),
-        Peers(listenOn(Loop, *parseAddress(Address))),
+        Peers(Loop, *parseAddress(Address),
+              [this](const replica_request &Request,
+                     const replica_server::on_reply &OnReply) {
+                handle(Request, OnReply);
+              }),
         MetricsServer(
             Loop,
             {asio::ip::make_address(Settings.Address), Settings.FirstPort},
@@ -72,7 +70,6 @@
         ExpiryTimer(Loop) {}
 
   int run() {
-    accept();
     watchSet();
     watchRetirements();
     ConfigWatch = backUp(platform::ConfigKind);
@@ -129,58 +126,23 @@
     return {200, Metrics.render()};
   }
 
-  void accept() {
-    Peers.async_accept(
-        [this](const asio::error_code &Error, asio::ip::tcp::socket Socket) {
-          if (Error == asio::error::operation_aborted)
-            return;
-          if (!Error)
-            serve(std::move(Socket));
-          accept();
-        });
-  }
-
-  void serve(asio::ip::tcp::socket Socket) {
-    const auto Peer = std::make_shared<peer>();
-    Peer->Stream =
-        std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
-    tcp_stream::handlers Handlers;
-    // The handlers own the peer; the stream drops them when it ends.
-    Handlers.OnBytes = [this, Peer](std::string_view Bytes) {
-      onPeerBytes(Peer, Bytes);
-    };
-    Peer->Stream->setHandlers(std::move(Handlers));
-    Peer->Stream->start();
-  }
-
-  void onPeerBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes) {
-    Peer->Frames.add(Bytes);
-    try {
-      while (const auto Frame = Peer->Frames.next()) {
-        const instant Start = readClock();
-        const replica_request Request = decodeReplicaRequest(*Frame);
-        Metrics.count("lentilhoist_replica_requests_total");
-        const bool Greeting = Request.Operation == replica_operation::Ping &&
-                              !Request.RelayAddress.empty();
-        if (Greeting)
-          Relays[Request.RelayAddress] = Start;
-        Store.handle(Request,
-                     [this, Start, Greeting,
-                      Weak = std::weak_ptr<peer>(Peer)](replica_reply Reply) {
-                       Metrics.observe("lentilhoist_replica_answer_seconds", "",
-                                       "", readClock().Steady - Start.Steady);
-                       if (Greeting)
-                         for (const auto &[Relay, Greeted] : Relays)
-                           Reply.Relays.push_back(Relay);
-                       if (const auto Self = Weak.lock())
-                         Self->Stream->write(encodeMessage(Reply));
-                     });
-      }
-    } catch (const std::runtime_error &Error) {
-      logEvent(log_level::Warning, "peer_message_unreadable",
-               {{"reason", Error.what()}});
-      Peer->Stream->close();
-    }
+  void handle(const replica_request &Request,
+              const replica_server::on_reply &OnReply) {
+    const instant Start = readClock();
+    Metrics.count("lentilhoist_replica_requests_total");
+    const bool Greeting = Request.Operation == replica_operation::Ping &&
+                          !Request.RelayAddress.empty();
+    if (Greeting)
+      Relays[Request.RelayAddress] = Start;
+    Store.handle(Request,
+                 [this, Start, Greeting, OnReply](replica_reply Reply) {
+                   Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
+                                   readClock().Steady - Start.Steady);
+                   if (Greeting)
+                     for (const auto &[Relay, Greeted] : Relays)
+                       Reply.Relays.push_back(Relay);
+                   OnReply(Reply);
+                 });
   }
 
   void watchSet() {
@@ -542,7 +504,7 @@
       if (Error)
         return;
       if (Signal == SIGHUP) {
-        logEvent(log_level::Info, "settings_reloaded", {});
+        OnHangup();
         waitForSignal();
         return;
       }
@@ -554,11 +516,11 @@
 
   asio::io_context Loop;
   instance_settings Settings;
-  std::string SettingsPath;
+  std::function<void()> OnHangup;
   std::string Address;
   metrics Metrics;
   replica_store Store;
-  asio::ip::tcp::acceptor Peers;
+  replica_server Peers;
   text_server MetricsServer;
   std::shared_ptr<store_client> Client;
   asio::signal_set Signals;
@@ -588,8 +550,8 @@
 } // namespace
 
 int runReplica(const instance_settings &Settings,
-               const std::string &SettingsPath) {
-  replica Replica(Settings, SettingsPath);
+               const std::function<void()> &OnHangup) {
+  replica Replica(Settings, OnHangup);
   return Replica.run();
 }
 
--- a/src/replica/replica_daemon.h
+++ b/src/replica/replica_daemon.h
@@ -2,15 +2,15 @@
 
 #include "settings/instance_settings.h"
 
-#include <string>
+#include <functional>
 
 namespace lentilhoist {
 
 /// Runs a replica of the history until it is asked to end.
 /// \param Settings the instance's settings; they name a data folder.
-/// \param SettingsPath the file they came from, which is read again on SIGHUP.
+/// \param OnHangup called on SIGHUP.
 /// \returns the exit code.
 int runReplica(const instance_settings &Settings,
-               const std::string &SettingsPath);
+               const std::function<void()> &OnHangup);
 
 } // namespace lentilhoist
