Give the places of full engines to the programs that are worth finishing

Each instance hears of one runner about once a second, so that its estimates of load were far too low, and nothing held back. Change: the estimate falls back from a runner's old report to the mean of the fresh reports of its service; admissionLimit says up to which load a request is sent, by priority, under way or new, late or not (trunk reservation). What is not admitted waits as before.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -204,7 +204,7 @@
            {"draining", Runner.Entry.Draining},
            {"slots", Runner.Entry.Slots},
            {"outstanding", Runner.Outstanding},
-           {"load", static_cast<std::int64_t>(estimateLoad(Runner, Now))},
+           {"load", static_cast<std::int64_t>(estimateLoad(Context.Runners, Runner, Now))},
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadTime) : -1},
            {"failures_in_row", Runner.FailuresInRow}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -196,24 +196,32 @@
   Question.Request = &Traits;
   Question.Engine = Engine;
   Question.Excluded = Tried;
+  Question.Priority = Route->Priority;
   const placement_answer Placed = placeRequest(Context.Runners, Question, Now);
   if (Placed.Runner.empty() || Placed.Paused) {
     // Those that refused for want of room may have it soon.
     Tried.clear();
-    hold(Placed.Runner.empty() ? "no_runner" : "all_paused");
+    hold(Placed.Full             ? "no_room"
+         : Placed.Runner.empty() ? "no_runner"
+                                 : "all_paused");
     return;
   }
-  logEvent(log_level::Info, "request_placed",
-           {{"request", Traits.Attempt},
-            {"route", Route->Name},
-            {"config_version", std::to_string(Routes->config().Version)},
-            {"runner", Placed.Runner},
-            {"candidates", std::to_string(Placed.Candidates)},
-            {"cost_ms", text(Placed.CostMs)},
-            {"load", text(Placed.Load)},
-            {"load_age_ms", std::to_string(Placed.LoadAge.count())},
-            {"kept_tokens", std::to_string(Placed.KeptTokens)},
-            {"time_left_ms", std::to_string(timeLeft(Now).count())}});
+  logEvent(
+      log_level::Info, "request_placed",
+      {{"request", Traits.Attempt},
+       {"route", Route->Name},
+       {"config_version", std::to_string(Routes->config().Version)},
+       {"runner", Placed.Runner},
+       {"candidates", std::to_string(Placed.Candidates)},
+       {"cost_ms", text(Placed.CostMs)},
+       {"load", text(Placed.Load)},
+       {"load_age_ms", std::to_string(Placed.LoadAge.count())},
+       {"kept_tokens", std::to_string(Placed.KeptTokens)},
+       {"priority", std::to_string(Route->Priority)},
+       {"program_left_ms", Traits.ProgramTimeLeft
+                               ? std::to_string(Traits.ProgramTimeLeft->count())
+                               : "none"},
+       {"time_left_ms", std::to_string(timeLeft(Now).count())}});
   send(Placed.Runner);
 }
 
@@ -335,7 +343,7 @@
   FirstByte = Now;
   runner_view *View = runner();
   if (View && Answer.Load)
-    noteLoad(*View, *Answer.Load, Now);
+    noteLoad(Context.Runners, *View, *Answer.Load, Now);
   if (!Answer.Attempt.empty() && Answer.Attempt != Traits.Attempt) {
     failSend(send_outcome::Unknown, "answer_of_another_request");
     return;
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,5 +1,7 @@
 #include "placement/placement.h"
 
+#include "placement/admission.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -33,18 +35,27 @@
   double Load = 0;
   std::int64_t Kept = 0;
   bool Paused = false;
+  bool Full = false;
 };
 
+/// Part of a report that still holds, from 1 to 0.
+double freshness(instant Reported, instant Now) {
+  const auto Age = Now.Steady - Reported.Steady;
+  return std::max(0.0, 1.0 - static_cast<double>(Age.count()) /
+                                 static_cast<double>(
+                                     microseconds(LoadLifetime).count()));
+}
+
 double outputTokens(const request_traits &Request) {
   if (Request.OutputHint > 0)
     return static_cast<double>(Request.OutputHint);
   return DefaultOutputTokens;
 }
 
-cost_parts costOf(const runner_view &Runner, const placement_question &Question,
-                  instant Now) {
+cost_parts costOf(const runner_directory &Directory, const runner_view &Runner,
+                  const placement_question &Question, instant Now) {
   cost_parts Cost;
-  Cost.Load = estimateLoad(Runner, Now);
+  Cost.Load = estimateLoad(Directory, Runner, Now);
   const request_traits &Request = *Question.Request;
   const double Slots = Runner.Entry.Slots;
   const double Over = Cost.Load - Slots + 1;
@@ -55,6 +66,10 @@
     const double Output = outputTokens(Request);
     Cost.Total += Unread / PrefillTokensPerMs;
     Cost.Total += std::min(Cost.Load, Slots) * StepGrowthMs * Output;
+    Cost.Full = Cost.Load >= admissionLimit({Question.Priority,
+                                             !Request.PreviousTurn.empty(),
+                                             Request.ProgramTimeLeft,
+                                             Runner.Entry.Slots});
     // A place becomes free when one of the batch ends.
     if (Over > 0)
       Cost.Total += Over / Slots * StepMs * Output;
@@ -78,19 +93,19 @@
 
 } // namespace
 
-double estimateLoad(const runner_view &Runner, instant Now) {
+double estimateLoad(const runner_directory &Directory,
+                    const runner_view &Runner, instant Now) {
   const double Own = Runner.Outstanding;
-  if (!Runner.Load)
-    return Own;
-  const auto Age = Now.Steady - Runner.LoadTime.Steady;
-  if (Age >= LoadLifetime)
-    return Own;
-  const double Reported = Runner.Load->Running + Runner.Load->Waiting;
-  const double Others = std::max(0.0, Reported - Runner.OutstandingAtLoad);
-  const double Fade =
-      1.0 - static_cast<double>(Age.count()) /
-                static_cast<double>(microseconds(LoadLifetime).count());
-  return Own + Others * Fade;
+  const double Fresh = Runner.Load ? freshness(Runner.LoadTime, Now) : 0;
+  double Others = 0;
+  if (Runner.Load)
+    Others = Fresh * std::max(0, Runner.Load->Running + Runner.Load->Waiting -
+                                     Runner.OutstandingAtLoad);
+  const auto Service = Directory.Loads.find(Runner.Entry.Service);
+  if (Service != Directory.Loads.end())
+    Others += (1 - Fresh) * freshness(Service->second.Time, Now) *
+              Service->second.OthersPerSlot * Runner.Entry.Slots;
+  return Own + Others;
 }
 
 std::int64_t keptTokens(const runner_view &Runner,
@@ -107,12 +122,17 @@
 placement_answer placeRequest(const runner_directory &Directory,
                               const placement_question &Question, instant Now) {
   placement_answer Best;
+  std::size_t Full = 0;
   for (const auto &[Id, Runner] : Directory.Runners) {
     if (Runner.Entry.Service != Question.Service || Runner.Entry.Draining ||
         Question.Excluded.contains(Id))
       continue;
     ++Best.Candidates;
-    const cost_parts Cost = costOf(Runner, Question, Now);
+    const cost_parts Cost = costOf(Directory, Runner, Question, Now);
+    if (Cost.Full) {
+      ++Full;
+      continue;
+    }
     if (!Best.Runner.empty() && Cost.Total >= Best.CostMs)
       continue;
     Best.Runner = Id;
@@ -124,6 +144,7 @@
                                      Now.Steady - Runner.LoadTime.Steady)
                                : milliseconds(-1);
   }
+  Best.Full = Best.Runner.empty() && Full > 0;
   return Best;
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -15,6 +15,7 @@
   const request_traits *Request = nullptr;
   std::optional<engine_traits> Engine; ///< If the service is a model engine.
   std::set<std::string> Excluded;      ///< Runners already tried.
+  int Priority = 0;                    ///< Of its route; 0 is the most urgent.
 };
 
 /// Where a request goes, with the figures that decided it.
@@ -25,15 +26,19 @@
   std::int64_t KeptTokens = 0; ///< Prompt tokens that need not be read again.
   std::size_t Candidates = 0;
   bool Paused = false;      ///< Even the best one has just refused or failed.
+  bool Full = false;        ///< No engine has room for a request of this rank.
   milliseconds LoadAge{-1}; ///< Age of the load report; -1 if there was none.
 };
 
 /// Estimates the requests at a runner: those of this instance, and those of
-/// others from its newest report, which fades as it ages.
+/// others from its newest report, which gives way to the mean of its service's
+/// runners as it ages, and this to nothing.
+/// \param Directory the runners.
 /// \param Runner the runner.
 /// \param Now the present time.
 /// \returns running and waiting requests.
-double estimateLoad(const runner_view &Runner, instant Now);
+double estimateLoad(const runner_directory &Directory,
+                    const runner_view &Runner, instant Now);
 
 /// \param Runner the runner.
 /// \param Request the request.
--- a/src/placement/runner_directory.cpp
+++ b/src/placement/runner_directory.cpp
@@ -1,6 +1,7 @@
 #include "placement/runner_directory.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace lentilhoist {
@@ -12,6 +13,10 @@
 /// First pause after a failure; doubles with each in a row.
 constexpr milliseconds FailurePause{100};
 constexpr int MaxFailureDoublings = 5;
+/// Reports are averaged over this time, about that of one turn.
+constexpr std::chrono::duration<double> ServiceLoadMemory{0.3};
+/// Of reports that come close together, each counts at least this much.
+constexpr double LeastReportWeight = 0.1;
 /// Prompt parts remembered for each runner; its memory holds fewer.
 constexpr std::size_t MaxRecent = 600;
 
@@ -80,10 +85,23 @@
   return Removed;
 }
 
-void noteLoad(runner_view &Runner, const load_report &Load, instant Now) {
+void noteLoad(runner_directory &Directory, runner_view &Runner,
+              const load_report &Load, instant Now) {
   Runner.Load = Load;
   Runner.LoadTime = Now;
   Runner.OutstandingAtLoad = Runner.Outstanding;
+  if (Runner.Entry.Slots <= 0)
+    return;
+  service_load &Service = Directory.Loads[Runner.Entry.Service];
+  const double Others =
+      std::max(0, Load.Running + Load.Waiting - Runner.Outstanding);
+  const double PerSlot = Others / Runner.Entry.Slots;
+  const auto Age = std::chrono::duration<double>(Now.Steady -
+                                                 Service.Time.Steady);
+  const double Kept = std::exp(-Age / ServiceLoadMemory);
+  const double Weight = std::max(1 - Kept, LeastReportWeight);
+  Service.OthersPerSlot += Weight * (PerSlot - Service.OthersPerSlot);
+  Service.Time = Now;
 }
 
 void noteRefusal(runner_view &Runner, instant Now) {
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -27,10 +27,19 @@
   std::unordered_map<std::string, instant> Recent;
 };
 
+/// What the runners of a service have to do for other instances, on average.
+/// Many instances share many runners, so that the newest report of one runner
+/// is often old where that of another is fresh.
+struct service_load {
+  double OthersPerSlot = 0; ///< Requests of other instances for each slot.
+  instant Time{};           ///< Of the newest report in it.
+};
+
 /// The runners by id. Behind a change of birth, what was known of the earlier
 /// life is dropped.
 struct runner_directory {
   std::map<std::string, runner_view> Runners;
+  std::map<std::string, service_load> Loads; ///< By service.
   /// Runners that are missing while the registry may still return them, with
   /// the time from which they count as gone.
   std::map<std::string, instant> Missing;
@@ -66,11 +75,13 @@
 std::vector<std::string> removeMissing(runner_directory &Directory,
                                        instant Now);
 
-/// Notes an answer's load report.
-/// \param Runner the runner.
+/// Notes an answer's load report, for the runner and for its service.
+/// \param Directory the directory.
+/// \param Runner the runner, one of the directory.
 /// \param Load what it told.
 /// \param Now the present time.
-void noteLoad(runner_view &Runner, const load_report &Load, instant Now);
+void noteLoad(runner_directory &Directory, runner_view &Runner,
+              const load_report &Load, instant Now);
 
 /// Notes a refusal for want of room.
 /// \param Runner the runner.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "placement/admission.h"
 #include "placement/placement.h"
 
 #include <doctest/doctest.h>
@@ -38,6 +39,9 @@
     return placeRequest(Directory, Question, Start).Runner;
   }
   runner_view &at(const char *Id) { return Directory.Runners.at(Id); }
+  double loadOf(const char *Id, instant Now) {
+    return estimateLoad(Directory, at(Id), Now);
+  }
 
   runner_directory Directory;
   request_traits Request;
@@ -74,12 +78,66 @@
   fixture Fixture;
   runner_view &Runner = Fixture.at("a");
   Runner.Outstanding = 1;
-  noteLoad(Runner, {4, 6, 4}, Start);
-  CHECK(estimateLoad(Runner, Start) == doctest::Approx(10));
-  const double Later = estimateLoad(Runner, later(Start, milliseconds(750)));
+  noteLoad(Fixture.Directory, Runner, {4, 6, 4}, Start);
+  CHECK(Fixture.loadOf("a", Start) == doctest::Approx(10));
+  const double Later = Fixture.loadOf("a", later(Start, milliseconds(750)));
   CHECK(Later < 10);
   CHECK(Later > 1);
-  CHECK(estimateLoad(Runner, later(Start, seconds(3))) == doctest::Approx(1));
+  CHECK(Fixture.loadOf("a", later(Start, seconds(3))) == doctest::Approx(1));
+}
+
+TEST_CASE("an old report gives way to the fresh reports of other runners") {
+  // Many instances share many runners: each hears of one runner only now and
+  // then, but of some runner all the time.
+  fixture Fixture;
+  noteLoad(Fixture.Directory, Fixture.at("a"), {4, 8, 4}, Start);
+  instant Now = Start;
+  for (int Report = 0; Report < 50; ++Report) {
+    Now = later(Now, milliseconds(30));
+    noteLoad(Fixture.Directory, Fixture.at("far"), {4, 4, 4}, Now);
+  }
+  CHECK(Fixture.loadOf("a", Now) == doctest::Approx(8).epsilon(0.05));
+  CHECK(Fixture.loadOf("b", Now) == doctest::Approx(8).epsilon(0.05));
+}
+
+TEST_CASE("places in an overload go by rank: urgent, under way, new, late") {
+  admission_question Question;
+  Question.Slots = 12;
+  Question.ProgramTimeLeft = milliseconds(2'000);
+  const double UrgentNew = admissionLimit(Question);
+  Question.UnderWay = true;
+  const double UrgentUnderWay = admissionLimit(Question);
+  Question.Priority = 1;
+  const double UnderWay = admissionLimit(Question);
+  Question.UnderWay = false;
+  const double New = admissionLimit(Question);
+  Question.ProgramTimeLeft = milliseconds(0);
+  const double Late = admissionLimit(Question);
+  CHECK(UrgentUnderWay > UrgentNew);
+  CHECK(UrgentNew > UnderWay);
+  CHECK(UnderWay > New);
+  CHECK(New > Late);
+  // Nothing starves: some places are open to all.
+  Question.Priority = 100;
+  CHECK(admissionLimit(Question) > 6);
+}
+
+TEST_CASE("a full engine takes urgent turns while others wait") {
+  fixture Fixture;
+  for (const char *Id : {"a", "b", "far"})
+    Fixture.at(Id).Outstanding = 5;
+  Fixture.Question.Priority = 1;
+  auto Placed = placeRequest(Fixture.Directory, Fixture.Question, Start);
+  CHECK(Placed.Runner.empty());
+  CHECK(Placed.Full);
+  Fixture.Question.Priority = 0;
+  Placed = placeRequest(Fixture.Directory, Fixture.Question, Start);
+  CHECK_FALSE(Placed.Runner.empty());
+  // A place that becomes free is taken by whoever waits.
+  Fixture.Question.Priority = 1;
+  Fixture.at("far").Outstanding = 2;
+  Placed = placeRequest(Fixture.Directory, Fixture.Question, Start);
+  CHECK(Placed.Runner == "far");
 }
 
 TEST_CASE("draining, excluded and foreign runners are never chosen") {
