Let requests wait for the configuration of an instance that has just started

Callers have one or two tries; the refusals used them up. Change: such a request waits up to 1.2 s, as one that waits for the history does; the replicas are asked after 150 ms.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -36,7 +36,7 @@
 /// Pause between greetings of the replicas.
 constexpr seconds GreetInterval{3};
 /// Time that the store has to answer before the replicas are asked instead.
-constexpr milliseconds BackupDelay{400};
+constexpr milliseconds BackupDelay{150};
 /// Changes of the registry within this time are taken together.
 constexpr milliseconds RegistryGap{100};
 
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -22,6 +22,9 @@
 /// Longest wait for a reservation. It covers a restart of all replicas, which
 /// takes about a second: a refusal would use up one of the caller's few tries.
 constexpr milliseconds ReserveLimit{1'200};
+/// Longest wait of an instance that has just started for its configuration; as
+/// ReserveLimit.
+constexpr milliseconds ConfigurationLimit{1'200};
 /// Answers of plain services above this size pass through unbuffered.
 constexpr std::size_t MaxBufferedAnswer = 256UL * 1024UL;
 /// Bytes waiting for a slow caller beyond which the runner is held back.
@@ -90,15 +93,44 @@
     return;
   }
   Traits = std::move(*Decoded);
-  if (!Context.Routes) {
-    refuse(own_answer::NoConfiguration);
-    return;
-  }
   if (Context.BodyBytes > Context.MaxBodyBytes) {
     refuse(own_answer::Overloaded);
     return;
   }
-  chooseRoute();
+  if (Context.Routes)
+    chooseRoute();
+  else
+    awaitConfiguration();
+}
+
+void exchange::awaitConfiguration() {
+  const auto Waited =
+      duration_cast<milliseconds>(readClock().Steady - Arrival.Steady);
+  const milliseconds Whole = Traits.Deadline.value_or(DefaultTimeout);
+  const auto Limit =
+      std::min<double>(static_cast<double>(ConfigurationLimit.count()),
+                       static_cast<double>(Whole.count()) * HoldPart);
+  if (static_cast<double>(Waited.count()) >= Limit) {
+    refuse(own_answer::NoConfiguration);
+    return;
+  }
+  if (Stage != stage::Holding)
+    logEvent(log_level::Info, "request_held",
+             {{"request", Traits.Attempt}, {"reason", "no_configuration"}});
+  Stage = stage::Holding;
+  StepTimer.expires_after(HoldStep);
+  StepTimer.async_wait(
+      [Weak = weak_from_this()](const asio::error_code &Error) {
+        const auto Self = Weak.lock();
+        if (!Self || Error || Self->Stage != stage::Holding)
+          return;
+        if (!Self->Context.Routes) {
+          Self->awaitConfiguration();
+          return;
+        }
+        Self->Stage = stage::Deciding;
+        Self->chooseRoute();
+      });
 }
 
 void exchange::chooseRoute() {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -61,6 +61,7 @@
   };
   static const char *stageName(stage Stage);
 
+  void awaitConfiguration();
   void chooseRoute();
   void reserve();
   void onReserved(reserve_result Result);
