Take changes of the registry of 400 ms together

As 67 runners register one after the other, each instance's watch ended about ten times a second. Change: 400 ms between watches that bring changes; draining runners are to be left within 2 s.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -37,8 +37,9 @@
 constexpr seconds GreetInterval{3};
 /// Time that the store has to answer before the replicas are asked instead.
 constexpr milliseconds BackupDelay{150};
-/// Changes of the registry within this time are taken together.
-constexpr milliseconds RegistryGap{100};
+/// Changes of the registry within this time are taken together, as each call is
+/// priced; a fifth of the time within which a draining runner is to be left.
+constexpr milliseconds RegistryGap{400};
 
 /// The parts of one entry instance, joined on one event loop.
 class edge {
@@ -204,7 +205,8 @@
            {"draining", Runner.Entry.Draining},
            {"slots", Runner.Entry.Slots},
            {"outstanding", Runner.Outstanding},
-           {"load", static_cast<std::int64_t>(estimateLoad(Context.Runners, Runner, Now))},
+           {"load", static_cast<std::int64_t>(
+                        estimateLoad(Context.Runners, Runner, Now))},
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadTime) : -1},
            {"failures_in_row", Runner.FailuresInRow}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
