Start a replica from an index of its segments; leave texts on disk

All texts were held in memory: 5.9 kB a turn. Change: a segment that is full gets an index, its records without texts and without reservations that are settled in it; only segments without a whole index are read themselves.

--- a/bench/platform_bench.cpp
+++ b/bench/platform_bench.cpp
@@ -106,7 +106,7 @@
     }
     replica_state Loaded;
     const double Start = cpuSeconds();
-    readRecords(Journal, [&](replica_change Change) {
+    readRecords(Journal, [&](replica_change Change, std::size_t, std::size_t) {
       applyChange(Loaded, std::move(Change), 1, Limits, Now);
     });
     const double Spent = (cpuSeconds() - Start) * 1e3;
--- a/src/history/journal_writer.cpp
+++ b/src/history/journal_writer.cpp
@@ -30,16 +30,20 @@
 }
 
 void journal_writer::write(std::string Bytes,
-                           std::function<void(bool)> OnDone) {
-  push({std::move(Bytes), std::move(OnDone), 0, 0});
+                           std::function<void(write_result)> OnDone) {
+  push({std::move(Bytes), std::move(OnDone), 0, 0, 0});
 }
 
 void journal_writer::beginSegment(segment_number Number, std::string Header) {
-  push({std::move(Header), nullptr, Number, 0});
+  push({std::move(Header), nullptr, Number, 0, 0});
+}
+
+void journal_writer::writeIndex(segment_number Number, std::string Bytes) {
+  push({std::move(Bytes), nullptr, 0, Number, 0});
 }
 
 void journal_writer::removeSegment(segment_number Number) {
-  push({{}, nullptr, 0, Number});
+  push({{}, nullptr, 0, 0, Number});
 }
 
 void journal_writer::push(task Task) {
@@ -79,17 +83,35 @@
   }
 }
 
+void journal_writer::storeIndex(const task &Task) {
+  try {
+    Log.writeIndex(Task.Index, Task.Bytes);
+  } catch (const std::system_error &Error) {
+    // Without it, the next start reads the segment itself.
+    logEvent(
+        log_level::Warning, "index_not_written",
+        {{"segment", std::to_string(Task.Index)}, {"reason", Error.what()}});
+  }
+}
+
 void journal_writer::execute(std::vector<task> &Batch) {
+  /// Who waits for bytes of the batch, and where these are.
+  struct waiter {
+    std::function<void(write_result)> OnDone;
+    std::uint64_t Offset;
+  };
   std::string Bytes;
-  std::vector<std::function<void(bool)>> Waiting;
+  std::vector<waiter> Waiting;
   const auto Finish = [&] {
+    const std::uint64_t Start = Log.segmentBytes();
     const bool Durable = flush(Bytes);
     Bytes.clear();
     if (Waiting.empty())
       return;
-    asio::post(Loop, [Durable, Handlers = std::move(Waiting)] {
-      for (const auto &Handler : Handlers)
-        Handler(Durable);
+    asio::post(Loop, [Durable, Start, Segment = Log.newest(),
+                      Waiters = std::move(Waiting)] {
+      for (const waiter &Waiter : Waiters)
+        Waiter.OnDone({Durable, Segment, Start + Waiter.Offset});
     });
     Waiting.clear();
   };
@@ -98,6 +120,10 @@
       Log.remove(Task.Remove);
       continue;
     }
+    if (Task.Index != 0) {
+      storeIndex(Task);
+      continue;
+    }
     if (Task.Begin != 0) {
       Finish();
       try {
@@ -109,9 +135,9 @@
                  {{"reason", Error.what()}});
       }
     }
-    Bytes += Task.Bytes;
     if (Task.OnDone)
-      Waiting.push_back(std::move(Task.OnDone));
+      Waiting.push_back({std::move(Task.OnDone), Bytes.size()});
+    Bytes += Task.Bytes;
   }
   Finish();
 }
--- a/src/history/journal_writer.h
+++ b/src/history/journal_writer.h
@@ -12,6 +12,13 @@
 
 namespace lentilhoist {
 
+/// How a write to the journal ended.
+struct write_result {
+  bool Durable = false;
+  segment_number Segment = 0; ///< That holds the bytes.
+  std::uint64_t Offset = 0;   ///< Of the bytes in it.
+};
+
 /// The thread that writes a replica's journal. All that waits is written and
 /// synced together; the results go back to the event loop.
 class journal_writer {
@@ -27,14 +34,19 @@
 
   /// Queues records.
   /// \param Bytes encoded records.
-  /// \param OnDone told on the event loop whether they are durable.
-  void write(std::string Bytes, std::function<void(bool)> OnDone);
+  /// \param OnDone told on the event loop whether and where they are durable.
+  void write(std::string Bytes, std::function<void(write_result)> OnDone);
 
   /// Queues the beginning of a segment.
   /// \param Number its number.
   /// \param Header encoded records that each segment begins with.
   void beginSegment(segment_number Number, std::string Header);
 
+  /// Queues the index of a segment that will not grow any more.
+  /// \param Number the segment.
+  /// \param Bytes its encoded index.
+  void writeIndex(segment_number Number, std::string Bytes);
+
   /// Queues the deletion of a segment.
   /// \param Number its number.
   void removeSegment(segment_number Number);
@@ -43,8 +55,9 @@
   /// What the thread is to do.
   struct task {
     std::string Bytes;
-    std::function<void(bool)> OnDone;
+    std::function<void(write_result)> OnDone;
     segment_number Begin = 0;  ///< Segment to begin; 0 for none.
+    segment_number Index = 0;  ///< Segment whose index it is; 0 for none.
     segment_number Remove = 0; ///< Segment to delete; 0 for none.
   };
 
@@ -52,6 +65,7 @@
   void run();
   void execute(std::vector<task> &Tasks);
   bool flush(const std::string &Bytes);
+  void storeIndex(const task &Task);
 
   asio::io_context &Loop;
   segment_log &Log;
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -14,8 +14,12 @@
 /// Rough memory of a record beside its texts.
 constexpr std::size_t RecordOverhead = 400;
 
+std::size_t textsOf(const turn_record &Turn) {
+  return Turn.Input.size() + Turn.Output.size();
+}
+
 std::size_t sizeOf(const turn_record &Turn) {
-  return RecordOverhead + Turn.Input.size() + Turn.Output.size();
+  return RecordOverhead + textsOf(Turn);
 }
 
 instant expiryOf(std::uint64_t RetentionMs, const replica_limits &Limits,
@@ -45,8 +49,8 @@
 std::uint64_t takePosition(replica_state &State, std::string First,
                            std::string Second, segment_number Segment) {
   const std::uint64_t Position = ++State.LastPosition;
-  State.Order.emplace(Position,
-                      std::make_pair(std::move(First), std::move(Second)));
+  State.Order.emplace_hint(State.Order.end(), Position,
+                           std::make_pair(std::move(First), std::move(Second)));
   ++State.Live[Segment];
   return Position;
 }
@@ -79,6 +83,7 @@
   if (Added) {
     held_turn &Held = Found->second;
     State.Bytes += sizeOf(Turn);
+    State.TextBytes += textsOf(Turn);
     Held.Record = std::move(Turn);
     Held.Segment = Segment;
     Held.Position = takePosition(State, Id, "", Segment);
@@ -104,15 +109,22 @@
   return Change;
 }
 
+void appendTurn(const held_turn &Held, replica_outcome &Outcome) {
+  if (!Held.TextsHeld)
+    Outcome.Unread.push_back({Outcome.Reply.Turns.size(), Held.Place});
+  Outcome.Reply.Turns.push_back(Held.Record);
+}
+
 void appendChain(const replica_state &State, const std::string &Last,
-                 std::vector<turn_record> &Turns) {
+                 replica_outcome &Outcome) {
   for (auto Found = State.Turns.find(Last); Found != State.Turns.end();
        Found = State.Turns.find(Found->second.Record.Previous))
-    Turns.push_back(Found->second.Record);
+    appendTurn(Found->second, Outcome);
 }
 
 void answerReserve(const replica_state &State, const replica_request &Request,
-                   replica_reply &Reply) {
+                   replica_outcome &Outcome) {
+  replica_reply &Reply = Outcome.Reply;
   const auto Ledger = State.Ledgers.find(Request.Program);
   if (Ledger != State.Ledgers.end())
     for (const auto &[Attempt, Held] : Ledger->second.Entries)
@@ -122,11 +134,12 @@
   if (Reply.PreviousFound)
     Reply.PreviousRunner = Previous->second.Record.Runner;
   if (Request.WantChain)
-    appendChain(State, Request.Previous, Reply.Turns);
+    appendChain(State, Request.Previous, Outcome);
 }
 
 void answerCopy(const replica_state &State, const replica_request &Request,
-                replica_reply &Reply) {
+                replica_outcome &Outcome) {
+  replica_reply &Reply = Outcome.Reply;
   Reply.Head = State.LastPosition;
   Reply.Cursor = Request.Cursor;
   std::map<std::string, program_ledger> Ledgers;
@@ -137,8 +150,9 @@
     Reply.Cursor = Next->first;
     if (Attempt.empty()) {
       const held_turn &Held = State.Turns.at(Id);
-      Bytes += sizeOf(Held.Record);
-      Reply.Turns.push_back(Held.Record);
+      Bytes += Held.TextsHeld ? sizeOf(Held.Record)
+                              : RecordOverhead + Held.Place.Length;
+      appendTurn(Held, Outcome);
       continue;
     }
     const held_ledger &Ledger = State.Ledgers.at(Id);
@@ -248,7 +262,7 @@
   case replica_operation::Backups:
     break;
   case replica_operation::Reserve:
-    answerReserve(State, Request, Reply);
+    answerReserve(State, Request, Outcome);
     Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
   case replica_operation::Commit:
@@ -259,10 +273,10 @@
     break;
   case replica_operation::Read:
     for (const std::string &Id : Request.Turns)
-      appendChain(State, Id, Reply.Turns);
+      appendChain(State, Id, Outcome);
     break;
   case replica_operation::Copy:
-    answerCopy(State, Request, Reply);
+    answerCopy(State, Request, Outcome);
     break;
   }
   return Outcome;
@@ -290,6 +304,7 @@
       continue;
     }
     State.Bytes -= sizeOf(Turn->second.Record);
+    State.TextBytes -= textsOf(Turn->second.Record);
     dropPosition(State, Turn->second.Position, Turn->second.Segment);
     Turn = State.Turns.erase(Turn);
   }
@@ -306,9 +321,10 @@
   }
 }
 
-std::vector<replica_change>
-relocateRecords(replica_state &State, segment_number From, segment_number To) {
-  std::vector<replica_change> Changes;
+relocation relocateRecords(replica_state &State, segment_number From,
+                           segment_number To) {
+  relocation Moved;
+  std::vector<replica_change> &Changes = Moved.Changes;
   const auto MoveTo = [&](segment_number &Segment) {
     --State.Live[Segment];
     Segment = To;
@@ -317,6 +333,8 @@
   for (auto &[Id, Turn] : State.Turns) {
     if (Turn.Segment != From)
       continue;
+    if (!Turn.TextsHeld)
+      Moved.Unread.push_back({Changes.size(), Turn.Place});
     Changes.push_back(turnChange(Turn.Record));
     MoveTo(Turn.Segment);
   }
@@ -327,7 +345,49 @@
       Changes.push_back(entryChange(Program, Held.Entry, Ledger.RetentionMs));
       MoveTo(Held.Segment);
     }
-  return Changes;
+  return Moved;
+}
+
+void placeTurn(replica_state &State, const std::string &Id,
+               const record_place &Place) {
+  const auto Found = State.Turns.find(Id);
+  if (Found != State.Turns.end() && Found->second.Segment == Place.Segment)
+    Found->second.Place = Place;
+}
+
+void applyIndexed(replica_state &State, replica_change Change,
+                  const record_place &Place, const replica_limits &Limits,
+                  instant Now) {
+  const std::string Id = Change.Turn.Id;
+  const bool NewTurn =
+      Change.Kind == change_kind::Turn && !State.Turns.contains(Id);
+  applyChange(State, std::move(Change), Place.Segment, Limits, Now);
+  if (!NewTurn)
+    return;
+  held_turn &Turn = State.Turns.at(Id);
+  Turn.Place = Place;
+  Turn.TextsHeld = false;
+}
+
+void dropTexts(replica_state &State, const replica_limits &Limits) {
+  while (State.TextBytes > Limits.MaxTextBytes) {
+    const auto Next = State.Order.upper_bound(State.TextsDropped);
+    if (Next == State.Order.end())
+      return;
+    const auto &[Id, Attempt] = Next->second;
+    if (Attempt.empty()) {
+      held_turn &Turn = State.Turns.at(Id);
+      if (Turn.Place.Length == 0)
+        return; // Not durable yet, and what follows is younger.
+      const std::size_t Texts = textsOf(Turn.Record);
+      Turn.Record.Input = std::string();
+      Turn.Record.Output = std::string();
+      Turn.TextsHeld = false;
+      State.Bytes -= Texts;
+      State.TextBytes -= Texts;
+    }
+    State.TextsDropped = Next->first;
+  }
 }
 
 std::vector<segment_number> emptySegments(const replica_state &State,
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -3,6 +3,7 @@
 #include "core/instant.h"
 #include "history/replica_message.h"
 
+#include <limits>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -35,9 +36,19 @@
 /// Number of the journal segment that holds a record.
 using segment_number = std::uint64_t;
 
-/// A turn in memory.
+/// Where the journal holds a record.
+struct record_place {
+  segment_number Segment = 0;
+  std::uint64_t Offset = 0; ///< Of the record in its segment.
+  std::uint64_t Length = 0; ///< 0 while the record is not known to be durable.
+  MSGPACK_DEFINE(Segment, Offset, Length)
+};
+
+/// A turn in memory. Its texts, most of its size, may be in the journal only.
 struct held_turn {
   turn_record Record;
+  bool TextsHeld = true;
+  record_place Place;
   instant Expiry{};           ///< Dropped after this.
   std::uint64_t Position = 0; ///< Order in which the replica learned of it.
   segment_number Segment = 0; ///< Journal segment that holds it.
@@ -63,6 +74,8 @@
   /// Kept longer than a route's retention: covers the time between the end of
   /// an answer and its caller's next turn on a slow link.
   milliseconds RetentionSlack{5'000};
+  /// Texts of turns in memory; older ones are read from the journal.
+  std::size_t MaxTextBytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// All that one replica knows. Turns never change and entries only grow from
@@ -78,13 +91,29 @@
   std::uint64_t LastPosition = 0;
   std::map<segment_number, std::uint64_t> Live; ///< Records by segment.
   std::map<std::string, store_backup> Backups;  ///< By kind.
-  std::size_t Bytes = 0;
+  std::size_t Bytes = 0;                        ///< In memory, texts included.
+  std::size_t TextBytes = 0;                    ///< Of these, texts of turns.
+  /// Turns up to this position have no texts in memory, or no place yet.
+  std::uint64_t TextsDropped = 0;
+};
+
+/// A turn whose texts have to be read from the journal.
+struct unread_turn {
+  std::size_t Index = 0; ///< Among the turns or changes that it belongs to.
+  record_place Place;
 };
 
 /// Answer to a request, and what must be synced before it may be sent.
 struct replica_outcome {
   replica_reply Reply;
   std::vector<replica_change> Changes;
+  std::vector<unread_turn> Unread; ///< Of the turns of the reply.
+};
+
+/// Records that move to another segment.
+struct relocation {
+  std::vector<replica_change> Changes;
+  std::vector<unread_turn> Unread; ///< Of the changes.
 };
 
 /// Applies a record, new or read back from the journal.
@@ -138,8 +167,30 @@
 /// \param From the segment to empty.
 /// \param To the segment that will hold them.
 /// \returns the records to sync there before the other one is deleted.
-std::vector<replica_change>
-relocateRecords(replica_state &State, segment_number From, segment_number To);
+relocation relocateRecords(replica_state &State, segment_number From,
+                           segment_number To);
+
+/// Notes where the journal holds a turn.
+/// \param State the replica.
+/// \param Id the turn; one that is held from elsewhere is left alone.
+/// \param Place the place, whose record is durable.
+void placeTurn(replica_state &State, const std::string &Id,
+               const record_place &Place);
+
+/// Adds a record of a segment's index, which has no texts.
+/// \param State the replica.
+/// \param Change the record.
+/// \param Place where the whole record is.
+/// \param Limits its limits.
+/// \param Now the present time.
+void applyIndexed(replica_state &State, replica_change Change,
+                  const record_place &Place, const replica_limits &Limits,
+                  instant Now);
+
+/// Drops the texts of the oldest turns that the journal holds.
+/// \param State the replica.
+/// \param Limits its limits.
+void dropTexts(replica_state &State, const replica_limits &Limits);
 
 /// \param State the replica.
 /// \param Active the segment that is being written.
--- a/src/history/segment_log.cpp
+++ b/src/history/segment_log.cpp
@@ -9,6 +9,8 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <optional>
+#include <stdexcept>
 #include <sys/stat.h>
 #include <system_error>
 #include <unistd.h>
@@ -20,6 +22,7 @@
 constexpr std::size_t HeaderBytes = 12; ///< Length and checksum.
 constexpr std::size_t LengthBytes = 4;
 constexpr const char *Extension = ".segment";
+constexpr const char *IndexExtension = ".index";
 
 void putNumber(std::string &Out, std::uint64_t Value, std::size_t Bytes) {
   for (std::size_t Index = Bytes; Index-- > 0;)
@@ -70,7 +73,8 @@
 }
 
 std::size_t readRecords(std::string_view Bytes,
-                        const std::function<void(replica_change)> &OnRecord) {
+                        const std::function<void(replica_change, std::size_t,
+                                                 std::size_t)> &OnRecord) {
   std::size_t At = 0;
   while (Bytes.size() - At >= HeaderBytes) {
     const std::size_t Length = getNumber(Bytes.substr(At, LengthBytes));
@@ -81,7 +85,7 @@
     const std::string_view Payload = Bytes.substr(At + HeaderBytes, Length);
     if (stableHash(Payload) != Checksum)
       break;
-    OnRecord(decodeRecord(Payload));
+    OnRecord(decodeRecord(Payload), At, HeaderBytes + Length);
     At += HeaderBytes + Length;
   }
   return At;
@@ -96,34 +100,98 @@
     ::close(File);
 }
 
-std::string segment_log::pathOf(segment_number Number) const {
+std::string segmentPath(const std::string &Folder, segment_number Number) {
   return fmt::format("{}/{:012d}{}", Folder, Number, Extension);
 }
 
+replica_change readRecord(const std::string &Folder,
+                          const record_place &Place) {
+  const std::string Path = segmentPath(Folder, Place.Segment);
+  const int File = ::open(Path.c_str(), O_RDONLY | O_CLOEXEC);
+  if (File < 0)
+    failDisk("open " + Path);
+  std::string Bytes(Place.Length, '\0');
+  std::size_t Used = 0;
+  ssize_t Length = 1;
+  while (Used < Bytes.size() && Length > 0) {
+    Length = ::pread(File, Bytes.data() + Used, Bytes.size() - Used,
+                     static_cast<off_t>(Place.Offset + Used));
+    Used += Length > 0 ? static_cast<std::size_t>(Length) : 0;
+  }
+  ::close(File);
+  std::optional<replica_change> Read;
+  if (Used == Bytes.size())
+    readRecords(Bytes, [&](replica_change Change, std::size_t, std::size_t) {
+      Read = std::move(Change);
+    });
+  if (!Read)
+    throw std::runtime_error(fmt::format("{}: the record of {} bytes at {} is "
+                                         "damaged",
+                                         Path, Place.Length, Place.Offset));
+  return std::move(*Read);
+}
+
+std::string segment_log::indexOf(segment_number Number) const {
+  return fmt::format("{}/{:012d}{}", Folder, Number, IndexExtension);
+}
+
 segment_number segment_log::load(
-    const std::function<void(replica_change, segment_number)> &OnRecord) {
+    const std::function<void(replica_change, record_place, bool)> &OnRecord) {
   std::vector<segment_number> Numbers;
   for (const auto &Entry : std::filesystem::directory_iterator(Folder))
     if (Entry.path().extension() == Extension)
       Numbers.push_back(std::stoull(Entry.path().stem().string()));
   std::sort(Numbers.begin(), Numbers.end());
   for (const segment_number Number : Numbers) {
-    const std::string Bytes = readFile(pathOf(Number));
+    segment_index Index;
+    if (std::filesystem::exists(indexOf(Number)) &&
+        decodeIndex(readFile(indexOf(Number)), Index)) {
+      Total += std::filesystem::file_size(segmentPath(Folder, Number));
+      for (indexed_record &Record : Index.Records)
+        OnRecord(std::move(Record.Change), Record.Place, false);
+      continue;
+    }
+    const std::string Bytes = readFile(segmentPath(Folder, Number));
     Total += Bytes.size();
-    readRecords(Bytes, [&](replica_change Change) {
-      OnRecord(std::move(Change), Number);
+    readRecords(Bytes, [&](replica_change Change, std::size_t Offset,
+                           std::size_t Length) {
+      OnRecord(std::move(Change), {Number, Offset, Length}, true);
     });
   }
   return Numbers.empty() ? 1 : Numbers.back() + 1;
 }
 
+void segment_log::writeIndex(segment_number Number, std::string_view Bytes) {
+  const std::string Path = indexOf(Number);
+  const int Index =
+      ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  if (Index < 0)
+    failDisk("open " + Path);
+  bool Written = true;
+  while (Written && !Bytes.empty()) {
+    const ssize_t Length = ::write(Index, Bytes.data(), Bytes.size());
+    Written = Length >= 0 || errno == EINTR;
+    Bytes.remove_prefix(Length > 0 ? static_cast<std::size_t>(Length) : 0);
+  }
+  Written = Written && ::fdatasync(Index) == 0;
+  const int Failure = errno;
+  ::close(Index);
+  if (!Written) {
+    errno = Failure;
+    failDisk("write " + Path);
+  }
+}
+
 void segment_log::begin(segment_number Number) {
   if (File >= 0)
     ::close(File);
-  File = ::open(pathOf(Number).c_str(),
-                O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
+  Newest = Number;
+  std::error_code Error; // Of an earlier segment of this number, if any.
+  std::filesystem::remove(indexOf(Number), Error);
+  const std::string Path = segmentPath(Folder, Number);
+  File = ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (File < 0)
-    failDisk("open " + pathOf(Number));
+    failDisk("open " + Path);
   Written = 0;
   syncFolder();
 }
@@ -159,8 +227,10 @@
 
 void segment_log::remove(segment_number Number) {
   std::error_code Error; // A segment that stays costs only room.
-  const auto Size = std::filesystem::file_size(pathOf(Number), Error);
-  if (std::filesystem::remove(pathOf(Number), Error) && !Error)
+  std::filesystem::remove(indexOf(Number), Error);
+  const std::string Path = segmentPath(Folder, Number);
+  const auto Size = std::filesystem::file_size(Path, Error);
+  if (std::filesystem::remove(Path, Error) && !Error)
     Total -= std::min<std::size_t>(Total, Size);
 }
 
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -35,6 +35,9 @@
 constexpr milliseconds StoreLimit{2'000};
 /// Part of the process's memory for records.
 constexpr double RecordMemoryPart = 0.7;
+/// Part of the memory for texts of turns; instances that carry traffic keep
+/// recent chains too, so that few are read here.
+constexpr std::size_t TextMemoryDivisor = 16;
 /// The replica set changes rarely, but a lost one should be seen soon.
 constexpr milliseconds SetWait{5'000};
 /// A copy may lag by seconds; the wait only bounds how long a silent connection
@@ -86,6 +89,7 @@
     replica_limits Limits;
     Limits.MaxBytes = static_cast<std::size_t>(
         static_cast<double>(Settings.MemoryBytes) * RecordMemoryPart);
+    Limits.MaxTextBytes = Settings.MemoryBytes / TextMemoryDivisor;
     return Limits;
   }
 
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -6,23 +6,36 @@
 
 namespace lentilhoist {
 
-replica_store::replica_store(asio::io_context &Loop, const std::string &Folder,
+replica_store::replica_store(asio::io_context &Loop,
+                             const std::string &GivenFolder,
                              std::size_t DiskBytes, replica_limits GivenLimits)
-    : Limits(GivenLimits), Log(Folder),
+    : Limits(GivenLimits), Folder(GivenFolder), Log(GivenFolder),
       MaxSegments(std::max<std::size_t>(2, DiskBytes / 2 / MaxSegmentBytes)),
       Writer(Loop, Log, DiskBytes) {
   const instant Now = readClock();
   std::size_t Records = 0;
   // The writer's thread waits for its first task until this is done.
-  Active = Log.load([&](replica_change Change, segment_number Segment) {
+  std::size_t Indexed = 0;
+  Active = Log.load([&](replica_change Change, record_place Place, bool Whole) {
     ++Records;
-    applyChange(State, std::move(Change), Segment, Limits, Now);
+    if (!Whole) {
+      ++Indexed;
+      applyIndexed(State, std::move(Change), Place, Limits, Now);
+      return;
+    }
+    addToIndex(Indexes[Place.Segment], Change, Place);
+    const std::string Id = Change.Turn.Id;
+    applyChange(State, std::move(Change), Place.Segment, Limits, Now);
+    placeTurn(State, Id, Place);
   });
+  dropTexts(State, Limits);
   --Active;
   beginSegment();
+  writeIndexes(Active);
   logEvent(
       log_level::Info, "journal_loaded",
       {{"records", std::to_string(Records)},
+       {"indexed", std::to_string(Indexed)},
        {"turns", std::to_string(State.Turns.size())},
        {"programs", std::to_string(State.Ledgers.size())},
        {"replica_set", std::to_string(State.SetVersion)},
@@ -31,7 +44,7 @@
         std::to_string((readClock().Steady - Now.Steady).count() / 1000)}});
 }
 
-std::string replica_store::segmentHeader() const {
+std::vector<replica_change> replica_store::segmentHeader() const {
   // Earlier segments may be deleted: each one says what holds for all.
   replica_change Completeness;
   Completeness.Kind =
@@ -40,12 +53,12 @@
   Set.Kind = change_kind::Set;
   Set.Set = State.Set;
   Set.Set.Version = State.SetVersion;
-  std::string Header = encodeRecord(Completeness) + encodeRecord(Set);
+  std::vector<replica_change> Header{Completeness, Set};
   for (const auto &[Kind, Backup] : State.Backups) {
     replica_change Change;
     Change.Kind = change_kind::Backup;
     Change.Backup = Backup;
-    Header += encodeRecord(Change);
+    Header.push_back(Change);
   }
   return Header;
 }
@@ -54,28 +67,88 @@
   ++Active;
   State.Live.try_emplace(Active, 0);
   ActiveBytes = 0;
-  Writer.beginSegment(Active, segmentHeader());
+  std::string Header;
+  for (const replica_change &Change : segmentHeader()) {
+    Header += encodeRecord(Change);
+    addToIndex(Indexes[Active], Change, {Active, 0, 0});
+  }
+  Writer.beginSegment(Active, std::move(Header));
+}
+
+void replica_store::writeIndexes(segment_number Before) {
+  while (!Indexes.empty() && Indexes.begin()->first < Before) {
+    auto &[Segment, Index] = *Indexes.begin();
+    dropSettled(Index);
+    Writer.writeIndex(Segment, encodeIndex(Index));
+    Indexes.erase(Indexes.begin());
+  }
 }
 
-void replica_store::persist(const std::vector<replica_change> &Changes,
+void replica_store::persist(std::vector<replica_change> Changes,
                             std::function<void(bool)> OnDone) {
   std::string Bytes;
-  for (const replica_change &Change : Changes)
-    Bytes += encodeRecord(Change);
+  std::vector<std::size_t> Lengths;
+  for (const replica_change &Change : Changes) {
+    const std::string Record = encodeRecord(Change);
+    Lengths.push_back(Record.size());
+    Bytes += Record;
+  }
   ActiveBytes += Bytes.size();
-  Writer.write(std::move(Bytes), std::move(OnDone));
+  Writer.write(std::move(Bytes),
+               [this, Changes = std::move(Changes),
+                Lengths = std::move(Lengths),
+                OnDone = std::move(OnDone)](const write_result &Result) {
+                 if (Result.Durable)
+                   noteDurable(Changes, Lengths, Result);
+                 OnDone(Result.Durable);
+               });
   if (ActiveBytes > MaxSegmentBytes)
     beginSegment();
 }
 
+void replica_store::noteDurable(const std::vector<replica_change> &Changes,
+                                const std::vector<std::size_t> &Lengths,
+                                const write_result &Result) {
+  record_place Place{Result.Segment, Result.Offset, 0};
+  for (std::size_t Index = 0; Index < Changes.size(); ++Index) {
+    Place.Length = Lengths[Index];
+    addToIndex(Indexes[Place.Segment], Changes[Index], Place);
+    placeTurn(State, Changes[Index].Turn.Id, Place);
+    Place.Offset += Place.Length;
+  }
+  dropTexts(State, Limits);
+  // Results come in order: all writes to earlier segments have ended.
+  writeIndexes(Result.Segment);
+}
+
+bool replica_store::readTexts(const record_place &Place,
+                              turn_record &Turn) const {
+  try {
+    replica_change Read = readRecord(Folder, Place);
+    if (Read.Turn.Id != Turn.Id)
+      throw std::runtime_error("the record is another turn's");
+    Turn = std::move(Read.Turn);
+    return true;
+  } catch (const std::runtime_error &Error) {
+    logEvent(log_level::Error, "turn_unreadable",
+             {{"turn", Turn.Id},
+              {"segment", std::to_string(Place.Segment)},
+              {"reason", Error.what()}});
+    return false;
+  }
+}
+
 void replica_store::handle(const replica_request &Request, on_reply OnReply) {
   replica_outcome Outcome =
       handleRequest(State, Request, Active, Limits, readClock());
+  for (const unread_turn &Unread : Outcome.Unread)
+    if (!readTexts(Unread.Place, Outcome.Reply.Turns[Unread.Index]))
+      Outcome.Reply.Status = replica_status::Refused;
   if (Outcome.Changes.empty()) {
     OnReply(Outcome.Reply);
     return;
   }
-  persist(Outcome.Changes,
+  persist(std::move(Outcome.Changes),
           [Reply = std::move(Outcome.Reply),
            OnReply = std::move(OnReply)](bool Durable) mutable {
             if (!Durable)
@@ -111,12 +184,15 @@
   if (Oldest == Active)
     return;
   Emptying = true;
-  const auto Changes = relocateRecords(State, Oldest, Active);
+  relocation Moved = relocateRecords(State, Oldest, Active);
+  for (const unread_turn &Unread : Moved.Unread)
+    if (!readTexts(Unread.Place, Moved.Changes[Unread.Index].Turn))
+      return; // Emptying stays set: the segment is the only copy here.
   logEvent(log_level::Info, "segment_emptied",
            {{"segment", std::to_string(Oldest)},
-            {"records", std::to_string(Changes.size())},
+            {"records", std::to_string(Moved.Changes.size())},
             {"segments", std::to_string(State.Live.size())}});
-  persist(Changes, [this, Oldest](bool Durable) {
+  persist(std::move(Moved.Changes), [this, Oldest](bool Durable) {
     Emptying = false;
     if (!Durable) {
       logEvent(log_level::Error, "segment_kept",
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -4,6 +4,9 @@
 #include "history/replica_state.h"
 
 #include <functional>
+#include <map>
+#include <string>
+#include <vector>
 
 namespace lentilhoist {
 
@@ -45,15 +48,23 @@
   const replica_state &state() const { return State; }
 
 private:
-  void persist(const std::vector<replica_change> &Changes,
+  void persist(std::vector<replica_change> Changes,
                std::function<void(bool)> OnDone);
+  void noteDurable(const std::vector<replica_change> &Changes,
+                   const std::vector<std::size_t> &Lengths,
+                   const write_result &Result);
+  bool readTexts(const record_place &Place, turn_record &Turn) const;
   void beginSegment();
+  void writeIndexes(segment_number Before);
   void emptyOldestSegment();
-  std::string segmentHeader() const;
+  std::vector<replica_change> segmentHeader() const;
 
   replica_limits Limits;
   replica_state State;
+  std::string Folder;
   segment_log Log;
+  /// Of the newest segment and of those whose writes have not all ended.
+  std::map<segment_number, segment_index> Indexes;
   segment_number Active = 0;
   std::size_t ActiveBytes = 0;
   std::size_t MaxSegments; ///< More are emptied, oldest first.
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -329,7 +329,7 @@
   const std::string Record = encodeRecord(Change);
   {
     segment_log Log(Folder.string());
-    const auto Next = Log.load([](const auto &, segment_number) {});
+    const auto Next = Log.load([](const auto &, const auto &, bool) {});
     CHECK(Next == 1);
     Log.begin(Next);
     Log.append(Record + Record);
@@ -338,10 +338,14 @@
   int Records = 0;
   segment_log Log(Folder.string());
   const auto Next =
-      Log.load([&](const replica_change &Read, segment_number At) {
-        ++Records;
+      Log.load([&](const replica_change &Read, record_place At, bool Whole) {
         CHECK(Read.Turn.Id == "t1");
-        CHECK(At == 1);
+        CHECK(At.Segment == 1);
+        CHECK(At.Offset == static_cast<std::size_t>(Records) * Record.size());
+        CHECK(At.Length == Record.size());
+        CHECK(Whole);
+        CHECK(readRecord(Folder.string(), At).Turn.Output == "[t1]\n");
+        ++Records;
       });
   CHECK(Records == 2);
   CHECK(Next == 2);
@@ -360,14 +364,97 @@
     std::string Damaged = Bytes;
     Damaged[At] = static_cast<char>(Damaged[At] ^ 0x41);
     int Records = 0;
-    readRecords(Damaged, [&](const replica_change &Read) {
-      ++Records;
-      CHECK(Read.Turn.Output == "[t1]\n");
-    });
+    readRecords(Damaged,
+                [&](const replica_change &Read, std::size_t, std::size_t) {
+                  ++Records;
+                  CHECK(Read.Turn.Output == "[t1]\n");
+                });
     CHECK(Records < 2);
   }
 }
 
+TEST_CASE("the texts of old turns are dropped once the journal holds them") {
+  replica_state State = makeReplica();
+  replica_limits Small = Limits;
+  Small.MaxTextBytes = 10; // Each turn has nine.
+  for (const char *Id : {"t1", "t2", "t3"})
+    commit(State, makeTurn(Id, ""));
+  const std::size_t Before = State.Bytes;
+  dropTexts(State, Small);
+  CHECK(State.Bytes == Before); // None is known to be durable.
+  placeTurn(State, "t1", {1, 0, 90});
+  placeTurn(State, "t2", {9, 0, 90}); // A record of an earlier life.
+  dropTexts(State, Small);
+  CHECK_FALSE(State.Turns.at("t1").TextsHeld);
+  CHECK(State.Turns.at("t2").TextsHeld);
+  placeTurn(State, "t2", {1, 90, 90});
+  dropTexts(State, Small);
+  CHECK_FALSE(State.Turns.at("t2").TextsHeld);
+  CHECK(State.Turns.at("t3").TextsHeld);
+  CHECK(State.Bytes == Before - 18);
+  // A chain says which texts are to be read, and all expires to nothing.
+  replica_request Read;
+  Read.Operation = replica_operation::Read;
+  Read.SetVersion = 3;
+  Read.Turns = {"t3", "t2"};
+  const replica_outcome Outcome = handleRequest(State, Read, 1, Small, Start);
+  REQUIRE(Outcome.Unread.size() == 1);
+  CHECK(Outcome.Unread[0].Index == 1);
+  CHECK(Outcome.Unread[0].Place.Offset == 90);
+  expireRecords(State, later(Start, seconds(600)));
+  CHECK(State.Bytes == 0);
+  CHECK(State.TextBytes == 0);
+}
+
+TEST_CASE("an index leaves out texts, and damage to it is seen") {
+  replica_change Change;
+  Change.Kind = change_kind::Turn;
+  Change.Turn = makeTurn("t2", "t1");
+  Change.Turn.Runner = {"r", 7};
+  segment_index Index;
+  addToIndex(Index, Change, {3, 10, 20});
+  const std::string Bytes = encodeIndex(Index);
+  segment_index Read;
+  REQUIRE(decodeIndex(Bytes, Read));
+  REQUIRE(Read.Records.size() == 1);
+  const turn_record &Turn = Read.Records[0].Change.Turn;
+  CHECK(Turn.Previous == "t1");
+  CHECK(Turn.Runner.BornMs == 7);
+  CHECK(Turn.Input.empty());
+  CHECK(Read.Records[0].Place.Offset == 10);
+  for (std::size_t At = 0; At < Bytes.size(); ++At) {
+    std::string Damaged = Bytes;
+    Damaged[At] = static_cast<char>(Damaged[At] ^ 0x41);
+    CHECK_FALSE(decodeIndex(Damaged, Read));
+    CHECK_FALSE(decodeIndex(Bytes.substr(0, At), Read));
+  }
+}
+
+TEST_CASE("an index keeps only the reservations that it does not settle") {
+  const auto EntryOf = [](const char *Attempt, bool Settled) {
+    replica_change Change;
+    Change.Kind = change_kind::Entry;
+    Change.Program = "p";
+    Change.Entry = {Attempt, 5, Settled};
+    return Change;
+  };
+  replica_change Turn;
+  Turn.Kind = change_kind::Turn;
+  Turn.Turn = makeTurn("1", "");
+  segment_index Index;
+  for (const replica_change &Change :
+       {EntryOf("1", false), EntryOf("2", false), EntryOf("3", false), Turn,
+        EntryOf("2", true), EntryOf("1", false)})
+    addToIndex(Index, Change, {});
+  dropSettled(Index);
+  REQUIRE(Index.Records.size() == 4);
+  CHECK(Index.Records[0].Change.Entry.Attempt == "3");
+  CHECK(Index.Records[1].Change.Turn.Id == "1");
+  CHECK(Index.Records[2].Change.Entry.Settled);
+  // A late one changes nothing, as a settled entry stays settled.
+  CHECK_FALSE(Index.Records[3].Change.Entry.Settled);
+}
+
 TEST_CASE("a message that is none is an error") {
   CHECK_THROWS(decodeReplicaRequest("nothing"));
   CHECK_THROWS(decodeReplicaReply(""));
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -145,6 +145,63 @@
     CHECK(Restarted.state().Turns.contains(Id));
 }
 
+TEST_CASE("texts that are in the journal only are read for who needs them") {
+  const temporary_folder Folder;
+  replica_limits Small = Limits;
+  Small.MaxTextBytes = 0;
+  const auto ReadChain = [](replica_store &Store) {
+    replica_request Request;
+    Request.Operation = replica_operation::Read;
+    Request.SetVersion = 1;
+    Request.Turns = {"t1"};
+    replica_reply Read;
+    Store.handle(Request, [&](const replica_reply &Reply) { Read = Reply; });
+    return Read;
+  };
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes, Small);
+    markComplete(Store);
+    CHECK(handleNow(Loop, Store, commitOf("t1", 60'000)) ==
+          replica_status::Done);
+    CHECK_FALSE(Store.state().Turns.at("t1").TextsHeld);
+    REQUIRE(ReadChain(Store).Turns.size() == 1);
+    CHECK(ReadChain(Store).Turns[0].Output == "out\n");
+  }
+  // The first start reads the segment and writes its index, the others use it.
+  for (const bool Damage : {false, false, true}) {
+    if (Damage)
+      for (const auto &Entry : std::filesystem::directory_iterator(Folder.Path))
+        if (Entry.path().extension() == ".index")
+          std::filesystem::resize_file(Entry.path(), Entry.file_size() / 2);
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes, Small);
+    CHECK(Store.state().Complete);
+    CHECK_FALSE(Store.state().Turns.at("t1").TextsHeld);
+    const replica_reply Read = ReadChain(Store);
+    CHECK(Read.Status == replica_status::Done);
+    REQUIRE(Read.Turns.size() == 1);
+    CHECK(Read.Turns[0].Input == "in");
+    CHECK(Store.state().Ledgers.at("p").Entries.at("t1").Entry.Tokens == 10);
+    const std::string Id = "t" + std::to_string(Store.state().Turns.size() + 1);
+    CHECK(handleNow(Loop, Store, commitOf(Id, 60'000)) == replica_status::Done);
+  }
+  CHECK(std::filesystem::exists(Folder.Path / "000000000001.index"));
+  // A segment that is emptied takes the texts along.
+  asio::io_context Loop;
+  replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes, Small);
+  Store.expire();
+  CHECK(handleNow(Loop, Store, commitOf("last", 60'000)) ==
+        replica_status::Done);
+  CHECK(Store.state().Turns.at("t1").Place.Segment > 1);
+  CHECK(ReadChain(Store).Turns[0].Output == "out\n");
+  // What the disk has damaged is refused, not answered wrongly.
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder.Path))
+    if (Entry.path().extension() == ".segment")
+      std::filesystem::resize_file(Entry.path(), Entry.file_size() / 8);
+  CHECK(ReadChain(Store).Status == replica_status::Refused);
+}
+
 TEST_CASE("copies of the platform's objects survive, also in newer segments") {
   const temporary_folder Folder;
   const store_backup Backup{"config", {"main"}, {"{\"version\":7}"}};
