--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -7,16 +7,17 @@
 namespace {
 
 /// Requests for each slot of a runner up to which the most urgent start: a
-/// queue of half a batch keeps the engine busy between two load reports.
-constexpr double UrgentPerSlot = 1.5;
+/// queue of three quarters of a batch keeps the engine busy between two load
+/// reports.
+constexpr double UrgentPerSlot = 1.75;
 /// Less for each step of priority.
-constexpr double PriorityStep = 0.35;
+constexpr double PriorityStep = 0.3;
 /// More for a program under way, as only whole programs count.
 constexpr double UnderWayBonus = 0.15;
 /// Programs behind their aim earn little; they use what the others leave.
-constexpr double LatePerSlot = 0.9;
+constexpr double LatePerSlot = 1.2;
 /// Some share of the places is open to all, so that nothing starves.
-constexpr double LeastPerSlot = 0.85;
+constexpr double LeastPerSlot = 1.1;
 
 } // namespace
 
