Keep a segment whose records could not be moved

Cause: found on reading: records of the oldest segment count as moved as soon as their new copies are queued. If that write was refused (a full disk), the next look at expired segments deleted the old one; the turns were then in memory only, and gone after a restart of this replica. Change: such a segment is never deleted while the process lives; it is read at the next start. Result: the new test loses a turn before, and passes after.

--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -14,8 +14,8 @@
       Writer(Loop, Log, DiskBytes) {
   const instant Now = readClock();
   std::size_t Records = 0;
-  // The writer's thread waits for its first task until this is done.
   std::size_t Indexed = 0;
+  // The writer's thread waits for its first task until this is done.
   Active = Log.load([&](replica_change Change, record_place Place, bool Whole) {
     ++Records;
     if (!Whole) {
@@ -172,6 +172,8 @@
 void replica_store::expire() {
   expireRecords(State, readClock());
   for (const segment_number Segment : emptySegments(State, Active)) {
+    if (Unmoved.contains(Segment))
+      continue;
     State.Live.erase(Segment);
     Writer.removeSegment(Segment);
   }
@@ -180,14 +182,21 @@
 }
 
 void replica_store::emptyOldestSegment() {
-  const segment_number Oldest = State.Live.begin()->first;
-  if (Oldest == Active)
+  const auto Found =
+      std::find_if(State.Live.begin(), State.Live.end(), [&](const auto &Item) {
+        return !Unmoved.contains(Item.first);
+      });
+  if (Found == State.Live.end() || Found->first == Active)
     return;
-  Emptying = true;
+  const segment_number Oldest = Found->first;
+  Unmoved.insert(Oldest);
   relocation Moved = relocateRecords(State, Oldest, Active);
   for (const unread_turn &Unread : Moved.Unread)
-    if (!readTexts(Unread.Place, Moved.Changes[Unread.Index].Turn))
-      return; // Emptying stays set: the segment is the only copy here.
+    if (!readTexts(Unread.Place, Moved.Changes[Unread.Index].Turn)) {
+      keepSegment(Oldest, "a record can't be read");
+      return;
+    }
+  Emptying = true;
   logEvent(log_level::Info, "segment_emptied",
            {{"segment", std::to_string(Oldest)},
             {"records", std::to_string(Moved.Changes.size())},
@@ -195,14 +204,18 @@
   persist(std::move(Moved.Changes), [this, Oldest](bool Durable) {
     Emptying = false;
     if (!Durable) {
-      logEvent(log_level::Error, "segment_kept",
-               {{"segment", std::to_string(Oldest)},
-                {"reason", "its records could not be moved"}});
+      keepSegment(Oldest, "its records could not be moved");
       return;
     }
+    Unmoved.erase(Oldest);
     State.Live.erase(Oldest);
     Writer.removeSegment(Oldest);
   });
 }
 
+void replica_store::keepSegment(segment_number Segment, const char *Reason) {
+  logEvent(log_level::Error, "segment_kept",
+           {{"segment", std::to_string(Segment)}, {"reason", Reason}});
+}
+
 } // namespace lentilhoist
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,7 @@
   void beginSegment();
   void writeIndexes(segment_number Before);
   void emptyOldestSegment();
+  void keepSegment(segment_number Segment, const char *Reason);
   std::vector<replica_change> segmentHeader() const;
 
   replica_limits Limits;
@@ -69,6 +71,9 @@
   std::size_t ActiveBytes = 0;
   std::size_t MaxSegments; ///< More are emptied, oldest first.
   bool Emptying = false;
+  /// Segments that stay although nothing live is counted there: what moved out
+  /// of them is not durable elsewhere.
+  std::set<segment_number> Unmoved;
   journal_writer Writer; ///< Last: its thread ends first.
 };
 
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -202,6 +202,33 @@
   CHECK(ReadChain(Store).Status == replica_status::Refused);
 }
 
+TEST_CASE("a segment stays while its records could not be moved") {
+  const temporary_folder Folder;
+  for (const char *Id : {"t1", "t2", "t3"}) {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    markComplete(Store);
+    CHECK(handleNow(Loop, Store, commitOf(Id, 60'000)) == replica_status::Done);
+  }
+  std::uintmax_t Bytes = 0;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder.Path))
+    Bytes += Entry.path().extension() == ".segment" ? Entry.file_size() : 0;
+  {
+    // No room: what is moved is refused, and asked for again each time.
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), Bytes, Limits);
+    for (int Round = 0; Round < 3; ++Round) {
+      Store.expire();
+      CHECK(handleNow(Loop, Store, commitOf("t4", 60'000)) ==
+            replica_status::Refused);
+    }
+  }
+  asio::io_context Loop;
+  const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
+  for (const char *Id : {"t1", "t2", "t3"})
+    CHECK(Restarted.state().Turns.contains(Id));
+}
+
 TEST_CASE("copies of the platform's objects survive, also in newer segments") {
   const temporary_folder Folder;
   const store_backup Backup{"config", {"main"}, {"{\"version\":7}"}};
