--- a/src/experiment/experiment.cpp
+++ b/src/experiment/experiment.cpp
@@ -168,7 +168,8 @@
     auto Program = std::make_shared<program>();
     Program->Kind = &Kind;
     Program->Number = ++Programs;
-    Program->Turns = std::max(1, static_cast<int>(spread(Kind.Turns) + 0.5));
+    Program->Turns =
+        std::max(1, static_cast<int>(std::lround(spread(Kind.Turns))));
     Program->Began = Now;
     Program->Worth = Kind.Worth;
     Program->Instance = Random() % Directories.size();
