--- a/src/experiment/experiment.cpp
+++ b/src/experiment/experiment.cpp
@@ -104,6 +104,7 @@
     instant Time;
     std::uint64_t Order;
     std::function<void()> Action;
+    /// The earliest comes first in a priority queue.
     bool operator<(const event &Other) const {
       return std::pair(Time.Steady, Order) >
              std::pair(Other.Time.Steady, Other.Order);
