Make one piece of what was written twice in this change

Cause: the reread. A request that waits for a configuration had its own timer beside that of one that waits for a place; two looks for a runner's life, two loops that write a file, two decoders that keep texts in place; members of the experiment that nobody read, and a pause without a name. Change: tryAgainLater, findLife, writeAll and unpackInPlace serve both; the rest goes. Result: no behaviour changed.

--- a/src/experiment/experiment.cpp
+++ b/src/experiment/experiment.cpp
@@ -21,6 +21,9 @@
 constexpr double HoldPart = 0.4;
 /// Tries of a caller for one turn.
 constexpr int MaxTries = 4;
+/// Pause of a caller whose turn has timed out; the platform's callers take 100
+/// to 400 ms.
+constexpr milliseconds TimeoutPause{250};
 /// Parts that start prompts, for each kind.
 constexpr int SharedParts = 3;
 /// A window of the result.
@@ -41,7 +44,6 @@
   std::vector<prompt_part> Prompt;               ///< Of the turns so far.
   instant Began{};
   double AimMs = 0;
-  double Worth = 0;
   std::size_t Instance = 0;
   std::string LastRunner;
   bool Done = false;
@@ -52,7 +54,6 @@
   std::shared_ptr<program> Program;
   request_traits Traits;
   instant Arrived{};
-  instant Deadline{};
   std::size_t Instance = 0;
   std::size_t Engine = 0;
   bool Sent = false;
@@ -172,7 +173,6 @@
     Program->Turns =
         std::max(1, static_cast<int>(std::lround(spread(Kind.Turns))));
     Program->Began = Now;
-    Program->Worth = Kind.Worth;
     Program->Instance = Random() % Directories.size();
     if (Kind.SharedTokens > 0)
       Program->Prompt.push_back(
@@ -228,7 +228,6 @@
       Program->Instance = Random() % Directories.size();
     Turn->Instance = Program->Instance;
     Turn->Arrived = Now;
-    Turn->Deadline = later(Now, Program->Kind->Timeout);
     after(Program->Kind->Timeout, [this, Turn] { timeOut(Turn); });
     if (Policy == experiment_policy::Product ||
         Policy == experiment_policy::NoRanks)
@@ -408,7 +407,7 @@
     double Earned = 0;
     if (Ms <= Program.AimMs) {
       ++Kind.InAim;
-      Earned = Program.Worth;
+      Earned = Program.Kind->Worth;
     } else {
       ++Kind.Late;
       Earned = Ms <= 2 * Program.AimMs ? Program.Kind->LateWorth : 0;
@@ -436,7 +435,7 @@
     Engines[Turn->Engine].cancel(Id);
     OnEngine.erase(Id);
     release(*Turn);
-    retry(Turn, milliseconds(250));
+    retry(Turn, TimeoutPause);
   }
 
   void retry(const turn_ptr &Turn, milliseconds Wait) {
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -97,13 +97,15 @@
     refuse(own_answer::Overloaded);
     return;
   }
-  if (Context.Routes)
-    chooseRoute();
-  else
-    awaitConfiguration();
+  awaitConfiguration();
 }
 
 void exchange::awaitConfiguration() {
+  if (Context.Routes) {
+    Stage = stage::Deciding;
+    chooseRoute();
+    return;
+  }
   const auto Waited =
       duration_cast<milliseconds>(readClock().Steady - Arrival.Steady);
   const milliseconds Whole = Traits.Deadline.value_or(DefaultTimeout);
@@ -117,19 +119,17 @@
   if (Stage != stage::Holding)
     logEvent(log_level::Info, "request_held",
              {{"request", Traits.Attempt}, {"reason", "no_configuration"}});
+  tryAgainLater(&exchange::awaitConfiguration);
+}
+
+void exchange::tryAgainLater(void (exchange::*Step)()) {
   Stage = stage::Holding;
   StepTimer.expires_after(HoldStep);
   StepTimer.async_wait(
-      [Weak = weak_from_this()](const asio::error_code &Error) {
+      [Weak = weak_from_this(), Step](const asio::error_code &Error) {
         const auto Self = Weak.lock();
-        if (!Self || Error || Self->Stage != stage::Holding)
-          return;
-        if (!Self->Context.Routes) {
-          Self->awaitConfiguration();
-          return;
-        }
-        Self->Stage = stage::Deciding;
-        Self->chooseRoute();
+        if (Self && !Error && Self->Stage == stage::Holding)
+          ((*Self).*Step)();
       });
 }
 
@@ -222,10 +222,8 @@
 }
 
 void exchange::notePreviousRunner(const runner_life &Life, instant Now) {
-  const auto Found = Context.Runners.Runners.find(Life.Id);
-  if (Found != Context.Runners.Runners.end() &&
-      Found->second.Entry.BornMs == Life.BornMs)
-    noteContent(Found->second, Traits, Now);
+  if (runner_view *View = findLife(Context.Runners, Life.Id, Life.BornMs))
+    noteContent(*View, Traits, Now);
 }
 
 void exchange::place() {
@@ -281,23 +279,12 @@
               {"reason", Reason},
               {"service", Service},
               {"refusals", std::to_string(Sends.NotRun)}});
-  Stage = stage::Holding;
-  StepTimer.expires_after(HoldStep);
-  StepTimer.async_wait(
-      [Weak = weak_from_this()](const asio::error_code &Error) {
-        const auto Self = Weak.lock();
-        if (Self && !Error && Self->Stage == stage::Holding)
-          Self->place();
-      });
+  tryAgainLater(&exchange::place);
 }
 
 runner_view *exchange::runner() {
-  const auto Found = Context.Runners.Runners.find(RunnerId);
   // A later life of the runner knows nothing of this request.
-  if (Found == Context.Runners.Runners.end() ||
-      Found->second.Entry.BornMs != RunnerBorn)
-    return nullptr;
-  return &Found->second;
+  return findLife(Context.Runners, RunnerId, RunnerBorn);
 }
 
 void exchange::send(const std::string &Id) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -62,6 +62,7 @@
   static const char *stageName(stage Stage);
 
   void awaitConfiguration();
+  void tryAgainLater(void (exchange::*Step)());
   void chooseRoute();
   void reserve();
   void onReserved(reserve_result Result);
--- a/src/history/segment_index.cpp
+++ b/src/history/segment_index.cpp
@@ -1,6 +1,7 @@
 #include "history/segment_index.h"
 
 #include "core/hash.h"
+#include "history/unpack.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -73,12 +74,7 @@
       std::string_view(Bytes).substr(ChecksumLength);
   if (Bytes.substr(0, ChecksumLength) != checksumOf(Payload))
     return false;
-  const auto KeepInPlace = [](msgpack::type::object_type, std::size_t, void *) {
-    return true;
-  };
-  Index = msgpack::unpack(Payload.data(), Payload.size(), KeepInPlace)
-              .get()
-              .as<segment_index>();
+  Index = unpackInPlace<segment_index>(Payload);
   return true;
 }
 
--- a/src/history/segment_log.cpp
+++ b/src/history/segment_log.cpp
@@ -1,6 +1,7 @@
 #include "history/segment_log.h"
 
 #include "core/hash.h"
+#include "history/unpack.h"
 
 #include <algorithm>
 #include <cerrno>
@@ -36,6 +37,21 @@
   return Value;
 }
 
+/// \param[in,out] Done gains the bytes that were written, also on a failure.
+/// \returns whether all were; errno says why not.
+bool writeAll(int File, std::string_view Bytes, std::size_t &Done) {
+  while (!Bytes.empty()) {
+    const ssize_t Length = ::write(File, Bytes.data(), Bytes.size());
+    if (Length < 0 && errno == EINTR)
+      continue;
+    if (Length < 0)
+      return false;
+    Bytes.remove_prefix(static_cast<std::size_t>(Length));
+    Done += static_cast<std::size_t>(Length);
+  }
+  return true;
+}
+
 [[noreturn]] void failDisk(const std::string &What) {
   throw std::system_error(errno, std::generic_category(), What);
 }
@@ -48,16 +64,6 @@
   return Bytes;
 }
 
-/// Decodes a record. Its texts are copied once, from the segment's bytes.
-replica_change decodeRecord(std::string_view Payload) {
-  const auto KeepInPlace = [](msgpack::type::object_type, std::size_t, void *) {
-    return true;
-  };
-  return msgpack::unpack(Payload.data(), Payload.size(), KeepInPlace)
-      .get()
-      .as<replica_change>();
-}
-
 } // namespace
 
 std::string encodeRecord(const replica_change &Change) {
@@ -85,7 +91,7 @@
     const std::string_view Payload = Bytes.substr(At + HeaderBytes, Length);
     if (stableHash(Payload) != Checksum)
       break;
-    OnRecord(decodeRecord(Payload), At, HeaderBytes + Length);
+    OnRecord(unpackInPlace<replica_change>(Payload), At, HeaderBytes + Length);
     At += HeaderBytes + Length;
   }
   return At;
@@ -167,13 +173,8 @@
       ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (Index < 0)
     failDisk("open " + Path);
-  bool Written = true;
-  while (Written && !Bytes.empty()) {
-    const ssize_t Length = ::write(Index, Bytes.data(), Bytes.size());
-    Written = Length >= 0 || errno == EINTR;
-    Bytes.remove_prefix(Length > 0 ? static_cast<std::size_t>(Length) : 0);
-  }
-  Written = Written && ::fdatasync(Index) == 0;
+  std::size_t Done = 0;
+  const bool Written = writeAll(Index, Bytes, Done) && ::fdatasync(Index) == 0;
   const int Failure = errno;
   ::close(Index);
   if (!Written) {
@@ -211,16 +212,12 @@
 }
 
 void segment_log::append(std::string_view Bytes) {
-  while (!Bytes.empty()) {
-    const ssize_t Length = ::write(File, Bytes.data(), Bytes.size());
-    if (Length < 0 && errno == EINTR)
-      continue;
-    if (Length < 0)
-      failDisk("write to " + Folder);
-    Bytes.remove_prefix(static_cast<std::size_t>(Length));
-    Written += static_cast<std::size_t>(Length);
-    Total += static_cast<std::size_t>(Length);
-  }
+  std::size_t Done = 0;
+  const bool Whole = writeAll(File, Bytes, Done);
+  Written += Done;
+  Total += Done;
+  if (!Whole)
+    failDisk("write to " + Folder);
   if (::fdatasync(File) != 0)
     failDisk("sync " + Folder);
 }
--- a/src/placement/runner_directory.cpp
+++ b/src/placement/runner_directory.cpp
@@ -55,6 +55,14 @@
   return true;
 }
 
+runner_view *findLife(runner_directory &Directory, const std::string &Id,
+                      std::int64_t BornMs) {
+  const auto Found = Directory.Runners.find(Id);
+  if (Found == Directory.Runners.end() || Found->second.Entry.BornMs != BornMs)
+    return nullptr;
+  return &Found->second;
+}
+
 bool removeRunner(runner_directory &Directory, const std::string &Id) {
   Directory.Missing.erase(Id);
   return Directory.Runners.erase(Id) != 0;
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -51,6 +51,13 @@
 /// \returns whether anything that is decided upon has changed.
 bool putRunner(runner_directory &Directory, const runner_entry &Entry);
 
+/// \param Directory the directory.
+/// \param Id the runner.
+/// \param BornMs the life that is meant.
+/// \returns the runner, or null if it is gone or in another life.
+runner_view *findLife(runner_directory &Directory, const std::string &Id,
+                      std::int64_t BornMs);
+
 /// Takes a runner out.
 /// \param Directory the directory.
 /// \param Id the runner.
