--- a/src/history/journal_writer.cpp
+++ b/src/history/journal_writer.cpp
@@ -8,16 +8,15 @@
 namespace lentilhoist {
 
 namespace {
-/// Fraction of the disk that the journal may fill. The rest is a reserve for
-/// records that expire later than expected.
+/// Fraction of the disk that writes for requests may fill. The rest is a
+/// reserve for records that expire later than expected, and for maintenance.
 constexpr double MaxDiskFraction = 0.9;
 } // namespace
 
 journal_writer::journal_writer(asio::io_context &GivenLoop,
-                               segment_log &GivenLog, std::size_t DiskBytes)
-    : Loop(GivenLoop), Log(GivenLog),
-      MaxBytes(static_cast<std::size_t>(static_cast<double>(DiskBytes) *
-                                        MaxDiskFraction)),
+                               segment_log &GivenLog,
+                               std::size_t GivenDiskBytes)
+    : Loop(GivenLoop), Log(GivenLog), DiskBytes(GivenDiskBytes),
       Thread([this] { run(); }) {}
 
 journal_writer::~journal_writer() {
@@ -29,21 +28,23 @@
   Thread.join();
 }
 
-void journal_writer::write(std::string Bytes,
+void journal_writer::write(std::string Bytes, write_purpose Purpose,
                            std::function<void(write_result)> OnDone) {
-  push({std::move(Bytes), std::move(OnDone), 0, 0, 0});
+  push({std::move(Bytes), std::move(OnDone), 0, 0, 0, Purpose});
 }
 
-void journal_writer::beginSegment(segment_number Number, std::string Header) {
-  push({std::move(Header), nullptr, Number, 0, 0});
+void journal_writer::beginSegment(segment_number Number, std::string Header,
+                                  std::function<void(write_result)> OnDone) {
+  push({std::move(Header), std::move(OnDone), Number, 0, 0,
+        write_purpose::Maintenance});
 }
 
 void journal_writer::writeIndex(segment_number Number, std::string Bytes) {
-  push({std::move(Bytes), nullptr, 0, Number, 0});
+  push({std::move(Bytes), nullptr, 0, Number, 0, write_purpose::Maintenance});
 }
 
 void journal_writer::removeSegment(segment_number Number) {
-  push({{}, nullptr, 0, 0, Number});
+  push({{}, nullptr, 0, 0, Number, write_purpose::Maintenance});
 }
 
 void journal_writer::push(task Task) {
@@ -68,19 +69,31 @@
   }
 }
 
-bool journal_writer::flush(const std::string &Bytes) {
-  if (Bytes.empty())
-    return !Failed;
-  if (Failed || Log.diskBytes() + Bytes.size() > MaxBytes)
-    return false;
+bool journal_writer::fits(const task &Task, std::size_t QueuedBytes) const {
+  const std::size_t MaxBytes =
+      Task.Purpose == write_purpose::Maintenance
+          ? DiskBytes
+          : static_cast<std::size_t>(static_cast<double>(DiskBytes) *
+                                     MaxDiskFraction);
+  return Log.diskBytes() + QueuedBytes + Task.Bytes.size() <= MaxBytes;
+}
+
+bool journal_writer::flush(const std::string &Bytes, std::uint64_t &Offset) {
   try {
-    Log.append(Bytes);
-    return true;
+    if (Failed)
+      Log.repair();
+    Offset = Log.append(Bytes);
   } catch (const std::system_error &Error) {
+    if (!Failed)
+      logEvent(log_level::Error, "journal_failed", {{"reason", Error.what()}});
     Failed = true;
-    logEvent(log_level::Error, "journal_failed", {{"reason", Error.what()}});
     return false;
   }
+  if (Failed)
+    logEvent(log_level::Info, "journal_recovered",
+             {{"segment", std::to_string(Log.newestSegment())}});
+  Failed = false;
+  return true;
 }
 
 void journal_writer::storeIndex(const task &Task) {
@@ -99,19 +112,21 @@
   struct waiter {
     std::function<void(write_result)> OnDone;
     std::uint64_t Offset;
+    bool Accepted; ///< The bytes are part of the batch.
   };
   std::string Bytes;
   std::vector<waiter> PendingWaiters;
   const auto FlushPending = [&] {
-    const std::uint64_t Start = Log.segmentBytes();
-    const bool Durable = flush(Bytes);
+    std::uint64_t Start = 0;
+    const bool Durable = !Bytes.empty() && flush(Bytes, Start);
     Bytes.clear();
     if (PendingWaiters.empty())
       return;
     asio::post(Loop, [Durable, Start, Segment = Log.newestSegment(),
                       Waiters = std::move(PendingWaiters)] {
       for (const waiter &Waiter : Waiters)
-        Waiter.OnDone({Durable, Segment, Start + Waiter.Offset});
+        Waiter.OnDone(
+            {Durable && Waiter.Accepted, Segment, Start + Waiter.Offset});
     });
     PendingWaiters.clear();
   };
@@ -135,9 +150,10 @@
                  {{"reason", Error.what()}});
       }
     }
-    if (Task.OnDone)
-      PendingWaiters.push_back({std::move(Task.OnDone), Bytes.size()});
-    Bytes += Task.Bytes;
+    const bool Accepted = fits(Task, Bytes.size());
+    PendingWaiters.push_back({std::move(Task.OnDone), Bytes.size(), Accepted});
+    if (Accepted)
+      Bytes += Task.Bytes;
   }
   FlushPending();
 }
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -324,31 +324,72 @@
   }
 }
 
-relocation relocateRecords(replica_state &State, segment_number From,
-                           segment_number To) {
-  relocation Moved;
-  std::vector<replica_change> &Changes = Moved.Changes;
-  const auto MoveTo = [&](segment_number &Segment) {
+std::vector<record_key> keysOf(const replica_change &Change) {
+  switch (Change.Kind) {
+  case change_kind::Entry:
+    return {{Change.Program, Change.Entry.Attempt}};
+  case change_kind::Turn:
+    return {{Change.Turn.Program, Change.Turn.Id}, {Change.Turn.Id, ""}};
+  case change_kind::Set:
+  case change_kind::Complete:
+  case change_kind::Incomplete:
+  case change_kind::Backup:
+    break;
+  }
+  return {};
+}
+
+std::vector<record_key> liveKeys(const replica_state &State,
+                                 segment_number Segment) {
+  std::vector<record_key> Keys;
+  for (const auto &[Id, Turn] : State.Turns)
+    if (Turn.Segment == Segment)
+      Keys.emplace_back(Id, "");
+  for (const auto &[Program, Ledger] : State.Ledgers)
+    for (const auto &[Attempt, Held] : Ledger.Entries)
+      if (Held.Segment == Segment)
+        Keys.emplace_back(Program, Attempt);
+  return Keys;
+}
+
+record_batch collectRecords(const replica_state &State,
+                            const std::vector<record_key> &Keys) {
+  record_batch Batch;
+  for (const auto &[Id, Attempt] : Keys) {
+    if (Attempt.empty()) {
+      const auto Turn = State.Turns.find(Id);
+      if (Turn == State.Turns.end())
+        continue;
+      if (!Turn->second.TextsInMemory)
+        Batch.Unread.push_back({Batch.Changes.size(), Turn->second.Location});
+      Batch.Changes.push_back(turnChange(Turn->second.Record));
+    } else {
+      const auto Ledger = State.Ledgers.find(Id);
+      if (Ledger == State.Ledgers.end())
+        continue;
+      const auto Held = Ledger->second.Entries.find(Attempt);
+      if (Held == Ledger->second.Entries.end())
+        continue;
+      Batch.Changes.push_back(
+          entryChange(Id, Held->second.Entry, Ledger->second.RetentionMs));
+    }
+    Batch.Keys.emplace_back(Id, Attempt);
+  }
+  return Batch;
+}
+
+void assignRecords(replica_state &State, const std::vector<record_key> &Keys,
+                   segment_number To) {
+  const auto Assign = [&](segment_number &Segment) {
     --State.LiveRecords[Segment];
     Segment = To;
     ++State.LiveRecords[To];
   };
-  for (auto &[Id, Turn] : State.Turns) {
-    if (Turn.Segment != From)
-      continue;
-    if (!Turn.TextsInMemory)
-      Moved.Unread.push_back({Changes.size(), Turn.Location});
-    Changes.push_back(turnChange(Turn.Record));
-    MoveTo(Turn.Segment);
-  }
-  for (auto &[Program, Ledger] : State.Ledgers)
-    for (auto &[Attempt, Held] : Ledger.Entries) {
-      if (Held.Segment != From)
-        continue;
-      Changes.push_back(entryChange(Program, Held.Entry, Ledger.RetentionMs));
-      MoveTo(Held.Segment);
-    }
-  return Moved;
+  for (const auto &[Id, Attempt] : Keys)
+    if (Attempt.empty())
+      Assign(State.Turns.at(Id).Segment);
+    else
+      Assign(State.Ledgers.at(Id).Entries.at(Attempt).Segment);
 }
 
 void setTurnLocation(replica_state &State, const std::string &Id,
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -44,6 +44,10 @@
   MSGPACK_DEFINE(Segment, Offset, Length)
 };
 
+/// Names a record that takes up journal space: a turn's id and an empty string,
+/// or a program and an attempt.
+using record_key = std::pair<std::string, std::string>;
+
 /// A turn as the replica holds it. Its input and output, which are most of its
 /// size, may be only in the journal.
 struct replica_turn {
@@ -88,9 +92,7 @@
   std::uint64_t SetVersion = 0; ///< Newest version; Set may be older.
   std::unordered_map<std::string, replica_turn> Turns;
   std::unordered_map<std::string, replica_ledger> Ledgers;
-  /// Records by position: a turn's id and an empty string, or a program and an
-  /// attempt.
-  std::map<std::uint64_t, std::pair<std::string, std::string>> Order;
+  std::map<std::uint64_t, record_key> Order; ///< Records by position.
   std::uint64_t LastPosition = 0;
   std::map<segment_number, std::uint64_t> LiveRecords; ///< Count by segment.
   std::map<std::string, store_backup> Backups;         ///< By kind.
@@ -113,8 +115,9 @@
   std::vector<unread_turn> Unread; ///< Indices refer to Reply.Turns.
 };
 
-/// Records to be rewritten into another segment.
-struct relocation {
+/// Live records to be written to another segment.
+struct record_batch {
+  std::vector<record_key> Keys; ///< In the order of Changes.
   std::vector<replica_change> Changes;
   std::vector<unread_turn> Unread; ///< Indices refer to Changes.
 };
@@ -169,13 +172,30 @@
 /// \param Now the current time.
 void expireRecords(replica_state &State, instant Now);
 
-/// Assigns the live records of a segment to another segment.
+/// \param Change a journal record.
+/// \returns the keys of the records that it writes; none for markers that each
+/// segment repeats.
+std::vector<record_key> keysOf(const replica_change &Change);
+
+/// \param State the replica's state.
+/// \param Segment a segment.
+/// \returns the keys of its live records.
+std::vector<record_key> liveKeys(const replica_state &State,
+                                 segment_number Segment);
+
+/// \param State the replica's state.
+/// \param Keys keys of records; those that are not live are left out.
+/// \returns the records as they are to be written again.
+record_batch collectRecords(const replica_state &State,
+                            const std::vector<record_key> &Keys);
+
+/// Assigns live records to another segment, which holds them once they are
+/// written there.
 /// \param State the replica's state.
-/// \param From the segment to empty.
-/// \param To the segment to move the records to.
-/// \returns the records to sync to To before From is deleted.
-relocation relocateRecords(replica_state &State, segment_number From,
-                           segment_number To);
+/// \param Keys keys of the records.
+/// \param To the segment.
+void assignRecords(replica_state &State, const std::vector<record_key> &Keys,
+                   segment_number To);
 
 /// Sets the location of a turn in the journal.
 /// \param State the replica's state.
--- a/src/history/segment_log.cpp
+++ b/src/history/segment_log.cpp
@@ -194,6 +194,8 @@
   if (File >= 0)
     ::close(File);
   NewestSegment = Number;
+  SyncedBytes = 0;
+  FolderSynced = false;
   // An earlier segment of this number may have left an index.
   std::error_code Error;
   std::filesystem::remove(indexPath(Number), Error);
@@ -201,8 +203,22 @@
   File = ::open(Path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
   if (File < 0)
     throwDiskError("open " + Path);
-  Written = 0;
   syncFolder();
+  FolderSynced = true;
+}
+
+void segment_log::repair() {
+  if (File < 0) {
+    begin(NewestSegment);
+    return;
+  }
+  const auto Length = static_cast<off_t>(SyncedBytes);
+  if (::ftruncate(File, Length) != 0 || ::lseek(File, Length, SEEK_SET) < 0)
+    throwDiskError("truncate a segment in " + Folder);
+  if (FolderSynced)
+    return;
+  syncFolder();
+  FolderSynced = true;
 }
 
 void segment_log::syncFolder() const {
@@ -219,15 +235,16 @@
   }
 }
 
-void segment_log::append(std::string_view Bytes) {
+std::uint64_t segment_log::append(std::string_view Bytes) {
   std::size_t BytesWritten = 0;
-  const bool Complete = writeAll(File, Bytes, BytesWritten);
-  Written += BytesWritten;
-  TotalBytes += BytesWritten;
-  if (!Complete)
+  if (!writeAll(File, Bytes, BytesWritten))
     throwDiskError("write to " + Folder);
   if (::fdatasync(File) != 0)
     throwDiskError("sync " + Folder);
+  const std::uint64_t Offset = SyncedBytes;
+  SyncedBytes += BytesWritten;
+  TotalBytes += BytesWritten;
+  return Offset;
 }
 
 void segment_log::remove(segment_number Number) {
--- a/src/history/segment_log.h
+++ b/src/history/segment_log.h
@@ -67,8 +67,16 @@
 
   /// Appends to the newest segment and syncs it.
   /// \param Bytes encoded records.
-  /// \throws std::system_error if the disk fails.
-  void append(std::string_view Bytes);
+  /// \returns the offset of Bytes in the segment.
+  /// \throws std::system_error if the disk fails; call repair() before the
+  /// next append then.
+  std::uint64_t append(std::string_view Bytes);
+
+  /// Makes the newest segment usable again after begin() or append() has
+  /// failed: creates it if it does not exist, and cuts off what a failed
+  /// append has left behind the last synced record.
+  /// \throws std::system_error if the disk still fails.
+  void repair();
 
   /// Writes and syncs the index of a closed segment.
   /// \param Number number of the segment.
@@ -82,8 +90,6 @@
 
   /// \returns number of the newest segment.
   segment_number newestSegment() const { return NewestSegment; }
-  /// \returns size of the newest segment in bytes.
-  std::size_t segmentBytes() const { return Written; }
   /// \returns total size of all segments in bytes, without indexes.
   std::size_t diskBytes() const { return TotalBytes; }
 
@@ -94,7 +100,8 @@
   std::string Folder;
   int File = -1;
   segment_number NewestSegment = 0;
-  std::size_t Written = 0;
+  std::size_t SyncedBytes = 0; ///< Of the newest segment.
+  bool FolderSynced = true;    ///< Its directory entry survives a power loss.
   std::size_t TotalBytes = 0;
 };
 
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -3,9 +3,18 @@
 #include "log/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lentilhoist {
 
+namespace {
+
+/// Number of refused records that are written again at a time, so that requests
+/// of callers are not delayed for longer than by a copy batch.
+constexpr std::size_t MaxRewrittenRecords = 500;
+
+} // namespace
+
 replica_store::replica_store(asio::io_context &Loop,
                              const std::string &GivenFolder,
                              std::size_t DiskBytes, replica_limits GivenLimits)
@@ -74,7 +83,12 @@
     Header += encodeRecord(Change);
     addToIndex(Indexes[ActiveSegment], Change, {ActiveSegment, 0, 0});
   }
-  Writer.beginSegment(ActiveSegment, std::move(Header));
+  ++WritesQueued;
+  Writer.beginSegment(ActiveSegment, std::move(Header),
+                      [this](const write_result &Result) {
+                        ++WritesEnded;
+                        HeaderUnsaved = HeaderUnsaved || !Result.Durable;
+                      });
 }
 
 void replica_store::writeIndexes(segment_number Before) {
@@ -86,8 +100,9 @@
   }
 }
 
-void replica_store::persist(std::vector<replica_change> Changes,
-                            std::function<void(bool)> OnDone) {
+void replica_store::write(std::vector<replica_change> Changes,
+                          write_purpose Purpose,
+                          std::function<void(bool)> OnDone) {
   std::string Bytes;
   std::vector<std::size_t> Lengths;
   for (const replica_change &Change : Changes) {
@@ -96,18 +111,31 @@
     Bytes += Record;
   }
   ActiveSegmentBytes += Bytes.size();
-  Writer.write(std::move(Bytes),
+  ++WritesQueued;
+  Writer.write(std::move(Bytes), Purpose,
                [this, Changes = std::move(Changes),
                 Lengths = std::move(Lengths),
                 OnDone = std::move(OnDone)](const write_result &Result) {
+                 ++WritesEnded;
                  if (Result.Durable)
                    recordDurableChanges(Changes, Lengths, Result);
+                 else
+                   recordFailedWrite(Changes);
                  OnDone(Result.Durable);
                });
   if (ActiveSegmentBytes > MaxSegmentBytes)
     beginSegment();
 }
 
+void replica_store::recordFailedWrite(
+    const std::vector<replica_change> &Changes) {
+  for (const replica_change &Change : Changes) {
+    const std::vector<record_key> Keys = keysOf(Change);
+    UnsavedRecords.insert(Keys.begin(), Keys.end());
+    HeaderUnsaved = HeaderUnsaved || Keys.empty();
+  }
+}
+
 void replica_store::recordDurableChanges(
     const std::vector<replica_change> &Changes,
     const std::vector<std::size_t> &Lengths, const write_result &Result) {
@@ -173,53 +201,92 @@
 
 void replica_store::expire() {
   expireRecords(State, readClock());
-  for (const segment_number Segment : emptySegments(State, ActiveSegment)) {
-    if (UnrelocatedSegments.contains(Segment))
-      continue;
+  rewriteUnsaved();
+  removeEmptySegments();
+  const bool Saved = UnsavedRecords.empty() && !HeaderUnsaved && !Rewriting;
+  if (Saved && State.LiveRecords.size() > MaxSegments)
+    relocateOldestSegment();
+}
+
+void replica_store::removeEmptySegments() {
+  for (const segment_number Segment : emptySegments(State, ActiveSegment))
+    EmptySegments.try_emplace(Segment, WritesQueued);
+  if (!UnsavedRecords.empty() || HeaderUnsaved || Rewriting)
+    return;
+  std::erase_if(EmptySegments, [this](const auto &Item) {
+    const auto &[Segment, RequiredWrites] = Item;
+    if (WritesEnded < RequiredWrites)
+      return false;
     State.LiveRecords.erase(Segment);
+    UnreadableSegments.erase(Segment);
+    Indexes.erase(Segment);
     Writer.removeSegment(Segment);
-  }
-  if (State.LiveRecords.size() > MaxSegments && !Relocating)
-    relocateOldestSegment();
+    return true;
+  });
+}
+
+void replica_store::rewriteUnsaved() {
+  if (Rewriting || (UnsavedRecords.empty() && !HeaderUnsaved))
+    return;
+  std::vector<record_key> Keys;
+  while (!UnsavedRecords.empty() && Keys.size() < MaxRewrittenRecords)
+    Keys.push_back(
+        std::move(UnsavedRecords.extract(UnsavedRecords.begin()).value()));
+  record_batch Batch = collectRecords(State, Keys);
+  for (const unread_turn &Unread : Batch.Unread)
+    if (!readTexts(Unread.Location, Batch.Changes[Unread.Index].Turn)) {
+      // The record stays unsaved, and the segment that holds it is kept.
+      UnsavedRecords.insert(Keys.begin(), Keys.end());
+      return;
+    }
+  if (std::exchange(HeaderUnsaved, false))
+    for (replica_change &Change : segmentHeader())
+      Batch.Changes.push_back(std::move(Change));
+  if (!Batch.Changes.empty())
+    rewrite(Batch.Keys, std::move(Batch.Changes));
 }
 
 void replica_store::relocateOldestSegment() {
   const auto Found =
       std::find_if(State.LiveRecords.begin(), State.LiveRecords.end(),
                    [&](const auto &Item) {
-                     return !UnrelocatedSegments.contains(Item.first);
+                     return !UnreadableSegments.contains(Item.first);
                    });
   if (Found == State.LiveRecords.end() || Found->first == ActiveSegment)
     return;
   const segment_number Oldest = Found->first;
-  UnrelocatedSegments.insert(Oldest);
-  relocation Relocation = relocateRecords(State, Oldest, ActiveSegment);
-  for (const unread_turn &Unread : Relocation.Unread)
-    if (!readTexts(Unread.Location, Relocation.Changes[Unread.Index].Turn)) {
-      logKeptSegment(Oldest, "a live record can't be read");
+  record_batch Batch = collectRecords(State, liveKeys(State, Oldest));
+  for (const unread_turn &Unread : Batch.Unread)
+    if (!readTexts(Unread.Location, Batch.Changes[Unread.Index].Turn)) {
+      UnreadableSegments.insert(Oldest);
+      logEvent(log_level::Error, "segment_kept",
+               {{"segment", std::to_string(Oldest)},
+                {"reason", "a live record can't be read"}});
       return;
     }
-  Relocating = true;
   logEvent(log_level::Info, "segment_relocation_started",
            {{"segment", std::to_string(Oldest)},
-            {"records", std::to_string(Relocation.Changes.size())},
+            {"records", std::to_string(Batch.Changes.size())},
             {"segments", std::to_string(State.LiveRecords.size())}});
-  persist(std::move(Relocation.Changes), [this, Oldest](bool Durable) {
-    Relocating = false;
-    if (!Durable) {
-      logKeptSegment(
-          Oldest, "its live records could not be written to another segment");
-      return;
-    }
-    UnrelocatedSegments.erase(Oldest);
-    State.LiveRecords.erase(Oldest);
-    Writer.removeSegment(Oldest);
-  });
+  rewrite(Batch.Keys, std::move(Batch.Changes));
 }
 
-void replica_store::logKeptSegment(segment_number Segment, const char *Reason) {
-  logEvent(log_level::Error, "segment_kept",
-           {{"segment", std::to_string(Segment)}, {"reason", Reason}});
+void replica_store::rewrite(const std::vector<record_key> &Keys,
+                            std::vector<replica_change> Changes) {
+  assignRecords(State, Keys, ActiveSegment);
+  Rewriting = true;
+  const std::size_t Count = Changes.size();
+  write(std::move(Changes), write_purpose::Maintenance,
+        [this, Count](bool Durable) {
+          Rewriting = false;
+          if (!Durable)
+            logEvent(log_level::Error, "segments_kept",
+                     {{"records", std::to_string(Count)},
+                      {"reason", "live records could not be written to "
+                                 "another segment"}});
+          removeEmptySegments();
+        });
+  removeEmptySegments();
 }
 
 } // namespace lentilhoist
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -47,13 +47,17 @@
   /// Deletes records whose retention period has ended, and segments without
   /// live records. Once segments take up half of the disk, the live records of
   /// the oldest one are moved to the active segment so that it can be deleted.
+  /// Writes again what the disk has refused; until that is durable, no segment
+  /// is deleted.
   void expire();
 
   const replica_state &state() const { return State; }
 
 private:
   void persist(std::vector<replica_change> Changes,
-               std::function<void(bool)> OnDone);
+               std::function<void(bool)> OnDone) {
+    write(std::move(Changes), write_purpose::Request, std::move(OnDone));
+  }
   void recordDurableChanges(const std::vector<replica_change> &Changes,
                             const std::vector<std::size_t> &Lengths,
                             const write_result &Result);
@@ -61,7 +65,13 @@
   void beginSegment();
   void writeIndexes(segment_number Before);
   void relocateOldestSegment();
-  void logKeptSegment(segment_number Segment, const char *Reason);
+  void rewriteUnsaved();
+  void rewrite(const std::vector<record_key> &Keys,
+               std::vector<replica_change> Changes);
+  void removeEmptySegments();
+  void write(std::vector<replica_change> Changes, write_purpose Purpose,
+             std::function<void(bool)> OnDone);
+  void recordFailedWrite(const std::vector<replica_change> &Changes);
   std::vector<replica_change> segmentHeader() const;
 
   replica_limits Limits;
@@ -74,10 +84,20 @@
   segment_number ActiveSegment = 0;
   std::size_t ActiveSegmentBytes = 0;
   std::size_t MaxSegments; ///< Above this, the oldest segment is relocated.
-  bool Relocating = false;
-  /// Segments that must not be deleted even without live records: the records
-  /// moved out of them are not durable in another segment.
-  std::set<segment_number> UnrelocatedSegments;
+  std::uint64_t WritesQueued = 0;
+  std::uint64_t WritesEnded = 0;
+  /// Live records whose newest state could not be written. An older state may
+  /// be in a segment that has no live records left.
+  std::set<record_key> UnsavedRecords;
+  /// The markers that each segment repeats may be missing in the active one.
+  bool HeaderUnsaved = false;
+  bool Rewriting = false; ///< Records are being written to another segment.
+  /// Segments without live records. Each may be deleted once as many writes
+  /// have ended as had been queued when it was found: one of them may replace
+  /// its last record.
+  std::map<segment_number, std::uint64_t> EmptySegments;
+  /// Segments with live records that can't be read and thus not be moved.
+  std::set<segment_number> UnreadableSegments;
   journal_writer Writer; ///< Last member: its thread must stop first.
 };
 
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -1,8 +1,11 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "replica/replica_store.h"
 
+#include <algorithm>
+#include <csignal>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <sys/resource.h>
 
 using namespace lentilhoist;
 
@@ -49,6 +52,51 @@
   return *Status;
 }
 
+replica_request ledgerRequest(replica_operation Operation,
+                              const std::string &Attempt,
+                              std::uint64_t Tokens) {
+  replica_request Request;
+  Request.Operation = Operation;
+  Request.SetVersion = 1;
+  Request.Program = "p";
+  Request.Entry = {Attempt, Tokens, Operation == replica_operation::Settle};
+  Request.RetentionMs = 60'000;
+  return Request;
+}
+
+std::uintmax_t bytesOfSegments(const temporary_folder &Folder) {
+  std::uintmax_t Bytes = 0;
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder.Path))
+    Bytes += Entry.path().extension() == ".segment" ? Entry.file_size() : 0;
+  return Bytes;
+}
+
+bool segmentExists(const temporary_folder &Folder, segment_number Number) {
+  return std::filesystem::exists(segmentPath(Folder.Path.string(), Number));
+}
+
+/// While it exists, writes of this process beyond a file size fail, as on a
+/// disk with errors.
+class failing_disk {
+public:
+  explicit failing_disk(rlim_t FileBytes)
+      : PreviousHandler(std::signal(SIGXFSZ, SIG_IGN)) {
+    getrlimit(RLIMIT_FSIZE, &Previous);
+    const rlimit Limit{FileBytes, Previous.rlim_max};
+    setrlimit(RLIMIT_FSIZE, &Limit);
+  }
+  ~failing_disk() {
+    setrlimit(RLIMIT_FSIZE, &Previous);
+    std::signal(SIGXFSZ, PreviousHandler);
+  }
+  failing_disk(const failing_disk &) = delete;
+  failing_disk &operator=(const failing_disk &) = delete;
+
+private:
+  rlimit Previous{};
+  void (*PreviousHandler)(int);
+};
+
 } // namespace
 
 TEST_CASE("replica store restores acknowledged commits after a restart") {
@@ -268,3 +316,142 @@
     CHECK(Read.front() == Backup);
   }
 }
+
+TEST_CASE("a segment is kept until the record that replaces its own is known "
+          "to be durable") {
+  const temporary_folder Folder;
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    markComplete(Store);
+    CHECK(handleAndWait(Loop, Store,
+                        ledgerRequest(replica_operation::Reserve, "a", 100)) ==
+          replica_status::Done);
+  }
+  SUBCASE("the replacing write is still queued") {
+    asio::io_context Loop;
+    {
+      replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+      Store.handle(ledgerRequest(replica_operation::Settle, "a", 40),
+                   [](const replica_reply &) {});
+      Store.expire();
+    }
+    CHECK(segmentExists(Folder, 1));
+  }
+  SUBCASE("the replacing write was refused") {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), bytesOfSegments(Folder),
+                        Limits);
+    CHECK(handleAndWait(Loop, Store,
+                        ledgerRequest(replica_operation::Settle, "a", 40)) ==
+          replica_status::Refused);
+    Store.expire();
+    CHECK(handleAndWait(Loop, Store, commitOf("t1", 60'000)) ==
+          replica_status::Refused);
+  }
+  asio::io_context Loop;
+  const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
+  REQUIRE(Restarted.state().Ledgers.contains("p"));
+  CHECK(Restarted.state().Ledgers.at("p").Entries.contains("a"));
+}
+
+TEST_CASE("a segment is kept until a newer one repeats the replica set and the "
+          "completeness") {
+  const temporary_folder Folder;
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    markComplete(Store);
+    replica_request Expired = commitOf("t1", 0);
+    CHECK(handleAndWait(Loop, Store, Expired) == replica_status::Done);
+  }
+  {
+    // The header of the new segment does not fit on the disk.
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), bytesOfSegments(Folder),
+                        Limits);
+    for (int Round = 0; Round < 3; ++Round) {
+      Store.expire();
+      CHECK(handleAndWait(Loop, Store, commitOf("t2", 60'000)) ==
+            replica_status::Refused);
+    }
+  }
+  asio::io_context Loop;
+  const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
+  CHECK(Restarted.state().Complete);
+  CHECK(Restarted.state().SetVersion == 1);
+}
+
+TEST_CASE("a replica accepts writes again once its disk does, and then deletes "
+          "the segments that it could not relocate") {
+  const temporary_folder Folder;
+  for (const char *Id : {"t1", "t2", "t3"}) {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    markComplete(Store);
+    CHECK(handleAndWait(Loop, Store, commitOf(Id, 60'000)) ==
+          replica_status::Done);
+  }
+  asio::io_context Loop;
+  {
+    // Two segments at most: the oldest ones are relocated.
+    replica_store Store(Loop, Folder.Path.string(), 5 * MaxSegmentBytes,
+                        Limits);
+    CHECK(handleAndWait(Loop, Store, commitOf("t4", 60'000)) ==
+          replica_status::Done);
+    {
+      const failing_disk Failing(1);
+      for (int Round = 0; Round < 3; ++Round) {
+        Store.expire();
+        CHECK(handleAndWait(Loop, Store, commitOf("t5", 60'000)) ==
+              replica_status::Refused);
+      }
+      for (const segment_number Segment : {1, 2, 3})
+        CHECK(segmentExists(Folder, Segment));
+    }
+    CHECK(handleAndWait(Loop, Store, commitOf("t5", 60'000)) ==
+          replica_status::Done);
+    for (int Round = 0; Round < 6; ++Round) {
+      Store.expire();
+      CHECK(handleAndWait(Loop, Store,
+                          commitOf("later" + std::to_string(Round), 60'000)) ==
+            replica_status::Done);
+    }
+    CHECK_FALSE(segmentExists(Folder, 1));
+    CHECK_FALSE(segmentExists(Folder, 2));
+  }
+  const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
+  for (const char *Id : {"t1", "t2", "t3", "t4", "t5"})
+    CHECK(Restarted.state().Turns.contains(Id));
+}
+
+TEST_CASE("a record that was refused and then repeated stays when its first "
+          "segment is deleted") {
+  const temporary_folder Folder;
+  asio::io_context Loop;
+  {
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    markComplete(Store);
+    replica_request Large = commitOf("large", 0);
+    Large.Turn.Program = "short-lived";
+    Large.Turn.Input.assign(MaxSegmentBytes, 'x');
+    {
+      const failing_disk Failing(1);
+      CHECK(handleAndWait(Loop, Store, commitOf("t1", 60'000)) ==
+            replica_status::Refused);
+    }
+    // The next segment begins behind the large record.
+    CHECK(handleAndWait(Loop, Store, Large) == replica_status::Done);
+    CHECK(handleAndWait(Loop, Store, commitOf("t1", 60'000)) ==
+          replica_status::Done);
+    CHECK(handleAndWait(Loop, Store, Large) == replica_status::Done);
+    for (int Round = 0; Round < 4; ++Round) {
+      Store.expire();
+      CHECK(handleAndWait(Loop, Store,
+                          commitOf("later" + std::to_string(Round), 60'000)) ==
+            replica_status::Done);
+    }
+  }
+  const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
+  CHECK(Restarted.state().Turns.contains("t1"));
+}
