Bound what damaged records and peers' messages can make a process do

Cause: a cycle in the chain of damaged records was followed without end (the test ended in std::bad_alloc under a limit of memory). A backup with more names than contents made an entry instance throw from an index out of range. A reply with an unknown status was taken as an answer. A link whose only request had been cancelled before it was sent counted as suspected, and one whose probe had been dropped to limit memory was never probed again.

Change: a chain ends at the first turn that is in the reply already, also across the turns of one read. Replies with an unknown status or an uneven backup are malformed; an unknown operation is refused. A link's wait ends when it connects with nothing to send, and a probe is sent again if the last one is no longer outstanding. A wait goes on while its requests are cancelled, as before: the test shows that a silent replica would never be suspected otherwise.

--- a/src/history/history_link.cpp
+++ b/src/history/history_link.cpp
@@ -86,6 +86,9 @@
       logEvent(log_level::Info, "replica_connected",
                {{"address", Self->Address}});
     Self->WasConnected = true;
+    // All requests were cancelled before they could be sent.
+    if (Self->Outstanding.empty())
+      Self->UnansweredSince = {};
     for (const auto &[Sequence, Pending] : Self->Outstanding)
       Self->Stream->write(Pending.Frame);
   };
@@ -151,10 +154,8 @@
   const bool Waiting = UnansweredSince.Steady.count() != 0;
   if (!Waiting || Now.Steady - UnansweredSince.Steady < SuspicionTimeout)
     return false;
-  if (!Probing) {
-    Probing = true;
-    send({}, [this](const replica_reply &) { Probing = false; });
-  }
+  if (!Outstanding.contains(ProbeSequence))
+    ProbeSequence = send({}, [](const replica_reply &) {});
   return true;
 }
 
--- a/src/history/history_link.h
+++ b/src/history/history_link.h
@@ -89,9 +89,10 @@
   /// sent again and again to an overloaded replica.
   std::chrono::milliseconds ResponseTimeout;
   bool ReceivedSinceCheck = false;
-  bool Probing = false;
+  std::uint64_t ProbeSequence = 0; ///< Of the last probe.
   /// Start of the current wait for data from the replica; zero if there is
-  /// none.
+  /// none. A wait goes on when its requests are cancelled: most are, once other
+  /// replicas have answered, and silence still counts against this one.
   instant UnansweredSince{};
   bool WasConnected = false;
   bool Closed = false;
--- a/src/history/replica_message.cpp
+++ b/src/history/replica_message.cpp
@@ -56,7 +56,18 @@
 }
 
 replica_reply decodeReplicaReply(const std::string &Bytes) {
-  return decode<replica_reply>(Bytes);
+  auto Reply = decode<replica_reply>(Bytes);
+  if (Reply.Status < replica_status::Done ||
+      Reply.Status > replica_status::Unreachable)
+    throw std::runtime_error("malformed history message: unknown status " +
+                             std::to_string(static_cast<int>(Reply.Status)));
+  for (const store_backup &Backup : Reply.Backups)
+    if (Backup.Names.size() != Backup.Specs.size())
+      throw std::runtime_error(
+          "malformed history message: backup of kind \"" + Backup.Kind +
+          "\" has " + std::to_string(Backup.Names.size()) + " names and " +
+          std::to_string(Backup.Specs.size()) + " contents");
+  return Reply;
 }
 
 } // namespace lentilhoist
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <string_view>
+#include <unordered_set>
 
 namespace lentilhoist {
 
@@ -116,9 +118,13 @@
   Outcome.Reply.Turns.push_back(Held.Record);
 }
 
+/// Appends a turn and those before it, up to the first that is in Appended.
+/// Damaged records may form a cycle.
 void appendChain(const replica_state &State, const std::string &Last,
+                 std::unordered_set<std::string_view> &Appended,
                  replica_outcome &Outcome) {
-  for (auto Found = State.Turns.find(Last); Found != State.Turns.end();
+  for (auto Found = State.Turns.find(Last);
+       Found != State.Turns.end() && Appended.insert(Found->first).second;
        Found = State.Turns.find(Found->second.Record.Previous))
     appendTurn(Found->second, Outcome);
 }
@@ -134,8 +140,10 @@
   Reply.PreviousFound = Previous != State.Turns.end();
   if (Reply.PreviousFound)
     Reply.PreviousRunner = Previous->second.Record.Runner;
-  if (Request.WantChain)
-    appendChain(State, Request.Previous, Outcome);
+  if (!Request.WantChain)
+    return;
+  std::unordered_set<std::string_view> Appended;
+  appendChain(State, Request.Previous, Appended, Outcome);
 }
 
 void answerCopy(const replica_state &State, const replica_request &Request,
@@ -272,13 +280,18 @@
   case replica_operation::Settle:
     Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
-  case replica_operation::Read:
+  case replica_operation::Read: {
+    std::unordered_set<std::string_view> Appended;
     for (const std::string &Id : Request.Turns)
-      appendChain(State, Id, Outcome);
+      appendChain(State, Id, Appended, Outcome);
     break;
+  }
   case replica_operation::Copy:
     answerCopy(State, Request, Outcome);
     break;
+  default: // Sent by a newer version.
+    Reply.Status = replica_status::Refused;
+    break;
   }
   return Outcome;
 }
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -1,8 +1,10 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "history/chain_cache.h"
 #include "history/copy_progress.h"
+#include "history/history_link.h"
 #include "history/quorum.h"
 #include "history/segment_log.h"
+#include "net/address.h"
 
 #include <doctest/doctest.h>
 #include <filesystem>
@@ -490,6 +492,44 @@
   CHECK_THROWS(decodeReplicaReply(""));
 }
 
+TEST_CASE(
+    "decoding rejects a backup whose names and contents differ in number, "
+    "and numbers that name no status") {
+  replica_reply Reply;
+  Reply.Backups = {{"config", {"main", "other"}, {"{}"}}};
+  const auto Decode = [](const replica_reply &Message) {
+    // The frame's length precedes the payload.
+    return decodeReplicaReply(encodeMessage(Message).substr(4));
+  };
+  CHECK_THROWS(Decode(Reply));
+  Reply.Backups = {{"config", {"main"}, {"{}"}}};
+  CHECK(Decode(Reply).Backups.front().Names.size() == 1);
+  Reply.Status = static_cast<replica_status>(17);
+  CHECK_THROWS(Decode(Reply));
+}
+
+TEST_CASE("a request with an unknown operation is refused") {
+  replica_state State = makeReplica();
+  replica_request Request;
+  Request.SetVersion = 3;
+  Request.Operation = static_cast<replica_operation>(17);
+  CHECK(handleRequest(State, Request, 1, Limits, Start).Reply.Status ==
+        replica_status::Refused);
+}
+
+TEST_CASE("a cycle in the chain of damaged records ends") {
+  replica_state State = makeReplica();
+  commit(State, makeTurn("t1", "t3"));
+  commit(State, makeTurn("t2", "t1"));
+  commit(State, makeTurn("t3", "t2"));
+  CHECK(reserve(State, "a", "t2").Turns.size() == 3);
+  replica_request Read;
+  Read.Operation = replica_operation::Read;
+  Read.SetVersion = 3;
+  Read.Turns = {"t1", "t3"};
+  CHECK(handleRequest(State, Read, 1, Limits, Start).Reply.Turns.size() == 3);
+}
+
 TEST_CASE("the chain cache evicts least recently used chains and skips "
           "oversized ones") {
   chain_cache Cache(10);
@@ -503,3 +543,104 @@
   CHECK_FALSE(Cache.find("huge"));
   CHECK(Cache.bytes() <= 10);
 }
+
+namespace {
+
+/// A replica on loopback that can be silent, and a link to it.
+struct link_fixture {
+  link_fixture()
+      : Acceptor(listenOn(Loop, {asio::ip::address_v4::loopback(), 0})),
+        Link(std::make_shared<history_link>(
+            Loop,
+            "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port()))) {
+    accept();
+  }
+  ~link_fixture() { Link->close(); }
+
+  void accept() {
+    Acceptor.async_accept([this](const asio::error_code &Error,
+                                 asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      Peer = std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+      tcp_stream::handlers Handlers;
+      Handlers.OnBytes = [this](std::string_view Bytes) {
+        Frames.add(Bytes);
+        while (const auto Frame = Frames.next()) {
+          replica_reply Reply;
+          Reply.Sequence = decodeReplicaRequest(*Frame).Sequence;
+          if (!Silent)
+            Peer->write(encodeMessage(Reply));
+        }
+      };
+      Peer->setHandlers(std::move(Handlers));
+      Peer->start();
+      accept();
+    });
+  }
+
+  void runFor(milliseconds Time) {
+    Loop.restart();
+    Loop.run_for(Time);
+  }
+
+  asio::io_context Loop;
+  asio::ip::tcp::acceptor Acceptor;
+  std::shared_ptr<tcp_stream> Peer;
+  frame_reader Frames;
+  bool Silent = false;
+  std::shared_ptr<history_link> Link;
+};
+
+} // namespace
+
+TEST_CASE("a silent replica is suspected although its requests are cancelled") {
+  link_fixture Fixture;
+  Fixture.Silent = true;
+  Fixture.Link->open();
+  Fixture.runFor(milliseconds(50));
+  for (int Round = 0; Round < 6; ++Round) {
+    const auto Sequence = Fixture.Link->send({}, [](const replica_reply &) {});
+    Fixture.runFor(milliseconds(60));
+    Fixture.Link->cancel(Sequence);
+  }
+  CHECK(Fixture.Link->isSuspected(readClock()));
+  Fixture.Silent = false;
+  Fixture.runFor(milliseconds(900)); // The probe is sent again.
+  CHECK_FALSE(Fixture.Link->isSuspected(readClock()));
+}
+
+TEST_CASE("a link whose only request was cancelled before it was sent is not "
+          "suspected once connected") {
+  link_fixture Fixture;
+  const auto Sequence = Fixture.Link->send({}, [](const replica_reply &) {});
+  Fixture.Link->cancel(Sequence);
+  Fixture.runFor(milliseconds(100));
+  CHECK(Fixture.Link->connected());
+  CHECK_FALSE(
+      Fixture.Link->isSuspected(later(readClock(), milliseconds(1'000))));
+}
+
+TEST_CASE("a suspected link sends another probe if the last one was dropped to "
+          "limit memory") {
+  link_fixture Fixture;
+  Fixture.Silent = true;
+  Fixture.Link->open();
+  Fixture.runFor(milliseconds(50));
+  (void)Fixture.Link->send({}, [](const replica_reply &) {});
+  const instant Later = later(readClock(), milliseconds(300));
+  CHECK(Fixture.Link->isSuspected(Later));
+  const std::size_t WithProbe = Fixture.Link->outstanding();
+  // The oldest requests, the probe among them, give way to these.
+  replica_request Large;
+  Large.Turn.Input.assign(1'500'000, 'x');
+  std::vector<std::uint64_t> Sent;
+  for (int Count = 0; Count < 4; ++Count)
+    Sent.push_back(Fixture.Link->send(Large, [](const replica_reply &) {}));
+  for (const std::uint64_t Sequence : Sent)
+    Fixture.Link->cancel(Sequence);
+  CHECK(WithProbe == 2);
+  CHECK(Fixture.Link->outstanding() == 0);
+  CHECK(Fixture.Link->isSuspected(Later));
+  CHECK(Fixture.Link->outstanding() == 1);
+}
