Compare parent and wall time of a repeated create, and end a call that can't be retried

Cause: a create with the key of another program, but another parent or wall time, counted as its repetition and was answered with that program. A model call whose retry the budget does not cover waited for the commit deadline and ended as store_unavailable. (With today's records the tokens drawn for the first attempt cover the retry, so that this needs a state that the test makes by hand.)

Change: both fields are compared; the retry takes the same way as any other preparation, which ends the call.

Result: two tests in decision_test, which failed before.

--- a/src/decision/call_results.cpp
+++ b/src/decision/call_results.cpp
@@ -78,7 +78,7 @@
   Call.CommitDeadline = Now.Steady + Owner.Settings.CommitTimeout;
   sealBatch(Now, Owner, Actions);
   if (Result.Run == run_state::NotRun)
-    prepareModelCall(Program, Call, Now, Owner, Actions);
+    resumePreparingCall(Program.Program, Call, Now, Owner, Actions);
 }
 
 void applyExclusiveResult(const attempt_result &Result, instant Now,
--- a/src/decision/program_flow.cpp
+++ b/src/decision/program_flow.cpp
@@ -42,8 +42,10 @@
                     const create_request &Request) {
   return Program.Tenant == Request.Tenant && Program.Class == Request.Class &&
          Program.HasParent == Request.HasParent &&
+         (!Program.HasParent || Program.Parent == Request.Parent) &&
          Program.Budget.Tokens == Request.Budget.Tokens &&
-         Program.Budget.Turns == Request.Budget.Turns;
+         Program.Budget.Turns == Request.Budget.Turns &&
+         Program.Budget.WallMilliseconds == Request.Budget.WallMilliseconds;
 }
 
 std::vector<program_id> activeChildren(const program_id &Parent,
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -447,3 +447,35 @@
   }
   CHECK(Ejected.size() == 1);
 }
+
+TEST_CASE("a repeated create with another parent or wall time is a conflict") {
+  shard_fixture Fixture;
+  Fixture.create(1, AmpleBudget);
+  const program_id Parent{0, 1};
+  const program_budget Small{1'000, 10, 1'000};
+  Fixture.create(2, Small, &Parent);
+  Fixture.create(2, Small, &Parent);
+  CHECK(Fixture.Answers.at(Fixture.Ticket).Code == error_code::None);
+  Fixture.create(3, Small);
+  const program_id Other{0, 3};
+  Fixture.create(2, Small, &Other);
+  CHECK(Fixture.Answers.at(Fixture.Ticket).Code == error_code::Conflict);
+  Fixture.create(2, {1'000, 10, 2'000}, &Parent);
+  CHECK(Fixture.Answers.at(Fixture.Ticket).Code == error_code::Conflict);
+}
+
+TEST_CASE("a model call whose retry the budget does not cover ends at once as "
+          "budget_exhausted") {
+  shard_fixture Fixture;
+  Fixture.create(1, AmpleBudget);
+  const call_ticket Ticket = Fixture.call(1, 1, call_kind::Model);
+  program_state &Program = Fixture.Owner.State.Programs.at({0, 1});
+  Program.ReservedTokens = 0;
+  Program.CarvedTokens = Program.Budget.Tokens;
+  attempt_result NotRun;
+  NotRun.Code = error_code::RunnerFailed;
+  NotRun.Run = run_state::NotRun;
+  Fixture.finishAttempt(NotRun);
+  REQUIRE(Fixture.Answers.contains(Ticket));
+  CHECK(Fixture.Answers.at(Ticket).Code == error_code::BudgetExhausted);
+}
