Reject sizes and numbers that a message can't have before they are used

Cause: MessagePack sizes were not checked against the length of the input: five bytes that announce an array of 2^32 - 1 elements ended the process with std::bad_alloc, in the datagrams of membership as in every other decoder. A status out of range was stored and used as an index by the operators' server. An update that was cut off to fit a datagram counted as sent, so that it might never be sent.

Change: all decoders parse through core/unpack.h, which bounds each size by the input and the depth by 32. Membership rejects datagrams with unknown kinds and statuses, and counts the updates of the datagram that is sent.

Result: two tests in membership_test, which failed before (the first one with std::bad_alloc).

--- a/src/call/caller_request.cpp
+++ b/src/call/caller_request.cpp
@@ -1,5 +1,7 @@
 #include "call/caller_request.h"
 
+#include "core/unpack.h"
+
 #include <array>
 #include <stdexcept>
 #include <utility>
@@ -52,7 +54,7 @@
 
 owner_request decodeRequest(std::string_view Bytes) {
   try {
-    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    const auto Handle = unpackBounded(Bytes);
     const auto Pair = Handle.get().as<std::vector<msgpack::object>>();
     if (Pair.size() != 2 || Pair[0].as<std::uint32_t>() >= Decoders.size())
       throw std::invalid_argument("unknown request type");
--- a/src/decision/shard_state.cpp
+++ b/src/decision/shard_state.cpp
@@ -1,5 +1,7 @@
 #include "decision/shard_state.h"
 
+#include "core/unpack.h"
+
 #include <fmt/format.h>
 
 namespace lentilhoist {
@@ -225,7 +227,7 @@
 
 shard_state decodeSnapshot(std::string_view Bytes) {
   try {
-    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    const auto Handle = unpackBounded(Bytes);
     auto State = Handle.get().as<shard_state>();
     for (auto &[Id, Program] : State.Programs) {
       for (recorded_call &Call : Program.Calls)
--- a/src/history/replica_message.cpp
+++ b/src/history/replica_message.cpp
@@ -1,5 +1,6 @@
 #include "history/replica_message.h"
 
+#include "core/unpack.h"
 #include "net/frame.h"
 
 #include <stdexcept>
@@ -16,9 +17,7 @@
 
 template <typename Message> Message decode(const std::string &Bytes) {
   try {
-    return msgpack::unpack(Bytes.data(), Bytes.size())
-        .get()
-        .template as<Message>();
+    return unpackInPlace<Message>(Bytes);
   } catch (const std::exception &Error) {
     throw std::runtime_error(std::string("malformed history message: ") +
                              Error.what());
--- a/src/history/segment_index.cpp
+++ b/src/history/segment_index.cpp
@@ -1,7 +1,7 @@
 #include "history/segment_index.h"
 
 #include "core/hash.h"
-#include "history/unpack.h"
+#include "core/unpack.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/history/segment_log.cpp
+++ b/src/history/segment_log.cpp
@@ -1,7 +1,7 @@
 #include "history/segment_log.h"
 
 #include "core/hash.h"
-#include "history/unpack.h"
+#include "core/unpack.h"
 
 #include <algorithm>
 #include <cerrno>
--- a/src/instance/peer_message.cpp
+++ b/src/instance/peer_message.cpp
@@ -1,5 +1,7 @@
 #include "instance/peer_message.h"
 
+#include "core/unpack.h"
+
 #include <stdexcept>
 
 namespace lentilhoist {
@@ -26,7 +28,7 @@
 
 peer_message decodeFrame(std::string_view Body) {
   try {
-    const auto Handle = msgpack::unpack(Body.data(), Body.size());
+    const auto Handle = unpackBounded(Body);
     auto Message = Handle.get().as<peer_message>();
     if (Message.Version != ProtocolVersion)
       throw std::invalid_argument("unknown protocol version");
--- a/src/journal/journal_entry.cpp
+++ b/src/journal/journal_entry.cpp
@@ -1,5 +1,7 @@
 #include "journal/journal_entry.h"
 
+#include "core/unpack.h"
+
 #include <array>
 #include <charconv>
 #include <fmt/format.h>
@@ -80,7 +82,7 @@
 
 journal_entry decodeEntry(std::string_view Bytes) {
   try {
-    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
+    const auto Handle = unpackBounded(Bytes);
     return readFields(Handle.get().as<std::vector<msgpack::object>>());
   } catch (const msgpack::unpack_error &Error) {
     throw corrupt_entry(fmt::format("malformed entry: {}", Error.what()));
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -1,5 +1,7 @@
 #include "membership/membership.h"
 
+#include "core/unpack.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -104,7 +106,7 @@
 }
 
 /// Selects the updates that have been sent least often. The update about this
-/// instance is always included.
+/// instance is always included, as the first.
 std::vector<member_update> selectUpdates(membership &Group) {
   std::vector<member_update> Updates{makeSelfUpdate(Group)};
   const std::uint32_t Limit = retransmitLimit(Group);
@@ -120,7 +122,6 @@
   for (member_record *Record : Pending) {
     if (Updates.size() >= Group.Settings.MaxUpdates)
       break;
-    ++Record->Transmissions;
     Updates.push_back(Record->Update);
   }
   return Updates;
@@ -142,6 +143,8 @@
     Message.Updates.pop_back();
     Bytes = encodeMessage(Message);
   }
+  for (std::size_t Index = 1; Index < Message.Updates.size(); ++Index)
+    ++Group.Members.at(Message.Updates[Index].Identity.Id).Transmissions;
   Datagrams.push_back({To.Address, To.Port, std::move(Bytes)});
 }
 
@@ -304,12 +307,23 @@
   sendToMember(std::move(Ping), Message.Target, Group, Datagrams);
 }
 
+bool isKnown(probe_kind Kind) {
+  return Kind >= probe_kind::Ping && Kind <= probe_kind::IndirectPing;
+}
+
+bool isKnown(member_status Status) {
+  return Status >= member_status::Alive && Status <= member_status::Dead;
+}
+
 std::optional<probe_message> decodeMessage(std::string_view Bytes) {
   try {
-    const auto Handle = msgpack::unpack(Bytes.data(), Bytes.size());
-    auto Message = Handle.get().as<probe_message>();
-    if (Message.Version != ProtocolVersion || Message.From.empty())
+    auto Message = unpackInPlace<probe_message>(Bytes);
+    if (Message.Version != ProtocolVersion || Message.From.empty() ||
+        !isKnown(Message.Kind))
       return std::nullopt;
+    for (const member_update &Update : Message.Updates)
+      if (!isKnown(Update.Status))
+        return std::nullopt;
     return Message;
   } catch (const msgpack::unpack_error &) {
     return std::nullopt;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -176,3 +176,66 @@
   // The bound is the growth of log2 of the size: from 3 to 6.
   CHECK(BytesPerInstanceLarge < 2 * BytesPerInstanceSmall);
 }
+
+TEST_CASE("datagrams with unknown numbers or sizes beyond their length are "
+          "rejected") {
+  membership Group;
+  Group.Self = {"a", "127.0.0.1", 1, "d", "r"};
+  std::vector<outgoing_datagram> Datagrams;
+  const instant Now{seconds(1), seconds(1'000)};
+  const auto Receive = [&](const probe_message &Message) {
+    msgpack::sbuffer Buffer;
+    msgpack::pack(Buffer, Message);
+    onDatagram({Buffer.data(), Buffer.size()}, Now, Group, Datagrams);
+  };
+  probe_message Message;
+  Message.From = "b";
+  Message.Updates = {{{"b", "127.0.0.1", 2, "d", "r"},
+                      1,
+                      static_cast<member_status>(7),
+                      false}};
+  Receive(Message);
+  CHECK(Group.RejectedDatagrams == 1);
+  CHECK(Group.Members.empty());
+  Message.Updates.front().Status = member_status::Suspect;
+  Message.Kind = static_cast<probe_kind>(9);
+  Receive(Message);
+  CHECK(Group.RejectedDatagrams == 2);
+  CHECK(Group.Members.empty());
+  // Arrays and maps of 2^32 - 1 elements that do not follow.
+  for (const char *Bytes : {"\xdd\xff\xff\xff\xff", "\xdf\xff\xff\xff\xff"})
+    onDatagram({Bytes, 5}, Now, Group, Datagrams);
+  CHECK(Group.RejectedDatagrams == 4);
+  Message.Kind = probe_kind::Ping;
+  Receive(Message);
+  CHECK(Group.RejectedDatagrams == 4);
+  CHECK(isSuspect("b", Group));
+}
+
+TEST_CASE(
+    "an update that does not fit into a datagram is not counted as sent") {
+  membership Group;
+  Group.Self = {"a", "127.0.0.1", 1, "d", "r"};
+  Group.Settings.MaxDatagramBytes = 300;
+  const instant Now{seconds(1), seconds(1'000)};
+  for (int Index = 0; Index < 30; ++Index) {
+    const std::string Id = fmt::format("instance-with-a-long-name-{}", Index);
+    member_record &Record = Group.Members[Id];
+    Record.Update = {{Id, "127.0.0.1", 9, "domain", "region"},
+                     1,
+                     member_status::Alive,
+                     false};
+  }
+  std::vector<outgoing_datagram> Datagrams;
+  onMembershipTick(Now, Group, Datagrams);
+  REQUIRE_FALSE(Datagrams.empty());
+  std::map<std::string, std::uint32_t> Sent;
+  for (const outgoing_datagram &Datagram : Datagrams) {
+    const auto Handle =
+        msgpack::unpack(Datagram.Bytes.data(), Datagram.Bytes.size());
+    for (const member_update &Update : Handle.get().as<probe_message>().Updates)
+      ++Sent[Update.Identity.Id];
+  }
+  for (const auto &[Id, Record] : Group.Members)
+    CHECK(Record.Transmissions == Sent[Id]);
+}
