Bound what a runner's endless response and a caller's endless body take up

Informational responses without end were read until the deadline. A request refused by a runner after its caller had left was sent to another runner, for nobody. A success without the request's id was accepted on a connection that had carried another request, where it may be a late second copy, and so was a refusal that names no request. A request body that trickled was never rejected, and one that stopped only after up to twice the limit.

Change: events and refusals are limited to 256 kB, the kept output of a turn to an eighth of a frame, informational responses to 16. Nothing is sent again once the caller has left. On a reused connection a success must name its request, and a connection is not reused after a refusal that names none. A body must be complete by the caller's deadline, 30 s if it states none, and its silence is measured from its last byte. Slow streams are still ended by the caller's deadline and the route's timeout alone; a test states the rule for sound and for drip-fed ones.

--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -18,6 +18,9 @@
 /// a raised limit before this instance has applied the new configuration.
 constexpr milliseconds IdleTimeoutMargin{2'000};
 
+/// Longest time for a request with its body if its caller states no deadline.
+constexpr milliseconds MaxBodyTime{30'000};
+
 /// Limits until the first configuration arrives.
 const caller_limits DefaultLimits;
 
@@ -103,6 +106,7 @@
   }
   if (!Reader.headComplete())
     return;
+  const bool BodyStarted = std::exchange(ReadingBody, true);
   Body += Reader.takeBody();
   const http_fields &Fields = Reader.request().Fields;
   if (std::max(Body.size(), declaredLength(Fields)) > limits().MaxBodyBytes) {
@@ -113,6 +117,13 @@
     startExchange();
     return;
   }
+  if (!BodyStarted) {
+    const auto Traits = platform::decodeCallerRequest(Reader.request());
+    BodyTime = MaxBodyTime;
+    if (Traits && Traits->Deadline)
+      BodyTime = std::min(BodyTime, *Traits->Deadline);
+    armTimer();
+  }
   if (!ContinueSent &&
       sameFieldName(fieldValue(Fields, "Expect"), "100-continue")) {
     ContinueSent = true;
@@ -156,6 +167,7 @@
     return;
   }
   Reader.reset();
+  ReadingBody = false;
   ContinueSent = false;
   Stream->pauseReading(false);
   armTimer();
@@ -185,11 +197,20 @@
   notifyClosed();
 }
 
-void caller_connection::armTimer() {
-  milliseconds Limit = limits().IdleTimeout + IdleTimeoutMargin;
+/// \returns when the caller must have sent more, by the limits in force now.
+instant caller_connection::readDeadline() const {
   if (Reader.started() && !Reader.headComplete())
-    Limit = limits().HeadTimeout;
-  Timer.expires_after(Limit);
+    return later(RequestStart, limits().HeadTimeout);
+  const instant Silent =
+      later(LastReceived, limits().IdleTimeout + IdleTimeoutMargin);
+  if (!Reader.started())
+    return Silent;
+  const instant Complete = later(RequestStart, BodyTime);
+  return Complete.Steady < Silent.Steady ? Complete : Silent;
+}
+
+void caller_connection::armTimer() {
+  Timer.expires_at(asio::steady_timer::time_point(readDeadline().Steady));
   Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Error) {
     const auto Self = Weak.lock();
     if (Self && !Error)
@@ -200,21 +221,16 @@
 void caller_connection::onTimer() {
   if (Current || Closing)
     return;
-  if (Reader.started() && !Reader.headComplete()) {
-    reject(408, "head_timeout");
-    return;
-  }
-  // Rearms if the limit was raised, or body bytes arrived, after the timer was
+  // The limits may have been raised, or bytes have arrived, since the timer was
   // set.
-  const auto IdleTime = readClock().Steady - LastReceived.Steady;
-  if (IdleTime < limits().IdleTimeout + IdleTimeoutMargin) {
+  if (readClock().Steady < readDeadline().Steady) {
     armTimer();
     return;
   }
-  if (Reader.started())
-    reject(408, "body_timeout");
-  else
+  if (!Reader.started())
     closeIfIdle();
+  else
+    reject(408, Reader.headComplete() ? "body_timeout" : "head_timeout");
 }
 
 void caller_connection::closeIfIdle() {
--- a/src/forward/caller_connection.h
+++ b/src/forward/caller_connection.h
@@ -44,6 +44,7 @@
   void reject(int Status, const char *Reason);
   void armTimer();
   void onTimer();
+  instant readDeadline() const;
   void notifyClosed();
   const caller_limits &limits() const;
 
@@ -55,8 +56,10 @@
   std::string Body;
   std::shared_ptr<exchange> Current;
   asio::steady_timer Timer;
-  instant RequestStart{}; ///< First byte of the current request.
+  instant RequestStart{};   ///< First byte of the current request.
+  milliseconds BodyTime{0}; ///< From RequestStart to the end of the body.
   instant LastReceived{};
+  bool ReadingBody = false; ///< The head is complete.
   bool ContinueSent = false;
   bool Closing = false;
 };
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "log/log.h"
 #include "net/address.h"
+#include "net/frame.h"
 #include "platform/request_headers.h"
 
 #include <algorithm>
@@ -32,6 +33,12 @@
 /// Reading from the runner pauses when more than this many bytes wait for a
 /// slow caller.
 constexpr std::size_t MaxCallerBacklogBytes = 256UL * 1024UL;
+/// An event or the body of a refusal above this size is not what a runner
+/// sends; memory is not filled with it until the deadline.
+constexpr std::size_t MaxEventBytes = 256UL * 1024UL;
+/// Largest output of a turn that is kept. A replica holds and sends several
+/// turns in one frame.
+constexpr std::size_t MaxOutputBytes = MaxFrameBytes / 8;
 /// Time limit of a request if neither the caller nor the route sets one.
 constexpr milliseconds DefaultTimeout{30'000};
 /// The address now belongs to another runner.
@@ -365,6 +372,10 @@
     return;
   const bool HasTrailingBytes = Consumed < Bytes.size();
   onResponseBody();
+  if (isResponseTooLarge()) {
+    onSendFailed(send_outcome::Unknown, "response_too_large");
+    return;
+  }
   if (Stage == stage::Done || !Stream || !Reader.complete())
     return;
   if (HasTrailingBytes) // Bytes after the response belong to no request.
@@ -379,8 +390,11 @@
   runner_view *View = currentRunner();
   if (View && RunnerResponse.Load)
     recordLoad(Context.Runners, *View, *RunnerResponse.Load, Now);
-  if (!RunnerResponse.Attempt.empty() &&
-      RunnerResponse.Attempt != Traits.Attempt) {
+  // A late copy of an earlier response may precede the one that is awaited.
+  const bool Named = !RunnerResponse.Attempt.empty();
+  const bool OtherRequest = Named ? RunnerResponse.Attempt != Traits.Attempt
+                                  : ReusedConnection && RunnerResponse.Sealed;
+  if (OtherRequest) {
     onSendFailed(send_outcome::Unknown, "answer_of_another_request");
     return;
   }
@@ -404,6 +418,14 @@
       0, !KeepAlive || Context.Draining));
 }
 
+bool exchange::isResponseTooLarge() const {
+  if (RunnerResponse.NotExecuted)
+    return ResponseBody.size() > MaxEventBytes;
+  const bool Events = !Buffered && Route->Kind == route_kind::Streaming;
+  return Events && (ResponseBody.size() > MaxEventBytes ||
+                    Output.size() > MaxOutputBytes);
+}
+
 void exchange::onResponseBody() {
   ResponseBody += Reader.takeBody();
   if (!Buffered) {
@@ -529,15 +551,17 @@
   if (runner_view *View = currentRunner();
       View && Outcome != send_outcome::Refused)
     recordFailure(*View, Now);
+  // A second copy of a refusal that names no request could be taken for the
+  // refusal of the connection's next request.
   releaseRunner(Outcome == send_outcome::Refused && Reader.complete() &&
-                Reader.keepAlive() && Stream && !Stream->closed() &&
-                Stream->pendingBytes() == 0);
+                !RunnerResponse.Attempt.empty() && Reader.keepAlive() &&
+                Stream && !Stream->closed() && Stream->pendingBytes() == 0);
   countFailedSend(Sends, Outcome);
   Context.Metrics.count(
       std::string("lentilhoist_failed_sends_total{outcome=\"") +
       sendOutcomeName(Outcome) + "\"}");
-  const bool Retry =
-      !ResponseStarted && mayResend(*Route, Sends) && timeLeft(Now).count() > 0;
+  const bool Retry = !ResponseStarted && !CallerLeft &&
+                     mayResend(*Route, Sends) && timeLeft(Now).count() > 0;
   logEvent(log_level::Info, "send_failed",
            {{"request", Traits.Attempt},
             {"runner", RunnerId},
@@ -620,6 +644,7 @@
   const bool KeepRunning = Route && Route->Kind == route_kind::NonIdempotent &&
                            Stage == stage::Awaiting;
   if (KeepRunning) {
+    CallerLeft = true;
     Sink.Write = [](const std::string &) {};
     Sink.PendingBytes = [] { return std::size_t{0}; };
     Sink.Finish = [](bool) {};
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -78,6 +78,7 @@
   void onRunnerEnd(stream_end End);
   void onResponseHead();
   void onResponseBody();
+  bool isResponseTooLarge() const;
   void onResponseComplete();
   void startRelaying();
   void relayEvents(bool Last);
@@ -127,7 +128,8 @@
   event_parser Events;
   std::string Output; ///< Data of the relayed events.
   std::uint64_t EventCount = 0;
-  bool Buffered = true; ///< The whole response is read before it is relayed.
+  bool CallerLeft = false; ///< Nobody receives the response.
+  bool Buffered = true;    ///< The whole response is read before it is relayed.
   bool ResponseStarted = false;
   std::size_t ResponseBytes = 0;
   instant FirstByte{};
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -10,6 +10,9 @@
   return *static_cast<http_reader *>(Parser->data);
 }
 
+/// Informational responses that may precede a response; more are taken for a
+/// server that never sends one.
+constexpr int MaxInformationalResponses = 16;
 constexpr int SkipBody = 1;     ///< Answer of the head callback.
 constexpr int StopParsing = -1; ///< Any callback's answer to give up.
 
@@ -43,6 +46,7 @@
   Response = {};
   Body.clear();
   HeadBytes = 0;
+  InformationalResponses = 0;
   InValue = Started = HeadComplete = Complete = KeepAlive = NoBody = false;
   EndsWithConnection = false;
   Error = http_read_error::None;
@@ -196,7 +200,10 @@
       Reader.Response.Status / 100 == 1) {
     Reader.Response = {};
     Reader.HeadComplete = Reader.InValue = false;
-    return 0;
+    if (++Reader.InformationalResponses <= MaxInformationalResponses)
+      return 0;
+    Reader.Error = http_read_error::Malformed;
+    return StopParsing;
   }
   Reader.Complete = true;
   http_parser_pause(Parser, 1);
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -84,7 +84,8 @@
   http_response_head Response;
   std::string Body;
   std::size_t HeadBytes = 0;
-  bool InValue = false; ///< The last header callback was a value.
+  int InformationalResponses = 0; ///< Before the final response.
+  bool InValue = false;           ///< The last header callback was a value.
   bool Started = false;
   bool HeadComplete = false;
   bool Complete = false;
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -18,6 +18,8 @@
   std::string Bytes;
   bool Close = false; ///< Close the connection gracefully after the bytes.
   bool Reset = false; ///< Reset the connection after the bytes.
+  /// Sent again and again behind Bytes until the connection is closed.
+  std::string Endless = {};
 };
 
 std::string sealedResponse(const std::string &Attempt,
@@ -56,13 +58,21 @@
   std::vector<std::string> Bodies; ///< Bodies of the requests received.
   std::vector<http_request_head> Heads;
   int Connections = 0;
-  int Ended = 0; ///< Connections closed by the code under test.
+  int Ended = 0;                ///< Connections closed by the code under test.
+  std::size_t EndlessBytes = 0; ///< Sent of scripted_response::Endless.
+
+  /// Sends bytes on all open connections.
+  void write(const std::string &Bytes) {
+    for (const auto &Connection : Open)
+      Connection->Stream->write(Bytes);
+  }
 
 private:
   struct connection {
     std::shared_ptr<tcp_stream> Stream;
     http_reader Reader{http_message::Request};
     std::string Body;
+    std::string Endless;
   };
 
   void accept() {
@@ -82,6 +92,14 @@
       };
       Open.push_back(Connection);
       Handlers.OnEnd = [this](stream_end) { ++Ended; };
+      Handlers.OnDrained = [this,
+                            Weak = std::weak_ptr<connection>(Connection)] {
+        const auto Self = Weak.lock();
+        if (!Self || Self->Endless.empty())
+          return;
+        EndlessBytes += Self->Endless.size();
+        Self->Stream->write(Self->Endless);
+      };
       Connection->Stream->setHandlers(std::move(Handlers));
       Connection->Stream->start();
       accept();
@@ -98,6 +116,7 @@
     const scripted_response Response = Script(Heads.back(), Bodies.back());
     Connection.Reader.reset();
     const auto Stream = Connection.Stream;
+    Connection.Endless = Response.Endless;
     Stream->write(Response.Bytes);
     if (Response.Close)
       Stream->finish();
@@ -677,6 +696,204 @@
   }
 }
 
+TEST_CASE(
+    "a request that a runner refuses after its caller has left is not sent "
+    "to another runner") {
+  caller_fixture Fixture([](const http_request_head &, const std::string &) {
+    return scripted_response{};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  Fixture.Caller->write(requestText("1", "a"));
+  Fixture.runFor(milliseconds(100));
+  REQUIRE(Fixture.arrivals() == 1);
+  Fixture.Caller->close();
+  Fixture.runFor(milliseconds(50));
+  Fixture.First.write(NotExecutedResponse);
+  Fixture.Second.write(NotExecutedResponse);
+  Fixture.runFor(milliseconds(200));
+  CHECK(Fixture.arrivals() == 1);
+  CHECK(Fixture.Context.Detached.empty());
+}
+
+TEST_CASE("a success without the request's id is not taken from a connection "
+          "that carried another request") {
+  // The second request meets a late copy of an earlier response, which names no
+  // request.
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    return scripted_response{++Calls == 1
+                                 ? sealedResponse(attemptOf(Head), "one")
+                                 : "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\n"
+                                   "Content-Length: 3\r\n\r\none"};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  CHECK(bodyOf(Fixture.call("1")) == "one");
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 502"));
+  CHECK(Fixture.arrivals() == 2);
+  CHECK(Fixture.First.Connections + Fixture.Second.Connections == 1);
+}
+
+TEST_CASE("a connection is not reused after a refusal that names no request") {
+  // Runners may refuse without naming the request. A second copy of such a
+  // refusal, late on the same connection, could not be told from the refusal of
+  // the next request, which might have run.
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    return scripted_response{++Calls == 1
+                                 ? NotExecutedResponse
+                                 : sealedResponse(attemptOf(Head), "done")};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  CHECK(bodyOf(Fixture.call("1")) == "done");
+  CHECK(Fixture.First.Connections == 1);
+  CHECK(Fixture.Second.Connections == 1);
+  Fixture.Loop.restart();
+  Fixture.Loop.run_for(milliseconds(20));
+  CHECK(Fixture.First.Ended + Fixture.Second.Ended == 1);
+}
+
+namespace {
+
+/// Far more than a response may take up in memory, far less than an endless
+/// one sends within the time of a test.
+constexpr std::size_t MaxEndlessBytes = 32UL * 1024UL * 1024UL;
+
+std::size_t endlessBytes(const fixture &Fixture) {
+  return Fixture.First.EndlessBytes + Fixture.Second.EndlessBytes;
+}
+
+} // namespace
+
+TEST_CASE("a response head without end is given up") {
+  for (const char *Start :
+       {"HTTP/1.1 200 OK\r\nX-A: ", "HTTP/1.1 200 OK\r\n", ""}) {
+    const std::string Line = "X-B: b\r\n";
+    std::string Endless;
+    for (int Count = 0; Count < 1'000; ++Count)
+      Endless += Line;
+    if (std::string(Start).ends_with(": "))
+      Endless.assign(8'000, 'a');
+    if (std::string(Start).empty()) {
+      Endless.clear();
+      for (int Count = 0; Count < 500; ++Count)
+        Endless += "HTTP/1.1 102 Processing\r\n\r\n";
+    }
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      return scripted_response{Start + Endless, false, false, Endless};
+    });
+    Fixture.setRoutes(route_kind::NonIdempotent, false);
+    INFO(Start);
+    CHECK(Fixture.call("1").starts_with("HTTP/1.1 502"));
+    CHECK(endlessBytes(Fixture) < MaxEndlessBytes);
+  }
+}
+
+TEST_CASE("a response body without end takes up bounded memory") {
+  const std::string Filler(64UL * 1024UL, 'x');
+  std::string Head;
+  std::string Endless = encodeChunk(Filler);
+  route_kind Kind = route_kind::Streaming;
+  bool KeepsHistory = true;
+  std::string Expected = "<aborted>";
+  SUBCASE("one event without end") {}
+  SUBCASE("one event without end, of a turn that is not kept") {
+    KeepsHistory = false;
+  }
+  SUBCASE("events without end") {
+    Endless = encodeChunk("data: " + Filler + "\n\n");
+  }
+  SUBCASE("a refusal") {
+    Head = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n";
+    Kind = route_kind::NonIdempotent;
+    KeepsHistory = false;
+    Expected = "HTTP/1.1 502";
+  }
+  fixture Fixture([&](const http_request_head &Request, const std::string &) {
+    return scripted_response{
+        (Head.empty() ? streamHead(attemptOf(Request)) : Head) + Endless, false,
+        false, Endless};
+  });
+  Fixture.setRoutes(Kind, KeepsHistory, milliseconds(20'000));
+  Fixture.startHistory();
+  const http_fields Usage{{"X-Program-Id", "p"},
+                          {"X-Token-Usage", "10,20"},
+                          {"X-Token-Budget", "45"}};
+  const std::string Response = Fixture.call("1", Usage);
+  CHECK((Response.ends_with(Expected) || Response.starts_with(Expected)));
+  CHECK(endlessBytes(Fixture) < MaxEndlessBytes);
+  CHECK(Fixture.arrivals() == 1);
+}
+
+TEST_CASE("a stream is ended at the caller's deadline, not for being slow: "
+          "drip-fed and sound ones alike") {
+  // The rule: no silence between two events ends a stream, the caller's
+  // deadline and the route's timeout do.
+  const std::string Event = "id: 1\ndata: a\n\n";
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{streamHead(attemptOf(Head))};
+      });
+  Fixture.setRoutes(route_kind::Streaming, false, milliseconds(1'500));
+  Fixture.Caller->write("GET /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                        "X-Deadline-Ms: 1200\r\n\r\n");
+  Fixture.runFor(milliseconds(50));
+  const auto Write = [&](const std::string &Bytes) {
+    Fixture.First.write(Bytes);
+    Fixture.Second.write(Bytes);
+  };
+  SUBCASE("slow events") {
+    for (int Count = 0; Count < 3; ++Count) {
+      Write(encodeChunk(Event));
+      Fixture.runFor(milliseconds(300));
+      CHECK_FALSE(Fixture.CallerEnded);
+    }
+    Write(std::string(LastChunk));
+    Fixture.runFor(milliseconds(50));
+    CHECK(Fixture.Received.ends_with(LastChunk));
+  }
+  SUBCASE("a byte now and then") {
+    Write(encodeChunk(Event));
+    for (int Count = 0; Count < 14; ++Count) {
+      Write(encodeChunk("i"));
+      Fixture.runFor(milliseconds(100));
+    }
+    CHECK(Fixture.CallerEnded);
+    CHECK_FALSE(Fixture.Received.ends_with(LastChunk));
+    CHECK(Fixture.First.Ended + Fixture.Second.Ended == 1);
+  }
+}
+
+TEST_CASE("a request body that stops or trickles is rejected in time") {
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{sealedResponse(attemptOf(Head), "x")};
+      });
+  configuration Config = Fixture.Context.Routes->config();
+  // caller_connection adds a margin of 2 s; a negative limit keeps the test
+  // short.
+  Config.Limits.IdleTimeout = milliseconds(-1'500);
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                        "X-Deadline-Ms: 900\r\nContent-Length: 100\r\n\r\na");
+  SUBCASE("stops") {
+    Fixture.runFor(milliseconds(50));
+    Fixture.Caller->write("b");
+    Fixture.runFor(milliseconds(400));
+    CHECK(Fixture.Received.empty());
+    Fixture.runFor(milliseconds(250));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 408"));
+  }
+  SUBCASE("trickles beyond the caller's deadline") {
+    for (int Count = 0; Count < 12; ++Count) {
+      Fixture.Caller->write("b");
+      Fixture.runFor(milliseconds(100));
+    }
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 408"));
+  }
+  CHECK(Fixture.arrivals() == 0);
+}
+
 TEST_CASE("history_client without replica connections uses a relay") {
   asio::io_context Loop;
   const auto runFor = [&](milliseconds Time) {
