Keep the time for the last responses in a planned stop, and pause after a failed accept

Cause: setting the drain timer again cancelled the short wait for the last responses, and its handler took the cancellation for the end: the process ended 3.2005 s after SIGTERM instead of 3.4 s. Connections that callers had established but the process had not accepted were reset when the listener closed, and just accepted ones were closed as idle before their request was read. A failed accept (no file descriptors) was repeated at once, without end.

Change: decideDrain, without I/O and with the time as an argument, decides each step of a stop; the timer's cancellation is told apart. One listener class serves callers, texts and replicas: it pauses for 100 ms after an error, logs the first of a series, and takes what is established before it closes. A connection that has carried no request yet has a second for its first one.

Result: edge_test (five tests, one over a whole instance and SIGTERM, which failed before), two tests of the listener in net_test, one of the stop in forward_test.

--- /dev/null
+++ b/src/edge/drain_plan.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "core/instant.h"
+
+namespace lentilhoist {
+
+/// What an entry instance does after it was told to stop.
+enum class drain_step {
+  Listen, ///< Accepts connections: callers may not know yet that it stops.
+  Finish, ///< Accepts none; requests in progress end.
+  Exit,   ///< Ends the process.
+};
+
+/// \param Step the value to name.
+/// \returns its stable text form.
+const char *drainStepName(drain_step Step);
+
+/// Time after which the load balancer no longer sends requests to an instance
+/// that is not ready. It removes an instance after two failed readiness checks
+/// one second apart, and requests keep arriving until then.
+inline constexpr milliseconds OutOfRotationTime{3'200};
+/// Part of the grace period before SIGKILL that is reserved for process exit.
+inline constexpr milliseconds ExitMargin{800};
+/// Time between the end of the last request and the exit, in which the last
+/// responses reach their callers.
+inline constexpr milliseconds FlushTime{200};
+
+/// Progress of a planned stop.
+struct drain_state {
+  instant StoppedAt{};         ///< When the instance was told to stop.
+  milliseconds GracePeriod{0}; ///< From then until SIGKILL.
+  instant IdleSince{}; ///< No request since then; zero if there are some.
+};
+
+/// A step, and when the next one is due if no request ends before.
+struct drain_decision {
+  drain_step Step = drain_step::Listen;
+  instant NextCheck{};
+};
+
+/// Decides what a stopping instance does.
+/// \param State the progress, which is updated.
+/// \param Idle whether no request and no connection is open.
+/// \param Now the current time.
+/// \returns the step and the time of the next decision.
+drain_decision decideDrain(drain_state &State, bool Idle, instant Now);
+
+} // namespace lentilhoist
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -1,13 +1,16 @@
 #include "edge/edge.h"
 
+#include "edge/drain_plan.h"
 #include "forward/caller_connection.h"
 #include "history/relay_server.h"
 #include "log/log.h"
 #include "net/address.h"
+#include "net/listener.h"
 #include "net/text_server.h"
 #include "platform/config_decoder.h"
 #include "store/store_watch.h"
 
+#include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -19,12 +22,6 @@
 
 /// Interval at which idle pooled connections and missing runners are expired.
 constexpr milliseconds SweepInterval{250};
-/// Time after which the load balancer no longer sends requests to an instance
-/// that is not ready. It removes an instance after two failed readiness checks
-/// one second apart, and requests keep arriving until then.
-constexpr milliseconds OutOfRotationTime{3'200};
-/// Part of the grace time before SIGKILL that is reserved for process exit.
-constexpr milliseconds ExitMargin{800};
 /// Active request bodies may use this fraction of the memory (1/N).
 constexpr std::size_t BodyMemoryDivisor = 4;
 /// The cache of recently used chains may use this fraction of the memory (1/N).
@@ -54,7 +51,10 @@
         History(Loop, Settings.Domain,
                 Settings.MemoryBytes / ChainMemoryDivisor),
         Pool(Loop), Context{Loop, Settings.Domain, Metrics, History, Pool},
-        Callers(listenOn(Loop, *parseAddress(Settings.CallerAddress))),
+        Callers(Loop, *parseAddress(Settings.CallerAddress), "callers",
+                [this](asio::ip::tcp::socket Socket) {
+                  addConnection(std::move(Socket));
+                }),
         Readiness(Loop, *parseAddress(Settings.ReadinessAddress),
                   [this](const http_request_head &) { return readiness(); }),
         MetricsServer(Loop, metricsEndpoint(),
@@ -65,13 +65,14 @@
         Signals(Loop, SIGTERM, SIGINT, SIGHUP), SweepTimer(Loop),
         PingTimer(Loop), BackupTimer(Loop), DrainTimer(Loop) {
     Context.MaxBodyBytes = Settings.MemoryBytes / BodyMemoryDivisor;
+    // Sweep now: closing expired idle connections frees descriptors.
+    Callers.OnError = [this] { SweepTimer.cancel(); };
   }
 
   int run() {
     watchConfig();
     watchRunners();
     watchReplicas();
-    accept();
     waitForSignal();
     sweep();
     pingReplicas();
@@ -237,26 +238,13 @@
     return {200, Metrics.render()};
   }
 
-  void accept() {
-    Callers.async_accept([this](const asio::error_code &Error,
-                                asio::ip::tcp::socket Socket) {
-      if (Error == asio::error::operation_aborted)
-        return;
-      if (Error) {
-        logEvent(log_level::Warning, "accept_failed",
-                 {{"reason", Error.message()}});
-        // Sweep now: closing expired idle connections frees descriptors.
-        SweepTimer.cancel();
-      } else {
-        auto Connection = std::make_shared<caller_connection>(
-            Context,
-            std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
-            [this](caller_connection *Closed) { removeConnection(Closed); });
-        Connections.insert(Connection);
-        Connection->start();
-      }
-      accept();
-    });
+  void addConnection(asio::ip::tcp::socket Socket) {
+    auto Connection = std::make_shared<caller_connection>(
+        Context,
+        std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
+        [this](caller_connection *Closed) { removeConnection(Closed); });
+    Connections.insert(Connection);
+    Connection->start();
   }
 
   void removeConnection(caller_connection *Closed) {
@@ -264,7 +252,7 @@
     if (Found != Connections.end())
       Connections.erase(Found);
     if (Context.Draining)
-      endWhenDrained();
+      scheduleDrain(milliseconds(0));
   }
 
   void watchConfig() {
@@ -448,48 +436,48 @@
     if (Context.Draining)
       return;
     Context.Draining = true;
+    Drain = {readClock(), Settings.TerminationGracePeriod, {}};
     logEvent(log_level::Info, "process_stopping",
              {{"signal", std::to_string(Signal)},
               {"active_requests", std::to_string(Context.ActiveRequests)},
               {"connections", std::to_string(Connections.size())}});
-    DrainTimer.expires_after(OutOfRotationTime);
-    DrainTimer.async_wait([this](const asio::error_code &) {
-      OutOfRotation = true;
-      // If too few instances are ready, the load balancer still sends callers
-      // here. Their connections are refused, so that they try another instance.
-      // An error is ignored, as a failed listener accepts no connections
-      // either.
-      asio::error_code Ignored;
-      Callers.close(Ignored);
-      closeIdleConnections();
-      endWhenDrained();
-      DrainTimer.expires_after(Settings.TerminationGracePeriod -
-                               OutOfRotationTime - ExitMargin);
-      DrainTimer.async_wait([this](const asio::error_code &) { end(); });
-    });
+    continueDrain();
   }
 
-  void closeIdleConnections() {
-    const auto Open = Connections; // Closing a connection modifies the set.
-    for (const auto &Connection : Open)
-      Connection->closeIfIdle();
+  void scheduleDrain(microseconds Delay) {
+    DrainTimer.expires_after(Delay);
+    DrainTimer.async_wait([this](const asio::error_code &Error) {
+      if (!Error)
+        continueDrain();
+    });
   }
 
-  void endWhenDrained() {
-    if (!OutOfRotation || Ending)
-      return;
-    if (!Connections.empty() || Context.ActiveRequests != 0)
+  void continueDrain() {
+    const instant Now = readClock();
+    const bool Idle = Connections.empty() && Context.ActiveRequests == 0;
+    const drain_decision Decision = decideDrain(Drain, Idle, Now);
+    microseconds Delay = Decision.NextCheck.Steady - Now.Steady;
+    switch (Decision.Step) {
+    case drain_step::Listen:
+      break;
+    case drain_step::Finish: {
+      // If too few instances are ready, the load balancer still sends callers
+      // here. Their connections are refused, so that they try another instance.
+      Callers.stop();
+      const auto Open = Connections; // Closing a connection modifies the set.
+      for (const auto &Connection : Open)
+        Connection->closeIfUnused(Now);
+      Delay = std::min(Delay, microseconds(FlushTime));
+      break;
+    }
+    case drain_step::Exit:
+      logEvent(log_level::Info, "process_stopped",
+               {{"active_requests", std::to_string(Context.ActiveRequests)},
+                {"connections", std::to_string(Connections.size())}});
+      Loop.stop();
       return;
-    Ending = true;
-    // Leaves time for the last responses to reach their callers.
-    DrainTimer.expires_after(ExitMargin / 4);
-    DrainTimer.async_wait([this](const asio::error_code &) { end(); });
-  }
-
-  void end() {
-    logEvent(log_level::Info, "process_stopped",
-             {{"active_requests", std::to_string(Context.ActiveRequests)}});
-    Loop.stop();
+    }
+    scheduleDrain(Delay);
   }
 
   asio::io_context Loop;
@@ -499,7 +487,7 @@
   history_client History;
   runner_connection_pool Pool;
   exchange_context Context;
-  asio::ip::tcp::acceptor Callers;
+  listener Callers;
   text_server Readiness;
   text_server MetricsServer;
   relay_server Relay;
@@ -520,8 +508,7 @@
   bool RegistryUnreachable = false;
   bool RunnerListReceived = false;
   bool WasReady = false;
-  bool OutOfRotation = false;
-  bool Ending = false;
+  drain_state Drain; ///< Valid while Context.Draining.
 };
 
 } // namespace
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -21,6 +21,10 @@
 /// Longest time for a request with its body if its caller states no deadline.
 constexpr milliseconds MaxBodyTime{30'000};
 
+/// Time from a new connection to the first bytes of its request. Callers allow
+/// a second for a new connection.
+constexpr milliseconds FirstRequestTime{1'000};
+
 /// Limits until the first configuration arrives.
 const caller_limits DefaultLimits;
 
@@ -160,6 +164,7 @@
 
 void caller_connection::finishExchange(bool Close) {
   Current.reset();
+  Served = true;
   if (Close) {
     Closing = true;
     Stream->finish();
@@ -228,14 +233,19 @@
     return;
   }
   if (!Reader.started())
-    closeIfIdle();
+    closeIdle();
   else
     reject(408, Reader.headComplete() ? "body_timeout" : "head_timeout");
 }
 
-void caller_connection::closeIfIdle() {
-  if (Closing || !idle())
-    return;
+void caller_connection::closeIfUnused(instant Now) {
+  const bool AboutToSend =
+      !Served && Now.Steady - LastReceived.Steady < FirstRequestTime;
+  if (!Closing && idle() && !AboutToSend)
+    closeIdle();
+}
+
+void caller_connection::closeIdle() {
   Closing = true;
   Stream->finishIdle();
   notifyClosed();
--- a/src/forward/caller_connection.h
+++ b/src/forward/caller_connection.h
@@ -29,9 +29,12 @@
   /// buffered.
   bool idle() const { return !Current && !Reader.started() && Input.empty(); }
 
-  /// Closes the connection gracefully if it is idle, otherwise does nothing.
-  /// While draining, a connection in use closes after its response.
-  void closeIfIdle();
+  /// Closes the connection gracefully if its caller has nothing under way. A
+  /// caller that has just connected is about to send its first request, which
+  /// is still served. While draining, a connection in use closes after its
+  /// response.
+  /// \param Now the current time.
+  void closeIfUnused(instant Now);
 
   /// Resets the connection.
   void abort();
@@ -44,6 +47,7 @@
   void reject(int Status, const char *Reason);
   void armTimer();
   void onTimer();
+  void closeIdle();
   instant readDeadline() const;
   void notifyClosed();
   const caller_limits &limits() const;
@@ -58,7 +62,8 @@
   asio::steady_timer Timer;
   instant RequestStart{};   ///< First byte of the current request.
   milliseconds BodyTime{0}; ///< From RequestStart to the end of the body.
-  instant LastReceived{};
+  instant LastReceived{};   ///< Or when the connection was accepted.
+  bool Served = false;      ///< A response has been sent.
   bool ReadingBody = false; ///< The head is complete.
   bool ContinueSent = false;
   bool Closing = false;
--- a/src/history/replica_server.cpp
+++ b/src/history/replica_server.cpp
@@ -1,7 +1,6 @@
 #include "history/replica_server.h"
 
 #include "log/log.h"
-#include "net/address.h"
 
 #include <stdexcept>
 
@@ -16,32 +15,25 @@
 replica_server::replica_server(asio::io_context &Loop,
                                const asio::ip::tcp::endpoint &Address,
                                handler GivenHandler)
-    : Acceptor(listenOn(Loop, Address)), Handler(std::move(GivenHandler)) {
-  accept();
-}
-
-void replica_server::accept() {
-  Acceptor.async_accept([this](const asio::error_code &Error,
-                               asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    if (!Error) {
-      const auto Peer = std::make_shared<peer>();
-      Peer->Stream =
-          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
-      tcp_stream::handlers Handlers;
-      const std::weak_ptr<peer> Weak = Peer;
-      Handlers.OnBytes = [this, Weak](std::string_view Bytes) {
-        if (const auto Self = Weak.lock())
-          onBytes(Self, Bytes);
-      };
-      Handlers.OnEnd = [this, Weak](stream_end) { Peers.erase(Weak.lock()); };
-      Peers.insert(Peer);
-      Peer->Stream->setHandlers(std::move(Handlers));
-      Peer->Stream->start();
-    }
-    accept();
-  });
+    : Handler(std::move(GivenHandler)),
+      Listener(Loop, Address, "replica", [this](asio::ip::tcp::socket Socket) {
+        addPeer(std::move(Socket));
+      }) {}
+
+void replica_server::addPeer(asio::ip::tcp::socket Socket) {
+  const auto Peer = std::make_shared<peer>();
+  Peer->Stream =
+      std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+  tcp_stream::handlers Handlers;
+  const std::weak_ptr<peer> Weak = Peer;
+  Handlers.OnBytes = [this, Weak](std::string_view Bytes) {
+    if (const auto Self = Weak.lock())
+      onBytes(Self, Bytes);
+  };
+  Handlers.OnEnd = [this, Weak](stream_end) { Peers.erase(Weak.lock()); };
+  Peers.insert(Peer);
+  Peer->Stream->setHandlers(std::move(Handlers));
+  Peer->Stream->start();
 }
 
 void replica_server::onBytes(const std::shared_ptr<peer> &Peer,
--- a/src/history/replica_server.h
+++ b/src/history/replica_server.h
@@ -2,6 +2,7 @@
 
 #include "history/replica_message.h"
 #include "net/frame.h"
+#include "net/listener.h"
 #include "net/tcp_stream.h"
 
 #include <asio/io_context.hpp>
@@ -31,12 +32,12 @@
 private:
   struct peer;
 
-  void accept();
+  void addPeer(asio::ip::tcp::socket Socket);
   void onBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes);
 
-  asio::ip::tcp::acceptor Acceptor;
   handler Handler;
   std::set<std::shared_ptr<peer>> Peers;
+  listener Listener;
 };
 
 } // namespace lentilhoist
--- a/src/net/text_server.cpp
+++ b/src/net/text_server.cpp
@@ -1,7 +1,5 @@
 #include "net/text_server.h"
 
-#include "net/address.h"
-
 #include <asio/steady_timer.hpp>
 
 namespace lentilhoist {
@@ -66,27 +64,18 @@
 
 } // namespace
 
-text_server::text_server(asio::io_context &GivenLoop,
+text_server::text_server(asio::io_context &Loop,
                          const asio::ip::tcp::endpoint &Address,
                          handler GivenHandler)
-    : Loop(GivenLoop), Acceptor(listenOn(GivenLoop, Address)),
-      Handler(std::make_shared<handler>(std::move(GivenHandler))) {
-  accept();
-}
-
-void text_server::accept() {
-  Acceptor.async_accept([this](const asio::error_code &Error,
-                               asio::ip::tcp::socket Socket) {
-    if (Error == asio::error::operation_aborted)
-      return;
-    if (!Error)
-      std::make_shared<text_connection>(
-          Loop,
-          std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
-          Handler)
-          ->start();
-    accept();
-  });
-}
+    : Handler(std::make_shared<handler>(std::move(GivenHandler))),
+      Listener(Loop, Address, "texts",
+               [this, &Loop](asio::ip::tcp::socket Socket) {
+                 std::make_shared<text_connection>(
+                     Loop,
+                     std::make_shared<tcp_stream>(std::move(Socket),
+                                                  socket_settings{}),
+                     Handler)
+                     ->start();
+               }) {}
 
 } // namespace lentilhoist
--- a/src/net/text_server.h
+++ b/src/net/text_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_reader.h"
+#include "net/listener.h"
 #include "net/tcp_stream.h"
 
 #include <asio/io_context.hpp>
@@ -30,11 +31,8 @@
               handler Handler);
 
 private:
-  void accept();
-
-  asio::io_context &Loop;
-  asio::ip::tcp::acceptor Acceptor;
   std::shared_ptr<handler> Handler; ///< Connections may outlive the server.
+  listener Listener;
 };
 
 } // namespace lentilhoist
--- /dev/null
+++ b/tests/edge_test.cpp
@@ -0,0 +1,103 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "edge/drain_plan.h"
+#include "edge/edge.h"
+#include "net/address.h"
+
+#include <asio/io_context.hpp>
+#include <csignal>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace lentilhoist;
+
+namespace {
+
+const instant StoppedAt{seconds(100), milliseconds(0)};
+
+drain_state makeState() { return {StoppedAt, milliseconds(8'000), {}}; }
+
+instant after(milliseconds Time) { return later(StoppedAt, Time); }
+
+std::uint16_t freePort() {
+  asio::io_context Loop;
+  return listenOn(Loop, {asio::ip::address_v4::loopback(), 0})
+      .local_endpoint()
+      .port();
+}
+
+} // namespace
+
+TEST_CASE("a stopping instance listens until it is out of rotation, also when "
+          "it is idle") {
+  drain_state State = makeState();
+  for (const bool Idle : {true, false}) {
+    const auto Decision = decideDrain(State, Idle, after(milliseconds(3'100)));
+    CHECK(Decision.Step == drain_step::Listen);
+    CHECK(Decision.NextCheck.Steady == after(OutOfRotationTime).Steady);
+  }
+}
+
+TEST_CASE(
+    "the last responses have time to reach their callers before the exit") {
+  drain_state State = makeState();
+  CHECK(decideDrain(State, false, after(milliseconds(4'000))).Step ==
+        drain_step::Finish);
+  CHECK(decideDrain(State, true, after(milliseconds(5'000))).Step ==
+        drain_step::Finish);
+  // Asked again, as each closed connection does.
+  const auto Decision = decideDrain(State, true, after(milliseconds(5'100)));
+  CHECK(Decision.Step == drain_step::Finish);
+  CHECK(Decision.NextCheck.Steady == after(milliseconds(5'200)).Steady);
+  CHECK(decideDrain(State, true, after(milliseconds(5'200))).Step ==
+        drain_step::Exit);
+}
+
+TEST_CASE("a request that arrives late restarts the wait, and the grace period "
+          "ends it") {
+  drain_state State = makeState();
+  decideDrain(State, true, after(milliseconds(3'200)));
+  CHECK(decideDrain(State, false, after(milliseconds(3'300))).Step ==
+        drain_step::Finish);
+  CHECK(decideDrain(State, true, after(milliseconds(3'450))).Step ==
+        drain_step::Finish);
+  CHECK(decideDrain(State, false, after(milliseconds(3'700))).Step ==
+        drain_step::Finish);
+  const auto Decision = decideDrain(State, false, after(milliseconds(7'000)));
+  CHECK(Decision.NextCheck.Steady == after(milliseconds(7'200)).Steady);
+  CHECK(decideDrain(State, false, after(milliseconds(7'200))).Step ==
+        drain_step::Exit);
+}
+
+TEST_CASE("a grace period shorter than the rotation still ends in an exit") {
+  drain_state State = makeState();
+  State.GracePeriod = milliseconds(1'000);
+  CHECK(decideDrain(State, false, after(OutOfRotationTime)).Step ==
+        drain_step::Exit);
+}
+
+TEST_CASE("an entry instance that is idle ends after its rotation and the time "
+          "for the last responses") {
+  instance_settings Settings;
+  Settings.Name = "edge";
+  Settings.Domain = "here";
+  Settings.Address = "127.0.0.1";
+  Settings.CallerAddress = "127.0.0.1:" + std::to_string(freePort());
+  Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(freePort());
+  Settings.StoreAddress = "127.0.0.1:" + std::to_string(freePort());
+  // The relay takes the next port.
+  do
+    Settings.FirstPort = freePort();
+  while (Settings.FirstPort == 65'535);
+  Settings.MemoryBytes = 100'000'000;
+  instant Stopped{};
+  std::thread Stop([&] {
+    std::this_thread::sleep_for(milliseconds(300));
+    Stopped = readClock();
+    std::raise(SIGTERM);
+  });
+  CHECK(runEdge(Settings, [] {}) == 0);
+  const auto Took = readClock().Steady - Stopped.Steady;
+  Stop.join();
+  CHECK(Took >= OutOfRotationTime + FlushTime);
+  CHECK(Took < Settings.TerminationGracePeriod - ExitMargin);
+}
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -894,6 +894,35 @@
   CHECK(Fixture.arrivals() == 0);
 }
 
+TEST_CASE("a stopping instance serves the first request of a caller that has "
+          "just connected, and closes connections that were used before") {
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{sealedResponse(attemptOf(Head), "x")};
+      });
+  Fixture.runFor(milliseconds(50));
+  SUBCASE("just connected") {
+    Fixture.Context.Draining = true;
+    Fixture.Connection->closeIfUnused(readClock());
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 200"));
+    CHECK(Fixture.Received.find("Connection: close") != std::string::npos);
+    CHECK(Fixture.Closed);
+  }
+  SUBCASE("connected long ago") {
+    Fixture.Connection->closeIfUnused(later(readClock(), seconds(2)));
+    CHECK(Fixture.Closed);
+  }
+  SUBCASE("used") {
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK_FALSE(Fixture.Closed);
+    Fixture.Connection->closeIfUnused(readClock());
+    CHECK(Fixture.Closed);
+  }
+}
+
 TEST_CASE("history_client without replica connections uses a relay") {
   asio::io_context Loop;
   const auto runFor = [&](milliseconds Time) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -3,9 +3,11 @@
 #include "net/event_parser.h"
 #include "net/frame.h"
 #include "net/http_reader.h"
+#include "net/listener.h"
 
 #include <doctest/doctest.h>
 #include <random>
+#include <sys/resource.h>
 #include <vector>
 
 using namespace lentilhoist;
@@ -190,3 +192,69 @@
   CHECK_FALSE(parseAddress("10.0.0.1:70000"));
   CHECK_FALSE(parseAddress("10.0.0.1:8x"));
 }
+
+namespace {
+
+/// Limits the file descriptors of this process to those that are open.
+class no_descriptors {
+public:
+  no_descriptors() {
+    getrlimit(RLIMIT_NOFILE, &Previous);
+    const int Next = ::dup(0);
+    ::close(Next);
+    const rlimit Limit{static_cast<rlim_t>(Next), Previous.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &Limit);
+  }
+  ~no_descriptors() { setrlimit(RLIMIT_NOFILE, &Previous); }
+  no_descriptors(const no_descriptors &) = delete;
+  no_descriptors &operator=(const no_descriptors &) = delete;
+
+private:
+  rlimit Previous{};
+};
+
+} // namespace
+
+TEST_CASE("a listener without descriptors pauses between errors, and accepts "
+          "the waiting connection later") {
+  asio::io_context Loop;
+  int Accepted = 0;
+  int Errors = 0;
+  listener Listener(Loop, {asio::ip::address_v4::loopback(), 0}, "test",
+                    [&](asio::ip::tcp::socket) { ++Accepted; });
+  Listener.OnError = [&] { ++Errors; };
+  asio::ip::tcp::socket Caller(Loop);
+  Caller.connect({asio::ip::address_v4::loopback(), Listener.port()});
+  {
+    const no_descriptors Limit;
+    Loop.run_for(std::chrono::milliseconds(550));
+    CHECK(Accepted == 0);
+    CHECK(Errors > 0);
+    CHECK(Errors <= 6);
+  }
+  Loop.restart();
+  Loop.run_for(std::chrono::milliseconds(200));
+  CHECK(Accepted == 1);
+}
+
+TEST_CASE("a listener that stops takes the connections that are established") {
+  asio::io_context Loop;
+  int Accepted = 0;
+  listener Listener(Loop, {asio::ip::address_v4::loopback(), 0}, "test",
+                    [&](asio::ip::tcp::socket) { ++Accepted; });
+  const asio::ip::tcp::endpoint Address{asio::ip::address_v4::loopback(),
+                                        Listener.port()};
+  std::vector<asio::ip::tcp::socket> Callers;
+  for (int Count = 0; Count < 3; ++Count) {
+    Callers.emplace_back(Loop);
+    Callers.back().connect(Address);
+  }
+  Listener.stop();
+  CHECK(Accepted == 3);
+  asio::ip::tcp::socket Late(Loop);
+  asio::error_code Error;
+  Late.connect(Address, Error);
+  CHECK(Error == asio::error::connection_refused);
+  Loop.run_for(std::chrono::milliseconds(20));
+  CHECK(Accepted == 3);
+}
