Check the framing of requests to our own interface before any handler

Cause: the HTTP library takes the first of two Content-Length fields, `+2` as a length, and a length beside chunked coding, skips lines that end in a lone line feed, and keeps the connection: behind a balancer the rest of such a body becomes another caller's request. A head of 1 MB got an empty 400.

Change: strict_server reads each head with the reader that the entry daemon has, before the library parses it. Ambiguous framing gets 400, a head above 16 kB 431, one that takes over 10 s 408, each with a code, a reason and "not run", and the connection ends. A budget's error names the field, the least value and what was sent.

Result: three tests in http_test over real connections; the first and the third failed on the library's own server.

--- a/src/caller/caller_server.cpp
+++ b/src/caller/caller_server.cpp
@@ -6,6 +6,7 @@
 #include "log/log.h"
 
 #include <charconv>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 #include <random>
 
@@ -142,8 +143,10 @@
     return "budget must be an object";
   const auto &Budget = Json["budget"];
   for (const char *Key : {"tokens", "turns", "wall_ms"}) {
-    if (!Budget.contains(Key) || !Budget[Key].is_number_unsigned())
-      return std::string("budget.") + Key + " must be a whole number";
+    if (!Budget.contains(Key) || !Budget[Key].is_number_unsigned() ||
+        Budget[Key].get<std::uint64_t>() == 0)
+      return fmt::format("budget.{} must be a whole number from 1, not {}", Key,
+                         Budget.contains(Key) ? Budget[Key].dump() : "missing");
   }
   Create.Tenant = Json["tenant"].get<std::string>();
   Create.Class = Json["class"].get<std::string>();
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -28,7 +28,8 @@
 }
 
 http_server::http_server(http_server_settings Given)
-    : Settings(std::move(Given)) {
+    : Settings(std::move(Given)),
+      Server(Settings.MaxHeadBytes, Settings.HeadTime) {
   Server.set_tcp_nodelay(true);
   Server.set_keep_alive_max_count(MaxRequestsPerConnection);
   Server.set_keep_alive_timeout(
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "http/strict_server.h"
+
 #include <chrono>
 #include <cstddef>
 #include <functional>
-#include <httplib.h>
 #include <string>
 
 namespace lentilhoist {
@@ -17,6 +18,9 @@
   std::chrono::milliseconds ReadTimeout{10'000};
   std::chrono::milliseconds WriteTimeout{10'000};
   std::size_t MaxBodyBytes = 1U << 20U;
+  std::size_t MaxHeadBytes = 16U << 10U;
+  /// From the first byte of a head to its last.
+  std::chrono::milliseconds HeadTime{10'000};
   int Backlog = 1024;
 };
 
@@ -51,7 +55,7 @@
 
 private:
   http_server_settings Settings;
-  httplib::Server Server;
+  strict_server Server;
   std::function<bool(const httplib::Request &, httplib::Response &)> Guard;
   std::thread Thread;
   int Descriptor = -1; ///< Listening socket, to raise the backlog.
--- a/tests/decision_test.cpp
+++ b/tests/decision_test.cpp
@@ -2,6 +2,7 @@
 #include "decision/call_flow.h"
 #include "decision/runner_table.h"
 #include "decision/shard_placement.h"
+#include "fuzz.h"
 
 #include <doctest/doctest.h>
 #include <map>
@@ -479,3 +480,12 @@
   REQUIRE(Fixture.Answers.contains(Ticket));
   CHECK(Fixture.Answers.at(Ticket).Code == error_code::BudgetExhausted);
 }
+
+TEST_CASE("damaged snapshots are rejected") {
+  shard_fixture Fixture;
+  Fixture.create(1, AmpleBudget);
+  (void)Fixture.call(1, 1, call_kind::Model);
+  Fixture.finishAttempt(Fixture.makeResult(10, 5));
+  fuzz({encodeSnapshot(Fixture.Owner.State)},
+       [](const std::string &Bytes) { decodeSnapshot(Bytes); });
+}
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fuzz.h"
 #include "history/chain_cache.h"
 #include "history/copy_progress.h"
 #include "history/history_link.h"
@@ -644,3 +645,58 @@
   CHECK(Fixture.Link->isSuspected(Later));
   CHECK(Fixture.Link->outstanding() == 1);
 }
+
+TEST_CASE("damaged messages of peers and records of the disk are rejected or "
+          "handled") {
+  replica_state Source = makeReplica();
+  commit(Source, makeTurn("t1", ""));
+  commit(Source, makeTurn("t2", "t1"));
+  std::vector<std::string> Requests;
+  for (int Operation = 0; Operation <= 6; ++Operation) {
+    replica_request Request;
+    Request.Operation = static_cast<replica_operation>(Operation);
+    Request.SetVersion = 3;
+    Request.Program = "p";
+    Request.Entry = {"a", 100, false};
+    Request.Previous = "t2";
+    Request.WantChain = true;
+    Request.Turn = makeTurn("t3", "t2");
+    Request.Turns = {"t1", "t2"};
+    Request.Set = {makeSet()};
+    Requests.push_back(encodeMessage(Request).substr(4));
+  }
+  replica_state State = makeReplica();
+  fuzz(Requests, [&](const std::string &Bytes) {
+    const replica_request Request = decodeReplicaRequest(Bytes);
+    handleRequest(State, Request, 1, Limits, Start);
+    expireRecords(State, later(Start, seconds(70)));
+  });
+  replica_request Copy;
+  Copy.Operation = replica_operation::Copy;
+  Copy.SetVersion = 3;
+  replica_reply Batch = handleRequest(Source, Copy, 1, Limits, Start).Reply;
+  Batch.Backups = {{"config", {"main"}, {"{}"}}};
+  fuzz({encodeMessage(Batch).substr(4)}, [&](const std::string &Bytes) {
+    const replica_reply Reply = decodeReplicaReply(Bytes);
+    applyCopyBatch(State, Reply, 1, Limits, Start);
+    for (const replica_set &Set : Reply.Set)
+      adoptReplicaSet(State, Set);
+  });
+  fuzz({encodeReplicaSet(makeSet())}, [&](const std::string &Bytes) {
+    if (const auto Set = decodeReplicaSet(Bytes))
+      adoptReplicaSet(State, *Set);
+  });
+  replica_change Change;
+  Change.Kind = change_kind::Turn;
+  Change.Turn = makeTurn("t1", "");
+  const std::string Records = encodeRecord(Change) + encodeRecord(Change);
+  fuzz({Records}, [&](const std::string &Bytes) {
+    readRecords(Bytes, [](replica_change, std::size_t, std::size_t) {});
+  });
+  segment_index Index;
+  addToIndex(Index, Change, {1, 0, 10});
+  fuzz({encodeIndex(Index)}, [&](const std::string &Bytes) {
+    segment_index Decoded;
+    decodeIndex(Bytes, Decoded);
+  });
+}
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -2,6 +2,7 @@
 #include "http/http_client_pool.h"
 #include "http/http_server.h"
 
+#include <arpa/inet.h>
 #include <atomic>
 #include <doctest/doctest.h>
 #include <netinet/tcp.h>
@@ -89,3 +90,103 @@
   Release = true;
   Slow.join();
 }
+
+namespace {
+
+/// Sends bytes to a server and reads until it closes the connection, or for
+/// two seconds.
+std::string exchangeBytes(int Port, const std::string &Bytes) {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                    sizeof(Address)) == 0);
+  const timeval Limit{2, 0};
+  ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Limit, sizeof(Limit));
+  (void)::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+  std::string Received;
+  char Buffer[4'096];
+  for (ssize_t Length = 1; Length > 0;) {
+    Length = ::recv(Socket, Buffer, sizeof(Buffer), 0);
+    if (Length > 0)
+      Received.append(Buffer, static_cast<std::size_t>(Length));
+  }
+  ::close(Socket);
+  return Received;
+}
+
+std::size_t countResponses(const std::string &Received) {
+  std::size_t Count = 0;
+  for (std::size_t At = 0;
+       (At = Received.find("HTTP/1.1 ", At)) != std::string::npos; ++At)
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+TEST_CASE(
+    "a request whose body can be framed in two ways is rejected before any "
+    "handler, and its connection ends") {
+  std::atomic<int> Handled{0};
+  http_server Server{http_server_settings()};
+  Server.routes().Post("/", [&](const auto &, auto &) { ++Handled; });
+  Server.routes().Get("/next", [&](const auto &, auto &) { ++Handled; });
+  Server.start();
+  const std::string Next = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const char *Fields :
+       {"Content-Length: 2\r\nContent-Length: 44\r\n", "Content-Length: +2\r\n",
+        "Content-Length: 2, 44\r\n", "Content-Length: -1\r\n",
+        "Content-Length: 0x2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        "Content-Length : 2\r\n", "Content-Length: 2\nX-A: b\r\n"}) {
+    INFO(Fields);
+    const std::string Received = exchangeBytes(
+        Server.port(), std::string("POST / HTTP/1.1\r\nHost: h\r\n") + Fields +
+                           "\r\nab" + Next);
+    CHECK(Received.starts_with("HTTP/1.1 400"));
+    CHECK(Received.find("\"run\":\"not_run\"") != std::string::npos);
+    CHECK(countResponses(Received) == 1);
+    CHECK(Handled == 0);
+  }
+}
+
+TEST_CASE("sound requests are served one after the other on one connection") {
+  std::string Bodies;
+  http_server Server{http_server_settings()};
+  Server.routes().Post(
+      "/", [&](const auto &Request, auto &) { Bodies += Request.body + ";"; });
+  Server.start();
+  const std::string Received = exchangeBytes(
+      Server.port(),
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab"
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\ncde\r\n0\r\n\r\n"
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+      "Connection: close\r\n\r\nf");
+  CHECK(countResponses(Received) == 3);
+  CHECK(Bodies == "ab;cde;f;");
+}
+
+TEST_CASE(
+    "a head that is too large or never ends is rejected with its reason") {
+  http_server_settings Settings;
+  Settings.HeadTime = std::chrono::milliseconds(200);
+  http_server Server(Settings);
+  Server.start();
+  const std::string Large = exchangeBytes(
+      Server.port(), "GET / HTTP/1.1\r\nX-A: " + std::string(1'000'000, 'a'));
+  CHECK(Large.starts_with("HTTP/1.1 431"));
+  const std::string Exact =
+      exchangeBytes(Server.port(), "GET / HTTP/1.1\r\nX-A: " +
+                                       std::string(Settings.MaxHeadBytes, 'a'));
+  CHECK(Exact.starts_with("HTTP/1.1 431"));
+  CHECK(Exact.find(std::to_string(Settings.MaxHeadBytes)) != std::string::npos);
+  const std::string Slow = exchangeBytes(Server.port(), "GET / HTTP/1.1\r\n");
+  CHECK(Slow.starts_with("HTTP/1.1 408"));
+}
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "call/answer_channel.h"
+#include "fuzz.h"
 #include "instance/peer_link.h"
 #include "instance/peer_message.h"
 
@@ -115,3 +116,17 @@
   std::string Text;
   CHECK(waitAnswer(*Channel, Text).Code == error_code::NotOwner);
 }
+
+TEST_CASE("damaged frames and requests of peers are rejected") {
+  peer_message Message;
+  Message.Kind = peer_kind::Text;
+  Message.Payload = "abc";
+  fuzz({encodeFrame(Message).substr(FrameHeaderBytes)},
+       [](const std::string &Bytes) { decodeFrame(Bytes); });
+  call_request Call;
+  Call.Body = "[]";
+  create_request Create;
+  Create.Tenant = "t";
+  fuzz({encodeRequest(Call), encodeRequest(Create)},
+       [](const std::string &Bytes) { decodeRequest(Bytes); });
+}
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fuzz.h"
 #include "membership/membership.h"
 
 #include <doctest/doctest.h>
@@ -239,3 +240,31 @@
   for (const auto &[Id, Record] : Group.Members)
     CHECK(Record.Transmissions == Sent[Id]);
 }
+
+TEST_CASE("damaged datagrams are rejected or handled") {
+  std::vector<std::string> Inputs;
+  for (const probe_kind Kind :
+       {probe_kind::Ping, probe_kind::Ack, probe_kind::IndirectPing}) {
+    probe_message Message;
+    Message.Kind = Kind;
+    Message.From = "b";
+    Message.Target = "c";
+    for (const char *Id : {"a", "b", "c"})
+      Message.Updates.push_back(
+          {{Id, "127.0.0.1", 2, "d", "r"}, 1, member_status::Suspect, false});
+    msgpack::sbuffer Buffer;
+    msgpack::pack(Buffer, Message);
+    Inputs.emplace_back(Buffer.data(), Buffer.size());
+  }
+  membership Group;
+  Group.Self = {"a", "127.0.0.1", 1, "d", "r"};
+  instant Now{seconds(1), seconds(1'000)};
+  fuzz(Inputs, [&](const std::string &Bytes) {
+    std::vector<outgoing_datagram> Datagrams;
+    onDatagram(Bytes, Now, Group, Datagrams);
+    onMembershipTick(Now, Group, Datagrams);
+    Now = later(Now, milliseconds(10));
+  });
+  for (const auto &[Id, Record] : Group.Members)
+    CHECK(Record.Update.Status <= member_status::Dead);
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fuzz.h"
 #include "net/address.h"
 #include "net/event_parser.h"
 #include "net/frame.h"
@@ -258,3 +259,36 @@
   Loop.run_for(std::chrono::milliseconds(20));
   CHECK(Accepted == 3);
 }
+
+TEST_CASE("damaged messages, frames and event streams are rejected or read") {
+  fuzz({"POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "3\r\nabc\r\n0\r\nX: y\r\n\r\n"},
+       [](const std::string &Bytes) {
+         http_reader Reader(http_message::Request, 1'024);
+         std::string Body;
+         feedInPieces(Reader, Bytes, 7, Body);
+         CHECK(Body.size() <= Bytes.size());
+       });
+  fuzz({"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+        "\r\nabc",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        "0\r\n\r\n"},
+       [](const std::string &Bytes) {
+         http_reader Reader(http_message::Response);
+         std::string Body;
+         feedInPieces(Reader, Bytes, 5, Body);
+         Reader.feedEnd();
+       });
+  fuzz({encodeFrame("abc") + encodeFrame("de")}, [](const std::string &Bytes) {
+    frame_reader Frames;
+    Frames.add(Bytes);
+    while (Frames.next()) {
+    }
+  });
+  fuzz({"id: 1\ndata: a\ndata: b\n\nid: 2\ndata: c\n\n"},
+       [](const std::string &Bytes) {
+         event_parser Events;
+         Events.add(Bytes, [](std::string_view) {});
+       });
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fuzz.h"
 #include "platform/config_decoder.h"
 #include "platform/machine_settings.h"
 #include "platform/request_headers.h"
@@ -223,3 +224,40 @@
   CHECK(isRetirementCompleted(encodeRetirementStatus(true)));
   CHECK_FALSE(isRetirementStarted("null"));
 }
+
+TEST_CASE(
+    "damaged configurations, registry entries, store answers, headers and "
+    "settings are rejected or read") {
+  fuzz({R"({"version":7,"routes":[{"name":"r","host":"h","path-prefix":"/a/",
+    "type":"streaming","timeout-ms":1500,"goal-ms":250,"priority":1,
+    "max-attempts":2,"retained":true,"retention-s":20,"sticky":true,
+    "split":[{"service":"s","weight":2.5}]}],"services":[{"name":"s",
+    "max-conns":10,"inference-engine":{"slots":4,"kv-capacity-tokens":1000,
+    "chunk-tokens":10}}],"limits":{"max-header-bytes":8192,
+    "max-body-bytes":65536,"header-timeout-ms":2000,"idle-timeout-ms":9000}})"},
+       [](const std::string &Bytes) { decodeConfig(Bytes); });
+  fuzz({R"({"service":"s","address":"10.1.0.2:80","zone":"a","slots":4,
+    "state":"ready","born":17,"cold-left-ms":0,"sequence":4})"},
+       [](const std::string &Bytes) { decodeRunner(makeRegistryItem(Bytes)); });
+  const std::string Object =
+      R"({"metadata":{"name":"a","revision":7},"spec":{"x":1},"status":null})";
+  fuzz({Object}, [](const std::string &Bytes) { decodeItem(Bytes); });
+  fuzz({R"({"items":[)" + Object + R"(],"truncated":true,"store-revision":9})"},
+       [](const std::string &Bytes) { decodePage(Bytes); });
+  fuzz({R"({"events":[{"object":)" + Object +
+        R"(,"removed":true}],"store-revision":9})"},
+       [](const std::string &Bytes) { decodeEvents(Bytes); });
+  fuzz({SettingsText}, [](const std::string &Bytes) {
+    parseMachineSettings(Bytes, "node.json");
+  });
+  for (const char *Name :
+       {"X-Deadline-Ms", "X-Token-Usage", "X-Prompt-Prefix", "X-Token-Budget",
+        "X-Program-Deadline-Ms", "X-Server-Load", "Keep-Alive"})
+    fuzz({"4000", "1840,290", "5c1e07a2:800,91bd3f06:410", "3,0,8",
+          "timeout=5, max=100"},
+         [&](const std::string &Bytes) {
+           const http_fields Fields{{"X-Attempt-Id", "1"}, {Name, Bytes}};
+           decodeCallerRequest({"GET", "/", Fields});
+           decodeRunnerResponse({200, Fields});
+         });
+}
