Bound time and size of every response that our own interface's runners send

Cause: a service's response was read whole, without a limit of size or of total time: an endless body filled the memory, ended as a complete success when the connection closed, and a body that trickled never ended (the test had to be stopped after two minutes). A model's stream could grow without a token until the call was cancelled.

Change: callBounded makes one call with limits of connect, silence, total time, head and body, over the strict reader of responses; services, models, outcome queries, load and cache calls use it instead of the library's client. A service's response that exceeds a limit is an unknown outcome; a stream that exceeds one is cancelled at the engine.

Result: five new tests in runner_test against a server that never stops sending (body, length, trickle, events, tokens, head). The daemons on the platform's machines do not link this library.

--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -1,5 +1,6 @@
 #include "runner/model_client.h"
 
+#include "http/bounded_call.h"
 #include "log/log.h"
 #include "net/event_parser.h"
 
@@ -11,6 +12,12 @@
 namespace {
 
 constexpr std::chrono::milliseconds ControlWait{300};
+/// A part of a stream above this size that holds no token is not what an engine
+/// sends.
+constexpr std::size_t MaxEventBytes = 256UL * 1024UL;
+/// Size of an answer's text, and of all the bytes that carry it, up to which an
+/// engine is read.
+constexpr std::size_t MaxTextBytes = 4UL * 1024UL * 1024UL;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -19,7 +26,9 @@
 struct stream_progress {
   std::size_t Tokens = 0;
   std::string Text;
+  std::size_t BytesSinceToken = 0;
   bool Done = false;
+  bool Endless = false; ///< The engine sends more than it was asked for.
   std::uint64_t PromptTokens = 0;
   std::uint64_t GeneratedTokens = 0;
 };
@@ -72,6 +81,7 @@
     return;
   const auto Text = Choice["delta"]["content"].get<std::string>();
   ++Progress.Tokens;
+  Progress.BytesSinceToken = 0;
   Progress.Text += Text;
   OnText(Text);
 }
@@ -92,67 +102,83 @@
 public:
   stream_reader(const placed_attempt &GivenPlaced,
                 const model_client_settings &GivenSettings,
+                instant GivenDeadline,
                 const std::function<bool()> &GivenIsCancelled,
                 const std::function<void(std::string_view)> &GivenOnText)
-      : Placed(GivenPlaced), Settings(GivenSettings),
+      : Placed(GivenPlaced), Settings(GivenSettings), Deadline(GivenDeadline),
         IsCancelled(GivenIsCancelled), OnText(GivenOnText) {}
 
   /// \returns the response's status, or nothing if there was none.
   std::optional<int> begin(stream_progress &Progress, bool &Connected) {
-    httplib::Request Request;
-    Request.method = "POST";
-    Request.path = "/v1/chat/completions";
-    Request.body = makeBody(Placed.Attempt);
-    Request.set_header("Content-Type", "application/json");
-    Request.set_header("X-Attempt-Id", Placed.Attempt.AttemptId);
-    Request.set_header("X-Session-Id",
-                       formatProgramId(Placed.Attempt.Call.Program));
-    return exchange(std::move(Request), Progress, Connected);
+    return exchange(
+        {"POST",
+         "/v1/chat/completions",
+         {{"Host", Placed.Runner.Address},
+          {"Content-Type", "application/json"},
+          {"X-Attempt-Id", Placed.Attempt.AttemptId},
+          {"X-Session-Id", formatProgramId(Placed.Attempt.Call.Program)}}},
+        makeBody(Placed.Attempt), Progress, Connected);
   }
 
   /// Goes on from the first token that is missing.
   std::optional<int> resume(stream_progress &Progress, bool &Connected) {
-    httplib::Request Request;
-    Request.method = "GET";
-    Request.path = fmt::format("/v1/streams?id={}&from={}",
-                               Placed.Attempt.AttemptId, Progress.Tokens);
-    return exchange(std::move(Request), Progress, Connected);
+    return exchange({"GET",
+                     fmt::format("/v1/streams?id={}&from={}",
+                                 Placed.Attempt.AttemptId, Progress.Tokens),
+                     {{"Host", Placed.Runner.Address}}},
+                    "", Progress, Connected);
   }
 
 private:
-  std::optional<int> exchange(httplib::Request Request,
+  std::optional<int> exchange(const http_request_head &Head,
+                              const std::string &Body,
                               stream_progress &Progress, bool &Connected) {
-    const http_timeouts Timeouts{Settings.Connect, Settings.StreamGap,
-                                 Settings.StreamGap};
-    auto Client = makeHttpClient(endpointOf(Placed.Runner), Timeouts);
+    call_limits Limits;
+    Limits.Connect = Settings.Connect;
+    Limits.Silence = Settings.StreamGap;
+    Limits.Total =
+        std::max(milliseconds(1), std::chrono::duration_cast<milliseconds>(
+                                      Deadline.Steady - readClock().Steady));
     event_parser Parser;
-    int Status = 0;
-    Request.response_handler = [&](const httplib::Response &Response) {
-      Status = Response.status;
-      return Status == StatusOk;
-    };
-    Request.content_receiver = [&](const char *Data, std::size_t Length,
-                                   std::uint64_t, std::uint64_t) {
-      Parser.add({Data, Length}, [&](std::string_view Event) {
-        readChunk(Event, Progress, OnText);
-      });
-      return !IsCancelled();
-    };
-    httplib::Response Response;
-    httplib::Error Error = httplib::Error::Success;
-    const bool Answered = Client->send(Request, Response, Error);
-    Connected = Answered || Error != httplib::Error::Connection;
-    if (Status != 0)
-      return Status;
-    return Answered ? std::optional<int>(Response.status) : std::nullopt;
+    Progress.BytesSinceToken = 0;
+    const call_result Result =
+        callBounded(endpointOf(Placed.Runner), Head, Body, Limits,
+                    [&](std::string_view Bytes) {
+                      Progress.BytesSinceToken += Bytes.size();
+                      Parser.add(Bytes, [&](std::string_view Event) {
+                        readChunk(Event, Progress, OnText);
+                      });
+                      Progress.Endless =
+                          Progress.BytesSinceToken > MaxEventBytes ||
+                          Progress.Text.size() > MaxTextBytes;
+                      return !Progress.Endless && !IsCancelled();
+                    });
+    Connected = Result.End != call_end::NotConnected;
+    return Result.Head.Status != 0 ? std::optional<int>(Result.Head.Status)
+                                   : std::nullopt;
   }
 
   const placed_attempt &Placed;
   const model_client_settings &Settings;
+  instant Deadline;
   const std::function<bool()> &IsCancelled;
   const std::function<void(std::string_view)> &OnText;
 };
 
+/// Makes a short call beside the streams.
+/// \returns the whole response; nothing if there was none.
+std::optional<call_result> controlCall(const endpoint &Server,
+                                       const char *Method,
+                                       const std::string &Target) {
+  call_limits Limits;
+  Limits.Connect = Limits.Silence = Limits.Total = ControlWait;
+  call_result Result = callBounded(
+      Server, {Method, Target, {{"Host", Server.Address}}}, "", Limits);
+  if (Result.End != call_end::Complete)
+    return std::nullopt;
+  return Result;
+}
+
 attempt_result success(const stream_progress &Progress,
                        const runner_settings &Runner) {
   attempt_result Result;
@@ -171,10 +197,9 @@
                 const model_client_settings &Settings,
                 const std::function<bool()> &IsCancelled,
                 const std::function<void(std::string_view)> &OnText) {
-  using clock = std::chrono::steady_clock;
-  const auto Deadline = clock::now() + Placed.Attempt.Timeout;
+  const instant Deadline = later(readClock(), Placed.Attempt.Timeout);
   const runner_settings &Runner = Placed.Runner;
-  stream_reader Reader(Placed, Settings, IsCancelled, OnText);
+  stream_reader Reader(Placed, Settings, Deadline, IsCancelled, OnText);
   stream_progress Progress;
   bool Connected = false;
   auto Status = Reader.begin(Progress, Connected);
@@ -190,7 +215,12 @@
     if (IsCancelled())
       return failure(error_code::ProgramEnded, run_state::Ran, "cancelled",
                      Runner);
-    if (clock::now() >= Deadline) {
+    if (Progress.Endless) {
+      cancelStream(endpointOf(Runner), Placed.Attempt.AttemptId);
+      return failure(error_code::RunnerFailed, run_state::Ran,
+                     "the engine's stream exceeds the limits of size", Runner);
+    }
+    if (readClock().Steady >= Deadline.Steady) {
       cancelStream(endpointOf(Runner), Placed.Attempt.AttemptId);
       return failure(error_code::Timeout, run_state::Ran,
                      "the call's time is over", Runner);
@@ -211,23 +241,21 @@
 }
 
 void cancelStream(const endpoint &Engine, const std::string &AttemptId) {
-  auto Client = makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
-  if (!Client->Delete("/v1/streams?id=" + AttemptId))
+  if (!controlCall(Engine, "DELETE", "/v1/streams?id=" + AttemptId))
     logEvent(log_level::Warning, "cancel_failed", {{"attempt", AttemptId}});
 }
 
 bool releaseSession(const endpoint &Engine, const std::string &Session) {
-  auto Client = makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
-  const auto Answer = Client->Delete("/v1/cache?session=" + Session);
-  return Answer && Answer->status == StatusOk;
+  const auto Answer =
+      controlCall(Engine, "DELETE", "/v1/cache?session=" + Session);
+  return Answer && Answer->Head.Status == StatusOk;
 }
 
 std::optional<std::vector<program_id>> listSessions(const endpoint &Engine) {
-  auto Client = makeHttpClient(Engine, {ControlWait, ControlWait, ControlWait});
-  const auto Answer = Client->Get("/v1/cache");
-  if (!Answer || Answer->status != StatusOk)
+  const auto Answer = controlCall(Engine, "GET", "/v1/cache");
+  if (!Answer || Answer->Head.Status != StatusOk)
     return std::nullopt;
-  const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
+  const auto Json = nlohmann::json::parse(Answer->Body, nullptr, false);
   if (!Json.is_array())
     return std::nullopt;
   std::vector<program_id> Sessions;
@@ -240,12 +268,11 @@
 }
 
 runner_load readLoad(const endpoint &Runner, instant Now) {
-  auto Client = makeHttpClient(Runner, {ControlWait, ControlWait, ControlWait});
   runner_load Load;
-  const auto Answer = Client->Get("/load");
-  if (!Answer || Answer->status != StatusOk)
+  const auto Answer = controlCall(Runner, "GET", "/load");
+  if (!Answer || Answer->Head.Status != StatusOk)
     return Load;
-  const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
+  const auto Json = nlohmann::json::parse(Answer->Body, nullptr, false);
   if (Json.is_discarded())
     return Load;
   Load.Running = Json.value("running", 0U);
--- a/src/runner/service_client.cpp
+++ b/src/runner/service_client.cpp
@@ -1,5 +1,7 @@
 #include "runner/service_client.h"
 
+#include "http/bounded_call.h"
+
 #include <fmt/format.h>
 
 namespace lentilhoist {
@@ -29,12 +31,13 @@
   return Result;
 }
 
-attempt_result readAnswer(const httplib::Response &Answer) {
-  if (Answer.status == StatusUnavailable && Answer.has_header("X-Not-Run"))
+attempt_result readAnswer(call_result Answer) {
+  if (Answer.Head.Status == StatusUnavailable &&
+      findField(Answer.Head.Fields, "X-Not-Run") != nullptr)
     return notRun("the service refused the request");
   attempt_result Result;
-  Result.Status = Answer.status;
-  Result.Response = Answer.body;
+  Result.Status = Answer.Head.Status;
+  Result.Response = std::move(Answer.Body);
   return Result;
 }
 
@@ -44,39 +47,49 @@
   const start_attempt &Attempt = Placed.Attempt;
   const auto Limit =
       std::chrono::duration_cast<std::chrono::milliseconds>(Attempt.Timeout);
-  auto Client = makeHttpClient({Placed.Runner.Address, Placed.Runner.Port},
-                               {ConnectWait, Limit, Limit});
-  Client->set_keep_alive(false);
-  httplib::Headers Headers{{"X-Program", formatProgramId(Attempt.Call.Program)},
-                           {"X-Call", std::to_string(Attempt.Call.Call)},
-                           {"X-Attempt-Id", Attempt.AttemptId}};
+  http_request_head Head{"POST",
+                         "/run",
+                         {{"Host", Placed.Runner.Address},
+                          {"Connection", "close"},
+                          {"Content-Type", "application/json"},
+                          {"X-Program", formatProgramId(Attempt.Call.Program)},
+                          {"X-Call", std::to_string(Attempt.Call.Call)},
+                          {"X-Attempt-Id", Attempt.AttemptId}}};
   if (!Attempt.RequestKey.empty())
-    Headers.emplace("Idempotency-Key", Attempt.RequestKey);
+    Head.Fields.push_back({"Idempotency-Key", Attempt.RequestKey});
+  call_limits Limits;
+  Limits.Connect = ConnectWait;
+  Limits.Silence = Limits.Total = Limit;
   const bool TooLate =
       Attempt.HasSendBy && readClock().Steady >= Attempt.SendBy.Steady;
   if (TooLate)
     return notRun("the time to send the request is over");
-  const auto Answer =
-      Client->Post("/run", Headers, Attempt.Call.Body, "application/json");
+  call_result Answer = callBounded({Placed.Runner.Address, Placed.Runner.Port},
+                                   Head, Attempt.Call.Body, Limits);
   attempt_result Result;
-  if (Answer)
-    Result = readAnswer(*Answer);
-  else if (Answer.error() == httplib::Error::Connection)
+  if (Answer.End == call_end::Complete)
+    Result = readAnswer(std::move(Answer));
+  else if (Answer.End == call_end::NotConnected)
     Result = notRun("the service refused the connection");
   else
-    Result = outcomeUnknown(fmt::format("the service did not answer: {}",
-                                        httplib::to_string(Answer.error())));
+    Result = outcomeUnknown(
+        fmt::format("the service's response was {}", callEndName(Answer.End)));
   Result.Runner = Placed.Runner.Name;
   return Result;
 }
 
 std::optional<std::string> queryOutcome(const endpoint &Service,
                                         const std::string &RequestKey) {
-  auto Client = makeHttpClient(Service, {ConnectWait, QueryWait, QueryWait});
-  const auto Answer = Client->Get("/outcome?key=" + RequestKey);
-  if (!Answer || Answer->status != StatusOk)
+  call_limits Limits;
+  Limits.Connect = ConnectWait;
+  Limits.Silence = Limits.Total = QueryWait;
+  call_result Answer = callBounded(
+      Service,
+      {"GET", "/outcome?key=" + RequestKey, {{"Host", Service.Address}}}, "",
+      Limits);
+  if (Answer.End != call_end::Complete || Answer.Head.Status != StatusOk)
     return std::nullopt;
-  return Answer->body;
+  return std::move(Answer.Body);
 }
 
 } // namespace lentilhoist
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -6,6 +6,7 @@
 #include "standin/service_standin.h"
 #include "standin/weights_standin.h"
 
+#include <arpa/inet.h>
 #include <atomic>
 #include <doctest/doctest.h>
 #include <thread>
@@ -215,3 +216,136 @@
   }
   Service.stop();
 }
+
+namespace {
+
+/// Sends a start and then the same bytes again and again on the first
+/// connection, until that is closed or a limit is reached.
+class endless_server {
+public:
+  static constexpr std::size_t MaxBytes = 96UL * 1024UL * 1024UL;
+
+  /// \param Start bytes sent first.
+  /// \param Repeat bytes sent without end.
+  /// \param Pause time between two of them.
+  endless_server(std::string Start, std::string Repeat, milliseconds Pause)
+      : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
+                   sizeof(Address)) == 0);
+    ::listen(Listener, 8);
+    Thread = std::thread([this, Start, Repeat, Pause] {
+      const int Socket = ::accept(Listener, nullptr, nullptr);
+      char Request[4'096];
+      (void)::recv(Socket, Request, sizeof(Request), 0);
+      bool Open = ::send(Socket, Start.data(), Start.size(), MSG_NOSIGNAL) > 0;
+      while (Open && !Stopping && Sent < MaxBytes) {
+        std::this_thread::sleep_for(Pause);
+        Open = ::send(Socket, Repeat.data(), Repeat.size(), MSG_NOSIGNAL) > 0;
+        Sent += Repeat.size();
+      }
+      ::close(Socket);
+    });
+  }
+  ~endless_server() {
+    Stopping = true;
+    ::shutdown(Listener, SHUT_RDWR);
+    Thread.join();
+    ::close(Listener);
+  }
+
+  int port() const {
+    sockaddr_in Address{};
+    socklen_t Length = sizeof(Address);
+    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+    return ntohs(Address.sin_port);
+  }
+
+  std::atomic<std::size_t> Sent{0};
+
+private:
+  int Listener;
+  std::atomic<bool> Stopping{false};
+  std::thread Thread;
+};
+
+/// What may lie in the buffers of a connection beside what a client reads.
+constexpr std::size_t MaxReadBytes = 24UL * 1024UL * 1024UL;
+
+const std::string Filler(64UL * 1024UL, 'x');
+
+} // namespace
+
+TEST_CASE("a service's response body without end is given up as an unknown "
+          "outcome") {
+  std::string Start = "HTTP/1.1 200 OK\r\n";
+  SUBCASE("delimited by the connection") { Start += "\r\n"; }
+  SUBCASE("with a length") { Start += "Content-Length: 99999999999\r\n\r\n"; }
+  endless_server Server(Start, Filler, milliseconds(0));
+  const attempt_result Result =
+      runServiceAttempt(makeAttempt(Server.port(), 0));
+  CHECK(Result.Code == error_code::OutcomeUnknown);
+  CHECK(Result.Run == run_state::OutcomeUnknown);
+  CHECK(Server.Sent < MaxReadBytes);
+}
+
+TEST_CASE("a service's response that trickles ends at the call's deadline") {
+  endless_server Server("HTTP/1.1 200 OK\r\n\r\n", "x", milliseconds(50));
+  placed_attempt Placed = makeAttempt(Server.port(), 0);
+  Placed.Attempt.Timeout = milliseconds(400);
+  const instant Start = readClock();
+  const attempt_result Result = runServiceAttempt(Placed);
+  CHECK(Result.Code == error_code::OutcomeUnknown);
+  CHECK(readClock().Steady - Start.Steady < milliseconds(1'000));
+}
+
+TEST_CASE("a model's stream without end is given up") {
+  std::string Repeat = "data: " + Filler + "\n\n";
+  SUBCASE("one event") { Repeat = Filler; }
+  SUBCASE("events that are no tokens") {}
+  SUBCASE("tokens beyond those asked for") {
+    Repeat =
+        R"(data: {"choices":[{"delta":{"content":")" + Filler + "\"}}]}\n\n";
+  }
+  endless_server Server("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                        "\r\n\r\n",
+                        Repeat, milliseconds(0));
+  model_client_settings Settings;
+  Settings.MaxResumes = 0;
+  const attempt_result Result = runModelAttempt(
+      makeAttempt(Server.port(), 5), Settings, never, [](std::string_view) {});
+  CHECK(Result.Code == error_code::RunnerFailed);
+  CHECK(Result.Run == run_state::Ran);
+  CHECK(Server.Sent < MaxReadBytes);
+}
+
+TEST_CASE("a model's stream that trickles without a token ends at the call's "
+          "deadline") {
+  endless_server Server("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                        "\r\n\r\n",
+                        ": wait\n\n", milliseconds(50));
+  placed_attempt Placed = makeAttempt(Server.port(), 5);
+  Placed.Attempt.Timeout = milliseconds(400);
+  const instant Start = readClock();
+  const attempt_result Result =
+      runModelAttempt(Placed, {}, never, [](std::string_view) {});
+  CHECK(Result.Code == error_code::Timeout);
+  CHECK(readClock().Steady - Start.Steady < milliseconds(1'500));
+}
+
+TEST_CASE("a response head without end is given up") {
+  std::string Repeat = Filler;
+  SUBCASE("one line") {}
+  SUBCASE("many lines") {
+    Repeat.clear();
+    for (int Count = 0; Count < 4'000; ++Count)
+      Repeat += "X-A: " + std::to_string(Count) + "\r\n";
+  }
+  endless_server Server("HTTP/1.1 200 OK\r\n", Repeat, milliseconds(0));
+  const attempt_result Result =
+      runServiceAttempt(makeAttempt(Server.port(), 0));
+  CHECK(Result.Code == error_code::OutcomeUnknown);
+  CHECK(Server.Sent < MaxReadBytes);
+}
