Count a write without records as durable, and relocate only segments with records

Cause: the writer reported a batch of a copy that held no record as not durable since, so that a replica could not finish its copy from an empty source, and retried it until records existed. The oldest segment could be one whose last record had already been replaced.

Change: a write without bytes is durable; relocation skips segments without live records.

Result: a test in replica_test, which failed before.

--- a/src/history/journal_writer.cpp
+++ b/src/history/journal_writer.cpp
@@ -118,7 +118,7 @@
   std::vector<waiter> PendingWaiters;
   const auto FlushPending = [&] {
     std::uint64_t Start = 0;
-    const bool Durable = !Bytes.empty() && flush(Bytes, Start);
+    const bool Durable = Bytes.empty() || flush(Bytes, Start);
     Bytes.clear();
     if (PendingWaiters.empty())
       return;
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -247,11 +247,11 @@
 }
 
 void replica_store::relocateOldestSegment() {
-  const auto Found =
-      std::find_if(State.LiveRecords.begin(), State.LiveRecords.end(),
-                   [&](const auto &Item) {
-                     return !UnreadableSegments.contains(Item.first);
-                   });
+  const auto Found = std::find_if(
+      State.LiveRecords.begin(), State.LiveRecords.end(),
+      [&](const auto &Item) {
+        return Item.second != 0 && !UnreadableSegments.contains(Item.first);
+      });
   if (Found == State.LiveRecords.end() || Found->first == ActiveSegment)
     return;
   const segment_number Oldest = Found->first;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -455,3 +455,20 @@
   const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
   CHECK(Restarted.state().Turns.contains("t1"));
 }
+
+TEST_CASE("a batch of a copy without records is durable") {
+  const temporary_folder Folder;
+  asio::io_context Loop;
+  replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+  // The journal's thread is idle after this.
+  CHECK(handleAndWait(Loop, Store, commitOf("t1", 60'000)) ==
+        replica_status::Incomplete);
+  std::optional<bool> Durable;
+  Store.addCopyBatch({}, [&](bool Result) { Durable = Result; });
+  const auto Guard = asio::make_work_guard(Loop);
+  while (!Durable) {
+    Loop.restart();
+    Loop.run_one_for(seconds(5));
+  }
+  CHECK(*Durable);
+}
