--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -96,8 +96,9 @@
     std::raise(SIGTERM);
   });
   CHECK(runEdge(Settings, [] {}) == 0);
-  const auto Took = readClock().Steady - Stopped.Steady;
+  const instant Ended = readClock();
   Stop.join();
+  const auto Took = Ended.Steady - Stopped.Steady;
   CHECK(Took >= OutOfRotationTime + FlushTime);
   CHECK(Took < Settings.TerminationGracePeriod - ExitMargin);
 }
