--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -90,10 +90,12 @@
   while (Settings.FirstPort == 65'535);
   Settings.MemoryBytes = 100'000'000;
   instant Stopped{};
-  std::thread Stop([&] {
+  // The signal goes to the thread of the event loop, as in a daemon: raised in
+  // the other thread, its handler would race with the loop's setup.
+  std::thread Stop([&, Loop = pthread_self()] {
     std::this_thread::sleep_for(milliseconds(300));
     Stopped = readClock();
-    std::raise(SIGTERM);
+    pthread_kill(Loop, SIGTERM);
   });
   CHECK(runEdge(Settings, [] {}) == 0);
   const instant Ended = readClock();
