Decode the rate limit that a runner states, and log what instances believe

Change: the header is decoded in platform/, not passed to callers, kept with the runner's incarnation, logged as runner_limit_changed and shown by 'lentilhoistctl engines'. Nothing acts on it yet.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -218,6 +218,7 @@
            {"load", static_cast<std::int64_t>(
                         estimateLoad(Context.Runners, Runner, Now))},
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadReceivedAt) : -1},
+           {"limit_per_second", Runner.Limit.PerSecond},
            {"failures_in_row", Runner.ConsecutiveFailures}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -7,6 +7,7 @@
 #include "platform/request_headers.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 
 namespace lentilhoist {
@@ -55,6 +56,10 @@
   return std::to_string(static_cast<std::int64_t>(Value));
 }
 
+std::string formatRate(double PerSecond) {
+  return fmt::format("{:.3f}", PerSecond);
+}
+
 } // namespace
 
 const char *exchange::stageName(stage Stage) {
@@ -398,6 +403,8 @@
     onSendFailed(send_outcome::Unknown, "answer_of_another_request");
     return;
   }
+  if (View)
+    recordRateLimit(*View, Now);
   if (RunnerResponse.NotExecuted)
     return;
   const bool Success = Reader.response().Status / 100 == 2;
@@ -409,6 +416,24 @@
     startRelaying();
 }
 
+void exchange::recordRateLimit(runner_view &View, instant Now) {
+  // The runner that answers is not the one that was meant.
+  if (Reader.response().Status == StatusMisdirected)
+    return;
+  // A refusal may state a limit, but one without a limit doesn't end it.
+  if (RunnerResponse.NotExecuted && !RunnerResponse.RateLimit)
+    return;
+  const double Former = View.Limit.PerSecond;
+  if (!adoptLimit(View.Limit, {RunnerResponse.RateLimit.value_or(0), Now}))
+    return;
+  logEvent(log_level::Info, "runner_limit_changed",
+           {{"request", Traits.Attempt},
+            {"runner", RunnerId},
+            {"per_second", formatRate(View.Limit.PerSecond)},
+            {"former_per_second", formatRate(Former)},
+            {"source", "runner"}});
+}
+
 void exchange::startRelaying() {
   Buffered = false;
   ResponseStarted = true;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -77,6 +77,7 @@
   void onRunnerBytes(std::string_view Bytes);
   void onRunnerEnd(stream_end End);
   void onResponseHead();
+  void recordRateLimit(runner_view &View, instant Now);
   void onResponseBody();
   bool isResponseTooLarge() const;
   void onResponseComplete();
--- a/src/forward/request_traits.h
+++ b/src/forward/request_traits.h
@@ -47,6 +47,8 @@
   bool Events = false;      ///< The body is an event stream.
   bool Encoded = false;     ///< A content encoding has been applied.
   std::optional<load_report> Load;
+  /// Requests a second that the runner accepts from all instances together.
+  std::optional<double> RateLimit;
   /// How long the runner keeps the connection open while it is idle.
   std::optional<std::chrono::seconds> KeepAlive;
 };
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -2,6 +2,7 @@
 
 #include "core/instant.h"
 #include "forward/request_traits.h"
+#include "limit/rate_limit.h"
 #include "placement/runner_entry.h"
 
 #include <map>
@@ -22,6 +23,7 @@
   int OutstandingAtReport = 0;     ///< Outstanding at the time of that report.
   instant RefusedUntil{}; ///< End of the backoff after a refusal due to load.
   instant FailedUntil{};  ///< End of the backoff after a failure.
+  rate_limit Limit;       ///< As the runner's latest response stated it.
   int ConsecutiveFailures = 0;
   /// Time of last use of the prompt parts, sessions and affinity keys that this
   /// instance sent to the runner.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -183,6 +183,22 @@
   CHECK_FALSE(decodeRunnerResponse({503, {}}).NotExecuted);
 }
 
+// Guards against a limit that is dropped, or read from a damaged header.
+TEST_CASE("decodeRunnerResponse reads the rate limit and rejects malformed "
+          "ones") {
+  const auto limitOf = [](const char *Text) {
+    return decodeRunnerResponse({200, {{"Server-Limit", Text}}}).RateLimit;
+  };
+  CHECK(limitOf("6.125") == 6.125);
+  CHECK(limitOf("40") == 40.0);
+  for (const char *Text :
+       {"", "0", "-1", "nan", "inf", "1e300", "6 a second", "6,1"})
+    CHECK_FALSE(limitOf(Text));
+  CHECK_FALSE(decodeRunnerResponse({200, {}}).RateLimit);
+  const auto Passed = encodeCallerResponse({200, {{"Server-Limit", "6"}}});
+  CHECK_FALSE(findField(Passed.Fields, "Server-Limit"));
+}
+
 TEST_CASE(
     "encodeErrorResponse sets Retry-After in seconds if a time is given") {
   const auto Head = encodeErrorResponse(503, "a", milliseconds(250));
