Share the rate that runners limit: permits from one issuer for each runner

Cause: nothing that a response says of a limit decided where requests go, and no instance could have known what the others send.

Change: a runner that states a limit is selected only with a permit. For each runner all instances ask the same replica of the history (rendezvous hash over the replica set), in a ping; the issuer spaces the permits by the newest limit that any instance has heard, with half a second of credit. A permit lapses after 0.5 s, a late reply is not used. An issuer in place of the first gives out a quarter; without any, an instance takes its part by the number of instances. Replicas list limits in replies to pings, 64 at most, so that a restarted instance respects them before it has heard one. The queue of permits is open longer to programs under way than to new and late ones; what is refused gets 503 at once with a Retry-After spread over 0.3 to 1.2 s. While a service is limited, new and late programs take free slots only.

Why it works: one sequence of starts for each runner, whoever asks.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -2,6 +2,7 @@
 
 #include "edge/drain_plan.h"
 #include "forward/caller_connection.h"
+#include "forward/permit_client.h"
 #include "history/relay_server.h"
 #include "log/log.h"
 #include "net/address.h"
@@ -218,7 +219,8 @@
            {"load", static_cast<std::int64_t>(
                         estimateLoad(Context.Runners, Runner, Now))},
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadReceivedAt) : -1},
-           {"limit_per_second", Runner.Limit.PerSecond},
+           {"limit_per_second", Runner.Permits.Limit.PerSecond},
+           {"permits", Runner.Permits.Permits.size()},
            {"failures_in_row", Runner.ConsecutiveFailures}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
@@ -399,6 +401,9 @@
     Handlers.OnAvailability = [](bool) {};
     ReplicaWatch->start(std::move(Handlers));
     History.onReplicaSetOutdated([this] { ReplicaWatch->refresh(); });
+    History.onLimits([this](const std::vector<limit_notice> &Notices) {
+      applyLimitNotices(Context, Notices, readClock());
+    });
   }
 
   void applyReplicaSet(const store_item &Item) {
@@ -415,6 +420,7 @@
     SweepTimer.async_wait([this](const asio::error_code &) {
       const instant Now = readClock();
       Pool.closeExpired(Now);
+      forgetIdleRunners(Context.OwnShare, Now);
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
       sweep();
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -7,7 +7,6 @@
 #include "platform/request_headers.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 #include <limits>
 
 namespace lentilhoist {
@@ -37,6 +36,9 @@
 /// An event or the body of a refusal above this size is not what a runner
 /// sends; memory is not filled with it until the deadline.
 constexpr std::size_t MaxEventBytes = 256UL * 1024UL;
+/// Runners that may refuse a request a permit before the caller is told when to
+/// come back. Three of many show that the service is at its limit.
+constexpr int MaxPermitRefusals = 3;
 /// Largest output of a turn that is kept. A replica holds and sends several
 /// turns in one frame.
 constexpr std::size_t MaxOutputBytes = MaxFrameBytes / 8;
@@ -56,10 +58,6 @@
   return std::to_string(static_cast<std::int64_t>(Value));
 }
 
-std::string formatRate(double PerSecond) {
-  return fmt::format("{:.3f}", PerSecond);
-}
-
 } // namespace
 
 const char *exchange::stageName(stage Stage) {
@@ -222,6 +220,7 @@
   switch (Result.Outcome) {
   case reserve_outcome::Granted:
     Chain = std::move(Result.Chain);
+    OtherAttemptTokens = Result.OtherAttemptTokens;
     recordPreviousRunner(Result.PreviousRunner, Now);
     place();
     return;
@@ -253,11 +252,22 @@
   Query.Engine = Engine;
   Query.Excluded = TriedRunners;
   Query.Priority = Route->Priority;
+  Query.Rank = permitRank();
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
-  if (Placement.Runner.empty() || Placement.InBackoff) {
+  const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
+  if (!Placement.PermitRunner.empty())
+    requestPermit(Placement.PermitRunner,
+                  Selected ? permit_rank::Spare : Query.Rank);
+  if (!Selected) {
     // Runners that refused for lack of capacity may accept a later try.
     TriedRunners.clear();
+    RateLimited = Placement.RateLimited;
+    if (isRateExhausted(Placement, Now)) {
+      respondWithError(proxy_error::RateLimited);
+      return;
+    }
     hold(Placement.Full             ? "no_room"
+         : Placement.Limited > 0    ? "no_permit"
          : Placement.Runner.empty() ? "no_runner"
                                     : "all_paused");
     return;
@@ -273,6 +283,9 @@
        {"load", formatTruncated(Placement.Load)},
        {"load_age_ms", std::to_string(Placement.LoadAge.count())},
        {"kept_tokens", std::to_string(Placement.CachedTokens)},
+       {"limit_per_second",
+        formatRate(Context.Runners.Runners.at(Placement.Runner)
+                       .Permits.Limit.PerSecond)},
        {"priority", std::to_string(Route->Priority)},
        {"program_left_ms", Traits.ProgramTimeLeft
                                ? std::to_string(Traits.ProgramTimeLeft->count())
@@ -281,15 +294,77 @@
   send(Placement.Runner);
 }
 
+permit_rank exchange::permitRank() const {
+  if (Traits.ProgramTimeLeft && Traits.ProgramTimeLeft->count() <= 0)
+    return permit_rank::Late;
+  const bool Begun = !Route->KeepsHistory || !Traits.PreviousTurn.empty() ||
+                     OtherAttemptTokens > 0;
+  return Begun ? permit_rank::UnderWay : permit_rank::New;
+}
+
+void exchange::requestPermit(const std::string &Id, permit_rank Rank) {
+  const instant Now = readClock();
+  const auto Ignore = [](permit_outcome) {};
+  if (Rank == permit_rank::Spare) {
+    Context.Runners.Runners.at(Id).Permits.SpareRequestedAt = Now;
+    lentilhoist::requestPermit(Context, Id, Rank, milliseconds(0),
+                               Traits.Attempt, Ignore);
+    return;
+  }
+  const bool Requested =
+      PermitRequestedAt.Steady.count() != 0 &&
+      Now.Steady - PermitRequestedAt.Steady < PermitReplyTimeout;
+  if (Requested || PermitUntil.Steady > Now.Steady)
+    return;
+  PermitRequestedAt = Now;
+  lentilhoist::requestPermit(Context, Id, Rank, holdTimeLeft(Now),
+                             Traits.Attempt,
+                             [Weak = weak_from_this()](permit_outcome Outcome) {
+                               if (const auto Self = Weak.lock())
+                                 Self->onPermit(Outcome);
+                             });
+}
+
+void exchange::onPermit(permit_outcome Outcome) {
+  PermitRequestedAt = {};
+  if (Outcome.Granted)
+    PermitUntil = later(readClock(), Outcome.Delay + PermitLifetime);
+  else
+    ++PermitRefusals;
+  if (Stage != stage::Holding)
+    return;
+  StepTimer.cancel();
+  place();
+}
+
+bool exchange::isRateExhausted(const placement_result &Placement,
+                               instant Now) const {
+  if (!Placement.Runner.empty() || !Placement.RateLimited)
+    return false;
+  const bool Waits =
+      PermitRequestedAt.Steady.count() != 0 || PermitUntil.Steady > Now.Steady;
+  if (Waits)
+    return false;
+  const bool Refused =
+      Placement.PermitRunner.empty() || PermitRefusals >= MaxPermitRefusals;
+  // What is under way may wait for a slot at a runner without a limit.
+  return Refused && (!Placement.Full || permitRank() == permit_rank::New);
+}
+
+milliseconds exchange::holdTimeLeft(instant Now) const {
+  const double Total = static_cast<double>(
+      duration_cast<milliseconds>(Deadline.Steady - Arrival.Steady).count());
+  const auto Limit =
+      milliseconds(static_cast<std::int64_t>(Total * MaxHoldFraction));
+  return Limit - duration_cast<milliseconds>(Now.Steady - Arrival.Steady);
+}
+
 void exchange::hold(const char *Reason) {
   const instant Now = readClock();
-  const auto Waited = Now.Steady - Arrival.Steady;
-  const auto TotalTime = Deadline.Steady - Arrival.Steady;
-  const bool TooLong = static_cast<double>(Waited.count()) >
-                       static_cast<double>(TotalTime.count()) * MaxHoldFraction;
-  if (TooLong) {
-    respondWithError(Sends.NotRun > 0 ? proxy_error::RunnersFull
-                                      : proxy_error::NoRunner);
+  if (holdTimeLeft(Now).count() < 0) {
+    respondWithError(RateLimited        ? proxy_error::RateLimited
+                     : Sends.NotRun > 0 ? proxy_error::RunnersFull
+                                        : proxy_error::NoRunner);
     return;
   }
   if (Stage != stage::Holding)
@@ -314,6 +389,8 @@
   RunnerBornMs = View.Entry.BornMs;
   RunnerAddress = View.Entry.Address;
   TriedRunners.insert(Id);
+  usePermit(View.Permits, Now);
+  PermitUntil = {};
   ++View.Outstanding;
   recordContent(View, Traits, Now);
   Reader.reset();
@@ -423,13 +500,13 @@
   // A refusal may state a limit, but one without a limit doesn't end it.
   if (RunnerResponse.NotExecuted && !RunnerResponse.RateLimit)
     return;
-  const double Former = View.Limit.PerSecond;
-  if (!adoptLimit(View.Limit, {RunnerResponse.RateLimit.value_or(0), Now}))
+  const double Former = View.Permits.Limit.PerSecond;
+  if (!applyNotice(View.Permits, RunnerResponse.RateLimit.value_or(0), 0, Now))
     return;
   logEvent(log_level::Info, "runner_limit_changed",
            {{"request", Traits.Attempt},
             {"runner", RunnerId},
-            {"per_second", formatRate(View.Limit.PerSecond)},
+            {"per_second", formatRate(View.Permits.Limit.PerSecond)},
             {"former_per_second", formatRate(Former)},
             {"source", "runner"}});
 }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forward/exchange_context.h"
+#include "forward/permit_client.h"
 #include "forward/request_traits.h"
 #include "forward/retry_policy.h"
 #include "net/event_parser.h"
@@ -71,6 +72,11 @@
   void onReserved(reserve_result Result);
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
+  permit_rank permitRank() const;
+  void requestPermit(const std::string &Id, permit_rank Rank);
+  void onPermit(permit_outcome Outcome);
+  bool isRateExhausted(const placement_result &Placement, instant Now) const;
+  milliseconds holdTimeLeft(instant Now) const;
   void hold(const char *Reason);
   void send(const std::string &RunnerId);
   void writeRequest();
@@ -116,6 +122,13 @@
   std::string Chain;     ///< Text of all turns before this one.
   history_client::operation_ptr History;
 
+  /// Tokens that the program's other attempts have reserved or used.
+  std::uint64_t OtherAttemptTokens = 0;
+  instant PermitRequestedAt{}; ///< Zero if no permit is requested.
+  instant PermitUntil{};       ///< A permit granted to it lapses then.
+  int PermitRefusals = 0;
+  bool RateLimited = false; ///< Runners limited their rate when it was held.
+
   send_counts Sends;
   std::set<std::string> TriedRunners;
   std::string RunnerId;
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -3,6 +3,7 @@
 #include "config/route_table.h"
 #include "forward/runner_connection_pool.h"
 #include "history/history_client.h"
+#include "limit/permit_issuer.h"
 #include "metrics/metrics.h"
 #include "placement/runner_directory.h"
 
@@ -23,6 +24,8 @@
   history_client &History;
   runner_connection_pool &Pool;
   runner_directory Runners{};
+  /// Issues this instance's share of limits while no replica can be reached.
+  permit_issuer OwnShare{};
   route_table_ptr Routes{};    ///< Null before the first configuration.
   instant ConfigUpdatedAt{};   ///< When Routes was last replaced.
   instant RegistryUpdatedAt{}; ///< When the runner registry last reported.
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -16,13 +16,26 @@
 /// Runners at capacity free about a tenth of their slots in this time.
 constexpr milliseconds RunnersFullRetryDelay{150};
 
-milliseconds baseRetryDelay(proxy_error Reason) {
+/// Limits are stated for a second, and what they leave is given out that far
+/// ahead to programs under way.
+constexpr milliseconds RateLimitedRetryDelay{300};
+constexpr milliseconds RateLimitedRetrySpread{900};
+
+/// Range of times at which rejected callers return.
+struct retry_delays {
+  milliseconds Base;
+  milliseconds Spread;
+};
+
+retry_delays retryDelays(proxy_error Reason) {
   switch (Reason) {
   case proxy_error::RunnersFull:
   case proxy_error::Overloaded:
-    return RunnersFullRetryDelay;
+    return {RunnersFullRetryDelay, RunnersFullRetryDelay};
+  case proxy_error::RateLimited:
+    return {RateLimitedRetryDelay, RateLimitedRetrySpread};
   default:
-    return ShortRetryDelay;
+    return {ShortRetryDelay, ShortRetryDelay};
   }
 }
 
@@ -52,6 +65,8 @@
     return "no_runner";
   case proxy_error::RunnersFull:
     return "runners_full";
+  case proxy_error::RateLimited:
+    return "rate_limited";
   case proxy_error::HistoryUnavailable:
     return "history_away";
   case proxy_error::BudgetExhausted:
@@ -100,9 +115,9 @@
 }
 
 milliseconds retryAfter(proxy_error Reason, std::uint64_t Hash) {
-  const milliseconds Base = baseRetryDelay(Reason);
+  const auto [Base, Spread] = retryDelays(Reason);
   return Base + milliseconds(static_cast<std::int64_t>(
-                    Hash % static_cast<std::uint64_t>(Base.count())));
+                    Hash % static_cast<std::uint64_t>(Spread.count())));
 }
 
 } // namespace lentilhoist
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -42,6 +42,7 @@
   BadRequest,         ///< A required header is missing or malformed.
   NoRunner,           ///< No runner is available.
   RunnersFull,        ///< Runners refused it or could not be reached.
+  RateLimited,        ///< The runners' limits leave no room for it.
   HistoryUnavailable, ///< Too few history replicas answered in time.
   BudgetExhausted,    ///< The turn exceeds the program's token budget.
   UnknownTurn,        ///< The turn that it continues is not stored.
@@ -64,8 +65,7 @@
 /// \param Reason the error.
 /// \param Hash selects the jitter, which spreads callers that are rejected at
 /// the same time.
-/// \returns the delay: a base that depends on the error, plus jitter of less
-/// than the base.
+/// \returns the delay: a base and jitter that depend on the error.
 std::chrono::milliseconds retryAfter(proxy_error Reason, std::uint64_t Hash);
 
 } // namespace lentilhoist
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -276,6 +276,7 @@
     Ping.RelayAddress = RelayAddress;
     Replica.send(
         std::move(Ping), [this, RelayAddress](const replica_reply &Reply) {
+          applyPing(Reply);
           for (const std::string &Address : Reply.Relays) {
             if (Address == RelayAddress || Relays.contains(Address) ||
                 Relays.size() >= MaxRelays)
@@ -295,6 +296,41 @@
   });
 }
 
+void history_client::applyPing(const replica_reply &Reply) {
+  if (!Reply.Relays.empty())
+    InstanceCount = Reply.Relays.size();
+  if (OnLimits && !Reply.Limits.empty())
+    OnLimits(Reply.Limits);
+}
+
+bool history_client::requestPermit(
+    permit_request Request,
+    std::function<void(const permit_reply &, const std::string &)> OnReply) {
+  if (!ready())
+    return false;
+  const instant Now = readClock();
+  for (const std::size_t Slot : issuerOrder(Set, Request.Runner)) {
+    history_link &Issuer = link(Set.Slots[Slot].Address);
+    if (Issuer.isSuspected(Now)) {
+      Request.Standby = true;
+      continue;
+    }
+    replica_request Message;
+    Message.SetVersion = Set.Version;
+    Message.Permits.push_back(std::move(Request));
+    Issuer.send(std::move(Message),
+                [this, OnReply = std::move(OnReply),
+                 Address = Issuer.address()](const replica_reply &Reply) {
+                  for (const replica_set &Newer : Reply.Set)
+                    setReplicas(Newer, "replica");
+                  if (!Reply.Permits.empty())
+                    OnReply(Reply.Permits.front(), Address);
+                });
+    return true;
+  }
+  return false;
+}
+
 void history_client::setReplicas(const replica_set &NewSet,
                                  const char *Source) {
   const bool Newer = NewSet.Version > Set.Version;
@@ -329,7 +365,9 @@
   for (const replica_slot &Slot : Set.Slots) {
     replica_request Ping;
     Ping.SetVersion = Set.Version;
-    link(Slot.Address).send(std::move(Ping), [](const replica_reply &) {});
+    link(Slot.Address)
+        .send(std::move(Ping),
+              [this](const replica_reply &Reply) { applyPing(Reply); });
   }
 }
 
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -2,6 +2,7 @@
 
 #include "history/chain_cache.h"
 #include "history/history_link.h"
+#include "history/permit_service.h"
 #include "history/quorum.h"
 
 #include <asio/io_context.hpp>
@@ -109,6 +110,26 @@
   void settle(std::string Program, ledger_entry Entry,
               std::uint64_t RetentionMs);
 
+  /// Requests a permit from the first replica in the runner's issuer order that
+  /// is not suspected.
+  /// \param Request the request; its Standby is set here.
+  /// \param OnReply receives the decision and the issuer's address; not called
+  /// if the reply is lost or the issuer does not decide.
+  /// \returns false if no replica can be reached; nothing is sent then.
+  bool requestPermit(
+      permit_request Request,
+      std::function<void(const permit_reply &, const std::string &)> OnReply);
+
+  /// \param Handler receives the limits that replicas list in pings.
+  void
+  onLimits(std::function<void(const std::vector<limit_notice> &)> Handler) {
+    OnLimits = std::move(Handler);
+  }
+
+  /// \returns number of entry instances that a replica has listed, this one
+  /// included; 0 if not known yet.
+  std::size_t instanceCount() const { return InstanceCount; }
+
   /// Pings all replicas: monitors the connections, announces the relay of this
   /// instance, and learns the relays of other instances.
   /// \param RelayAddress address at which this instance relays requests; empty
@@ -130,6 +151,7 @@
   friend class operation;
 
   history_link *selectRelay(instant Now);
+  void applyPing(const replica_reply &Reply);
   operation_ptr
   start(replica_request Request, milliseconds Timeout,
         std::function<bool(const quorum_round &, instant)> IsSufficient,
@@ -155,6 +177,8 @@
   std::map<std::string, instant> RelayBackoffs;
   std::list<std::weak_ptr<operation>> ActiveOperations;
   std::function<void()> OnReplicaSetOutdated;
+  std::function<void(const std::vector<limit_notice> &)> OnLimits;
+  std::size_t InstanceCount = 0;
   chain_cache Chains;
 };
 
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -2,6 +2,7 @@
 
 #include "history/replica_set.h"
 #include "history/turn_record.h"
+#include "limit/permit_message.h"
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -53,9 +54,10 @@
   std::string Target;
   /// Ping: address where the sender relays requests; empty if it does not.
   std::string RelayAddress;
+  std::vector<permit_request> Permits; ///< Ping: permits to issue.
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
                  Previous, WantChain, Turn, Turns, Cursor, Set, Target,
-                 RelayAddress)
+                 RelayAddress, Permits)
 };
 
 /// Token ledger of one program on a replica.
@@ -92,8 +94,11 @@
   std::vector<std::string> Relays;   ///< Ping: addresses of relays.
   std::vector<store_backup> Backups; ///< Backups: all kinds.
   runner_incarnation PreviousRunner; ///< Reserve: runner of Previous.
+  std::vector<permit_reply> Permits; ///< Ping: in the order of the request.
+  std::vector<limit_notice> Limits;  ///< Ping: limits of runners.
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
-                 Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner)
+                 Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner,
+                 Permits, Limits)
 };
 
 /// \param Message the message.
--- a/src/limit/rate_limit.h
+++ b/src/limit/rate_limit.h
@@ -25,6 +25,18 @@
   return PerSecond >= MinRateLimit && PerSecond <= MaxRateLimit;
 }
 
+/// A limit that was stated longer ago than this says nothing about the runner's
+/// need now. It exceeds the interval of the pings in which replicas list
+/// limits.
+inline constexpr seconds LimitFreshness{5};
+
+/// \param Limit a runner's limit.
+/// \param Now the current time.
+/// \returns whether the runner has stated a limit lately.
+inline bool isRecent(const rate_limit &Limit, instant Now) {
+  return Limit.active() && Now.Steady - Limit.StatedAt.Steady < LimitFreshness;
+}
+
 /// Replaces what is known about a runner's limit by a later statement.
 /// \param Known what is known; updated.
 /// \param Stated the statement.
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -19,12 +19,22 @@
 constexpr double LatePerSlot = 1.2;
 /// Lower bound of the limit per slot by priority, which prevents starvation.
 constexpr double MinPerSlot = 1.1;
+/// Limits per slot while runners of the service limit their rate. A lack of
+/// capacity that lasts can't be waited out: programs under way keep their pace
+/// only if hardly any queue forms, so others use what these leave.
+constexpr double StartedPerSlotIfLimited = 1.1;
+constexpr double OtherPerSlotIfLimited = 0.5;
 
 } // namespace
 
 double admissionLimit(const admission_query &Query) {
   const double Slots = Query.Slots;
-  if (Query.ProgramTimeLeft && Query.ProgramTimeLeft->count() <= 0)
+  const bool Late =
+      Query.ProgramTimeLeft && Query.ProgramTimeLeft->count() <= 0;
+  if (Query.RateLimited)
+    return Slots * (Query.ProgramStarted && !Late ? StartedPerSlotIfLimited
+                                                  : OtherPerSlotIfLimited);
+  if (Late)
     return Slots * LatePerSlot;
   double PerSlot = UrgentPerSlot - ReductionPerPriority * Query.Priority;
   if (Query.ProgramStarted)
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -9,11 +9,14 @@
 /// Inputs that determine how loaded a runner may be to accept a request.
 struct admission_query {
   int Priority = 0;            ///< Priority of the route; 0 is the most urgent.
-  bool ProgramStarted = false; ///< The program has completed turns.
+  bool ProgramStarted = false; ///< The program has begun.
   /// Time left until the program's completion target, if the caller gave one;
   /// zero or negative once the target has passed.
   std::optional<milliseconds> ProgramTimeLeft;
   int Slots = 0; ///< Requests that the runner processes concurrently.
+  /// Runners of the service limit their rate, so that the others carry more
+  /// than their part for as long as that lasts.
+  bool RateLimited = false;
 };
 
 /// Computes the admission limit by trunk reservation: requests that are more
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -57,7 +57,7 @@
 
 runner_cost computeCost(const runner_directory &Directory,
                         const runner_view &Runner, const placement_query &Query,
-                        instant Now) {
+                        bool RateLimited, instant Now) {
   runner_cost Cost;
   Cost.Load = estimateLoad(Directory, Runner, Now);
   const request_traits &Request = *Query.Request;
@@ -71,8 +71,11 @@
     Cost.Total += UncachedTokens / PrefillTokensPerMs;
     Cost.Total += std::min(Cost.Load, Slots) * StepMsPerRequest * Output;
     Cost.Full = Cost.Load >=
-                admissionLimit({Query.Priority, !Request.PreviousTurn.empty(),
-                                Request.ProgramTimeLeft, Runner.Entry.Slots});
+                admissionLimit(
+                    {Query.Priority,
+                     !Request.PreviousTurn.empty() ||
+                         (RateLimited && Query.Rank == permit_rank::UnderWay),
+                     Request.ProgramTimeLeft, Runner.Entry.Slots, RateLimited});
     // A slot becomes free when a request of the batch ends.
     if (ExcessRequests > 0)
       Cost.Total += ExcessRequests / Slots * StepMs * Output;
@@ -122,20 +125,57 @@
   return CachedTokens;
 }
 
+namespace {
+
+/// The best of the runners that lack a permit.
+struct permit_candidate {
+  std::string Runner;
+  double Cost = 0;
+
+  void offer(const std::string &Id, double NewCost) {
+    if (!Runner.empty() && NewCost >= Cost)
+      return;
+    Runner = Id;
+    Cost = NewCost;
+  }
+};
+
+} // namespace
+
 placement_result placeRequest(const runner_directory &Directory,
                               const placement_query &Query, instant Now) {
   placement_result Best;
+  Best.RateLimited =
+      std::any_of(Directory.Runners.begin(), Directory.Runners.end(),
+                  [&](const auto &Item) {
+                    const runner_view &Runner = Item.second;
+                    return Runner.Entry.Service == Query.Service &&
+                           !Runner.Entry.Draining &&
+                           isRecent(Runner.Permits.Limit, Now);
+                  });
+  permit_candidate Needed;
+  permit_candidate Spare;
   std::size_t Full = 0;
   for (const auto &[Id, Runner] : Directory.Runners) {
     if (Runner.Entry.Service != Query.Service || Runner.Entry.Draining ||
         Query.Excluded.contains(Id))
       continue;
     ++Best.Candidates;
-    const runner_cost Cost = computeCost(Directory, Runner, Query, Now);
+    const runner_cost Cost =
+        computeCost(Directory, Runner, Query, Best.RateLimited, Now);
     if (Cost.Full) {
       ++Full;
       continue;
     }
+    if (!maySend(Runner.Permits, Now)) {
+      ++Best.Limited;
+      const double Total = Cost.Total + queueDelayMs(Runner.Permits, Now);
+      if (shouldRequest(Runner.Permits, Query.Rank, Now))
+        Needed.offer(Id, Total);
+      if (shouldRequest(Runner.Permits, permit_rank::Spare, Now))
+        Spare.offer(Id, Total);
+      continue;
+    }
     if (!Best.Runner.empty() && Cost.Total >= Best.CostMs)
       continue;
     Best.Runner = Id;
@@ -148,6 +188,11 @@
                                : milliseconds(-1);
   }
   Best.Full = Best.Runner.empty() && Full > 0;
+  const bool Selected = !Best.Runner.empty() && !Best.InBackoff;
+  if (!Selected)
+    Best.PermitRunner = Needed.Runner;
+  else if (Spare.Cost < Best.CostMs)
+    Best.PermitRunner = Spare.Runner;
   return Best;
 }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -16,6 +16,8 @@
   std::optional<engine_traits> Engine; ///< Set for model engines only.
   std::set<std::string> Excluded;      ///< IDs of runners already tried.
   int Priority = 0; ///< Priority of the route; 0 is the most urgent.
+  /// Rank of the request at runners that limit their rate.
+  permit_rank Rank = permit_rank::New;
 };
 
 /// The selected runner and the estimates behind the selection.
@@ -27,6 +29,12 @@
   std::size_t Candidates = 0;    ///< Eligible runners, full ones included.
   bool InBackoff = false;        ///< Even the best candidate is in backoff.
   bool Full = false;        ///< No candidate admits a request of this priority.
+  bool RateLimited = false; ///< Runners of the service limit their rate.
+  std::size_t Limited = 0;  ///< Candidates that lack only a permit.
+  /// Runner for which a permit should be requested: the best of those that lack
+  /// one. If a runner was selected, only if a spare permit for a better one
+  /// should be requested. Empty if there is none.
+  std::string PermitRunner;
   milliseconds LoadAge{-1}; ///< Age of the load report; -1 if there was none.
 };
 
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -2,7 +2,7 @@
 
 #include "core/instant.h"
 #include "forward/request_traits.h"
-#include "limit/rate_limit.h"
+#include "limit/permit_stock.h"
 #include "placement/runner_entry.h"
 
 #include <map>
@@ -23,7 +23,7 @@
   int OutstandingAtReport = 0;     ///< Outstanding at the time of that report.
   instant RefusedUntil{}; ///< End of the backoff after a refusal due to load.
   instant FailedUntil{};  ///< End of the backoff after a failure.
-  rate_limit Limit;       ///< As the runner's latest response stated it.
+  permit_stock Permits;   ///< The runner's limit and permits to send to it.
   int ConsecutiveFailures = 0;
   /// Time of last use of the prompt parts, sessions and affinity keys that this
   /// instance sent to the runner.
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "history/copy_progress.h"
 #include "history/history_link.h"
+#include "history/permit_service.h"
 #include "history/replica_server.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
@@ -113,6 +114,7 @@
     Json["record_bytes"] = State.Bytes;
     Json["segments"] = State.LiveRecords.size();
     Json["sources_copied"] = Progress.Copied.size();
+    Json["limited_runners"] = Issuer.Runners.size();
     Json["replicas"] = nlohmann::ordered_json::array();
     if (Set)
       for (const replica_slot &Slot : Set->Slots)
@@ -145,15 +147,32 @@
                            !Request.RelayAddress.empty();
     if (RelayPing)
       Relays[Request.RelayAddress] = Start;
-    Store.handle(Request,
-                 [this, Start, RelayPing, OnReply](replica_reply Reply) {
-                   Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
-                                   readClock().Steady - Start.Steady);
-                   if (RelayPing)
-                     for (const auto &[Relay, LastPing] : Relays)
-                       Reply.Relays.push_back(Relay);
-                   OnReply(Reply);
-                 });
+    if (Request.Operation == replica_operation::Ping) {
+      Store.handle(Request,
+                   [this, Request, RelayPing, OnReply](replica_reply Reply) {
+                     answerPing(Request, Reply, RelayPing);
+                     OnReply(Reply);
+                   });
+      return;
+    }
+    Store.handle(Request, [this, Start, OnReply](const replica_reply &Reply) {
+      Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
+                      readClock().Steady - Start.Steady);
+      OnReply(Reply);
+    });
+  }
+
+  void answerPing(const replica_request &Request, replica_reply &Reply,
+                  bool RelayPing) {
+    if (RelayPing)
+      for (const auto &[Relay, LastPing] : Relays)
+        Reply.Relays.push_back(Relay);
+    answerPermitRequests(Issuer, Request, Reply, readClock());
+    for (const permit_reply &Permit : Reply.Permits)
+      Metrics.count(
+          Permit.Granted
+              ? "lentilhoist_permits_issued_total{granted=\"true\"}"
+              : "lentilhoist_permits_issued_total{granted=\"false\"}");
   }
 
   void watchReplicaSet() {
@@ -514,6 +533,7 @@
     ExpiryTimer.expires_after(ExpiryInterval);
     ExpiryTimer.async_wait([this](const asio::error_code &) {
       Store.expire();
+      forgetIdleRunners(Issuer, readClock());
       const auto OldestPing = readClock().Steady - RelayTimeout;
       std::erase_if(Relays, [&](const auto &Relay) {
         return Relay.second.Steady < OldestPing;
@@ -556,6 +576,7 @@
   /// Specs of objects as last seen in the store, by kind and name.
   std::map<std::string, std::map<std::string, std::string>> Backups;
   std::map<std::string, instant> Relays; ///< Time of the last ping, by address.
+  permit_issuer Issuer;
 
   std::optional<replica_set> Set;
   std::int64_t SetRevision = 0;
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -154,6 +154,7 @@
   }
 
   replica_state State;
+  permit_issuer Issuer;
   std::vector<std::string> Relays; ///< Sent in replies to pings.
   /// Index of the first connection whose requests are ignored; none by default.
   std::size_t FirstIgnored = ~std::size_t{0};
@@ -192,6 +193,8 @@
               .Reply;
       if (!Request.RelayAddress.empty())
         Reply.Relays = Relays;
+      if (Request.Operation == replica_operation::Ping)
+        answerPermitRequests(Issuer, Request, Reply, readClock());
       Stream->write(encodeMessage(Reply));
     }
   }
@@ -281,6 +284,11 @@
     return Received;
   }
 
+  void runFor(milliseconds Time) {
+    Loop.restart();
+    Loop.run_for(Time);
+  }
+
   std::size_t arrivals() const {
     return First.Bodies.size() + Second.Bodies.size();
   }
@@ -979,3 +987,141 @@
   IsolatedClient.close();
   RelayingClient.close();
 }
+
+namespace {
+
+/// Runner that states a limit in each response.
+scripted_runner::script limitedRunner(const std::string &PerSecond) {
+  return [PerSecond](const http_request_head &Head, const std::string &) {
+    return scripted_response{
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptOf(Head) +
+        "\r\nX-Server-Seal: s\r\nServer-Limit: " + PerSecond +
+        "\r\nContent-Length: 1\r\n\r\nx"};
+  };
+}
+
+/// A second instance that shares the runners and replicas of a fixture.
+struct second_instance {
+  explicit second_instance(fixture &Given)
+      : Other(Given), History(Given.Loop, "here", 1'000'000),
+        Pool(Given.Loop), Context{Given.Loop, "here", Metrics, History, Pool} {
+    Context.MaxBodyBytes = 1'000'000;
+    Context.Routes = Given.Context.Routes;
+    for (const auto &[Id, View] : Given.Context.Runners.Runners)
+      upsertRunner(Context.Runners, View.Entry);
+    History.setReplicas(Given.History.replicas(), "test");
+  }
+
+  void begin(const std::string &Attempt) {
+    caller_sink Sink;
+    Sink.Write = [this](const std::string &Bytes) { Received += Bytes; };
+    Sink.Finish = [](bool) {};
+    Sink.Abort = [] {};
+    Sink.PendingBytes = [] { return std::size_t{0}; };
+    const http_request_head Head{
+        "POST", "/x", {{"Host", "h"}, {"X-Attempt-Id", Attempt}}};
+    Exchanges.push_back(std::make_shared<exchange>(Context, Head, "body",
+                                                   readClock(), true, Sink));
+    Exchanges.back()->begin();
+  }
+
+  fixture &Other;
+  metrics Metrics;
+  history_client History;
+  runner_connection_pool Pool;
+  exchange_context Context;
+  std::string Received;
+  std::vector<std::shared_ptr<exchange>> Exchanges;
+};
+
+std::size_t countOf(const std::string &Text, const std::string &Part) {
+  std::size_t Count = 0;
+  for (std::size_t At = Text.find(Part); At != std::string::npos;
+       At = Text.find(Part, At + 1))
+    ++Count;
+  return Count;
+}
+
+} // namespace
+
+// Guards against runners that get more than the rate that they have stated,
+// summed over the instances, and against callers that wait for what the limits
+// don't leave.
+TEST_CASE("instances together keep the rate that runners state, and reject the "
+          "rest at once") {
+  fixture Fixture(limitedRunner("5"));
+  Fixture.startHistory();
+  Fixture.runFor(milliseconds(50));
+  second_instance First(Fixture);
+  second_instance Second(Fixture);
+  Fixture.runFor(milliseconds(50));
+  // Each instance hears the limits of both runners.
+  for (int Count = 0; Count < 4; ++Count) {
+    First.begin("a" + std::to_string(Count));
+    Second.begin("b" + std::to_string(Count));
+  }
+  Fixture.runFor(milliseconds(300));
+  const std::size_t Before = Fixture.arrivals();
+  const auto Start = readClock();
+  int Begun = 0;
+  while (readClock().Steady - Start.Steady < seconds(2)) {
+    First.begin("c" + std::to_string(Begun));
+    Second.begin("d" + std::to_string(Begun));
+    ++Begun;
+    Fixture.runFor(milliseconds(20));
+  }
+  Fixture.runFor(milliseconds(1'100));
+  // Two runners of 5 a second in 3.1 s, with half a second of credit.
+  const std::size_t Sent = Fixture.arrivals() - Before;
+  CHECK(Sent <= 2 * 5 * 3.1 + 2 * 3.5);
+  CHECK(Sent >= 2 * 5 * 2);
+  const std::string Received = First.Received + Second.Received;
+  CHECK(countOf(Received, "HTTP/1.1 503") > 0);
+  CHECK(countOf(Received, "rate_limited") == countOf(Received, "HTTP/1.1 503"));
+  CHECK(countOf(Received, "Retry-After: ") ==
+        countOf(Received, "HTTP/1.1 503"));
+  First.History.close();
+  Second.History.close();
+}
+
+// Guards against a limit that outlives the runner's need.
+TEST_CASE("a limit ends with the first response that states none") {
+  std::string Limit = "Server-Limit: 1\r\n";
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    return scripted_response{
+        "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attemptOf(Head) +
+        "\r\nX-Server-Seal: s\r\n" + Limit + "Content-Length: 1\r\n\r\nx"};
+  });
+  Fixture.startHistory();
+  Fixture.runFor(milliseconds(50));
+  removeRunner(Fixture.Context.Runners, "second");
+  Fixture.call("1");
+  const permit_stock &Permits =
+      Fixture.Context.Runners.Runners.at("first").Permits;
+  CHECK(Permits.Limit.PerSecond == 1);
+  Limit.clear();
+  for (int Count = 2; Permits.Limit.active() && Count < 100; ++Count)
+    Fixture.call(std::to_string(Count));
+  CHECK_FALSE(Permits.Limit.active());
+  for (int Count = 100; Count < 104; ++Count)
+    CHECK(Fixture.call(std::to_string(Count)).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against an instance that ignores limits, or doubles them, while it
+// reaches no issuer.
+TEST_CASE("without an issuer an instance takes its share of a limit") {
+  fixture Fixture(limitedRunner("100"));
+  CHECK(Fixture.History.instanceCount() == 0);
+  const instant Now = readClock();
+  applyNotice(Fixture.Context.Runners.Runners.at("first").Permits, 100, 0, Now);
+  std::vector<bool> Granted;
+  const auto request = [&] {
+    requestPermit(
+        Fixture.Context, "first", permit_rank::UnderWay, milliseconds(0), "a",
+        [&](permit_outcome Outcome) { Granted.push_back(Outcome.Granted); });
+    Fixture.runFor(milliseconds(5));
+  };
+  request();
+  REQUIRE(Granted.size() == 1);
+  CHECK_FALSE(Granted[0]); // The number of instances is not known.
+}
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -3,8 +3,10 @@
 #include "history/chain_cache.h"
 #include "history/copy_progress.h"
 #include "history/history_link.h"
+#include "history/permit_service.h"
 #include "history/quorum.h"
 #include "history/segment_log.h"
+#include "limit/permit_stock.h"
 #include "net/address.h"
 
 #include <doctest/doctest.h>
@@ -509,6 +511,46 @@
   CHECK_THROWS(Decode(Reply));
 }
 
+// Guards against instances that ask different issuers for one runner's permits.
+TEST_CASE("the order of issuers is the same everywhere and spreads runners") {
+  replica_set Set = makeSet();
+  std::map<std::size_t, int> Firsts;
+  for (int Index = 0; Index < 300; ++Index) {
+    const std::string Runner = "r" + std::to_string(Index);
+    const auto Order = issuerOrder(Set, Runner);
+    CHECK(Order == issuerOrder(makeSet(), Runner));
+    ++Firsts[Order.front()];
+    // Another replica in place of one of the others moves no runner that the
+    // first keeps.
+    replica_set Changed = Set;
+    Changed.Slots[Order.back()].Address = "d:1";
+    const auto Others = issuerOrder(Changed, Runner);
+    CHECK((Others.front() == Order.front() || Others.front() == Order.back()));
+  }
+  for (const auto &[Slot, Count] : Firsts)
+    CHECK(Count > 60);
+}
+
+TEST_CASE("a replica of another set or for another operation issues no "
+          "permits") {
+  permit_issuer Issuer;
+  replica_request Request;
+  Request.Permits = {{"r", 1, 5.0, 0, permit_rank::New, 500, false}};
+  replica_reply Reply;
+  Reply.Status = replica_status::OldSet;
+  answerPermitRequests(Issuer, Request, Reply, Start);
+  CHECK(Reply.Permits.empty());
+  Reply.Status = replica_status::Done;
+  answerPermitRequests(Issuer, Request, Reply, Start);
+  REQUIRE(Reply.Permits.size() == 1);
+  CHECK(Reply.Permits[0].Granted);
+  CHECK(Reply.Limits.empty());
+  Request.Permits.clear();
+  answerPermitRequests(Issuer, Request, Reply, Start);
+  REQUIRE(Reply.Limits.size() == 1);
+  CHECK(Reply.Limits[0].PerSecond == 5.0);
+}
+
 TEST_CASE("a request with an unknown operation is refused") {
   replica_state State = makeReplica();
   replica_request Request;
@@ -663,12 +705,15 @@
     Request.Turn = makeTurn("t3", "t2");
     Request.Turns = {"t1", "t2"};
     Request.Set = {makeSet()};
+    Request.Permits = {{"r", 1, 5.0, 100, permit_rank::New, 500, false}};
     Requests.push_back(encodeMessage(Request).substr(4));
   }
   replica_state State = makeReplica();
+  permit_issuer Issuer;
   fuzz(Requests, [&](const std::string &Bytes) {
     const replica_request Request = decodeReplicaRequest(Bytes);
-    handleRequest(State, Request, 1, Limits, Start);
+    replica_reply Reply = handleRequest(State, Request, 1, Limits, Start).Reply;
+    answerPermitRequests(Issuer, Request, Reply, Start);
     expireRecords(State, later(Start, seconds(70)));
   });
   replica_request Copy;
@@ -676,8 +721,15 @@
   Copy.SetVersion = 3;
   replica_reply Batch = handleRequest(Source, Copy, 1, Limits, Start).Reply;
   Batch.Backups = {{"config", {"main"}, {"{}"}}};
+  Batch.Permits = {{true, 100, 5.0, 10}};
+  Batch.Limits = {{"r", 1, 5.0, 10}};
+  permit_stock Stock;
   fuzz({encodeMessage(Batch).substr(4)}, [&](const std::string &Bytes) {
     const replica_reply Reply = decodeReplicaReply(Bytes);
+    for (const permit_reply &Permit : Reply.Permits)
+      applyReply(Stock, permit_rank::New, Permit, Start, Start);
+    for (const limit_notice &Notice : Reply.Limits)
+      applyNotice(Stock, Notice.PerSecond, Notice.AgeMs, Start);
     applyCopyBatch(State, Reply, 1, Limits, Start);
     for (const replica_set &Set : Reply.Set)
       adoptReplicaSet(State, Set);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -140,6 +140,64 @@
   CHECK(Result.Runner == "far");
 }
 
+// Guards against a queue at the runners without a limit, which makes all
+// programs late, while the others limit their rate.
+TEST_CASE("while runners limit their rate, new and late programs take only "
+          "free slots") {
+  admission_query Query;
+  Query.Slots = 10;
+  Query.RateLimited = true;
+  CHECK(admissionLimit(Query) == doctest::Approx(5));
+  Query.ProgramStarted = true;
+  Query.ProgramTimeLeft = milliseconds(500);
+  CHECK(admissionLimit(Query) == doctest::Approx(11));
+  Query.ProgramTimeLeft = milliseconds(0);
+  CHECK(admissionLimit(Query) == doctest::Approx(5));
+}
+
+// Guards against requests to a runner with a limit for which the instance has
+// no permit.
+TEST_CASE("a runner that limits its rate is selected only with a permit") {
+  fixture Fixture;
+  for (const char *Id : {"a", "b"})
+    applyNotice(Fixture.at(Id).Permits, 10, 0, Start);
+  SUBCASE("others serve it, and a spare permit is requested for a better one") {
+    const auto Placed = placeRequest(Fixture.Directory, Fixture.Query, Start);
+    CHECK(Placed.Runner == "far");
+    CHECK(Placed.PermitRunner == "a");
+    CHECK(Placed.RateLimited);
+    Fixture.at("a").Permits.SpareRequestedAt = Start;
+    Fixture.at("b").Permits.SpareRequestedAt = Start;
+    CHECK(placeRequest(Fixture.Directory, Fixture.Query, Start)
+              .PermitRunner.empty());
+  }
+  SUBCASE("a permit makes it eligible") {
+    applyReply(Fixture.at("b").Permits, permit_rank::Spare, {true, 0, 10, 0},
+               Start, Start);
+    CHECK(Fixture.place() == "b");
+  }
+  SUBCASE("a limit that was stated long ago is kept, but shows no lack of "
+          "capacity") {
+    const auto Placed = placeRequest(Fixture.Directory, Fixture.Query,
+                                     later(Start, seconds(6)));
+    CHECK(Placed.Runner == "far");
+    CHECK_FALSE(Placed.RateLimited);
+  }
+  SUBCASE("no runner is left without permits") {
+    applyNotice(Fixture.at("far").Permits, 10, 0, Start);
+    auto Placed = placeRequest(Fixture.Directory, Fixture.Query, Start);
+    CHECK(Placed.Runner.empty());
+    CHECK(Placed.Limited == 3);
+    CHECK(Placed.PermitRunner == "a");
+    for (const char *Id : {"a", "b", "far"})
+      applyReply(Fixture.at(Id).Permits, permit_rank::New, {false, 100, 10, 0},
+                 Start, Start);
+    Placed = placeRequest(Fixture.Directory, Fixture.Query, Start);
+    CHECK(Placed.PermitRunner.empty());
+    CHECK_FALSE(Placed.Full);
+  }
+}
+
 TEST_CASE("draining, excluded and other services' runners are never selected") {
   fixture Fixture;
   Fixture.at("a").Entry.Draining = true;
