Keep back requests that end runners, by evidence that instances share

What callers saw: two thirds of what they were owed was lost; one request ended 44 engines in 20 s, and 994 turns on them broke off.

Cause: an attempt's id is new each time, and nothing remembered what a request with the same content had done, neither within an instance nor between them.

Change: requests of equal method, host, path and body have a signature. Where a connection breaks under a request, the instance tries a connection; if it is refused, or the runner registers as a new incarnation, the runner has ended, and all that was at it is under suspicion. A suspect is placed where it meets the fewest others. After two ends at which the runner had begun it but produced nothing, or three of any kind, it is answered 503 for 5 s, then one trial is sent; if that ends its runner too, 10 minutes. A complete answer clears it.

Why it works: after the second end no instance that reaches a replica sends it.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -2,6 +2,7 @@
 
 #include "edge/drain_plan.h"
 #include "forward/caller_connection.h"
+#include "forward/crash_watch.h"
 #include "forward/permit_client.h"
 #include "history/relay_server.h"
 #include "log/log.h"
@@ -33,8 +34,9 @@
 /// Offset of the history relay port from the instance's first port, which
 /// serves metrics.
 constexpr std::uint16_t RelayPortOffset = 1;
-/// Interval between pings of the replicas.
-constexpr seconds PingInterval{3};
+/// Interval between pings of the replicas, in which limits and evidence reach
+/// every instance.
+constexpr seconds PingInterval{2};
 /// Time the store has to answer before the replicas are queried for their
 /// backups of its content, and interval between such queries.
 constexpr milliseconds BackupQueryDelay{150};
@@ -330,9 +332,10 @@
     const instant Now = readClock();
     std::vector<runner_entry> Entries;
     for (const store_item &Item : Items)
-      if (auto Entry = platform::decodeRunner(Item))
+      if (auto Entry = platform::decodeRunner(Item)) {
+        reportNewIncarnation(*Entry);
         Entries.push_back(std::move(*Entry));
-      else
+      } else
         logEvent(log_level::Warning, "runner_entry_unusable",
                  {{"entry", Item.Name}});
     replaceRunners(Context.Runners, Entries, removalTime(Now), Now);
@@ -345,6 +348,16 @@
               {"missing", std::to_string(Context.Runners.Missing.size())}});
   }
 
+  /// A new incarnation shows that the former one has ended.
+  void reportNewIncarnation(const runner_entry &Entry) {
+    const auto Known = Context.Runners.Runners.find(Entry.Id);
+    if (Known != Context.Runners.Runners.end() &&
+        Known->second.Entry.BornMs < Entry.BornMs &&
+        !Known->second.Entry.Draining)
+      reportCrash(Context, Entry.Id, Known->second.Entry.BornMs,
+                  "new_incarnation");
+  }
+
   void applyRunnerEvent(const store_event &Event) {
     const instant Now = readClock();
     Context.RegistryUpdatedAt = Now;
@@ -369,6 +382,7 @@
                {{"entry", Event.Item.Name}, {"revision", Revision}});
       return;
     }
+    reportNewIncarnation(*Entry);
     if (upsertRunner(Context.Runners, *Entry))
       logEvent(log_level::Info, "runner_changed",
                {{"runner", Entry->Id},
@@ -401,6 +415,13 @@
     Handlers.OnAvailability = [](bool) {};
     ReplicaWatch->start(std::move(Handlers));
     History.onReplicaSetOutdated([this] { ReplicaWatch->refresh(); });
+    History.exchangeSuspects(
+        [this] {
+          return listSuspects(Context.Suspects, MaxListedSuspects, readClock());
+        },
+        [this](const std::vector<suspect_notice> &Notices) {
+          mergeSuspects(Context.Suspects, Notices, readClock());
+        });
     History.onLimits([this](const std::vector<limit_notice> &Notices) {
       applyLimitNotices(Context, Notices, readClock());
     });
@@ -421,6 +442,8 @@
       const instant Now = readClock();
       Pool.closeExpired(Now);
       forgetIdleRunners(Context.OwnShare, Now);
+      dropUnconfirmed(Context.Broken, Now);
+      forgetOldSuspects(Context.Suspects, Now);
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
       sweep();
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -155,6 +155,8 @@
     return;
   }
   Service = chooseTarget(*Route, stableHash(Traits.Attempt));
+  Signature = signatureOf(Head.Method, fieldValue(Head.Fields, "Host"),
+                          Head.Target, Body);
   if (const service *Found = Routes->findService(Service))
     Engine = Found->Engine;
   milliseconds Limit =
@@ -192,6 +194,7 @@
       Traits.TokenBudget.value_or(std::numeric_limits<std::uint64_t>::max());
   Reservation.RetentionMs =
       static_cast<std::uint64_t>(Route->Retention.count());
+  Reservation.Signature = Signature;
   Reserved = true;
   const milliseconds Limit = std::min(ReserveTimeout, timeLeft(readClock()));
   History =
@@ -245,7 +248,13 @@
 
 void exchange::place() {
   const instant Now = readClock();
+  const quarantine_decision Decision =
+      decideQuarantine(Context.Suspects, Signature, Now);
+  if (rejectQuarantined(Decision))
+    return;
+  Quarantine = Decision.Verdict;
   placement_query Query;
+  Query.Isolate = Quarantine != quarantine_verdict::Send;
   Query.Service = Service;
   Query.Domain = Context.Domain;
   Query.Request = &Traits;
@@ -287,6 +296,7 @@
         formatRate(Context.Runners.Runners.at(Placement.Runner)
                        .Permits.Limit.PerSecond)},
        {"priority", std::to_string(Route->Priority)},
+       {"quarantine", quarantineVerdictName(Quarantine)},
        {"program_left_ms", Traits.ProgramTimeLeft
                                ? std::to_string(Traits.ProgramTimeLeft->count())
                                : "none"},
@@ -294,6 +304,19 @@
   send(Placement.Runner);
 }
 
+bool exchange::rejectQuarantined(const quarantine_decision &Decision) {
+  if (Decision.Verdict != quarantine_verdict::Reject)
+    return false;
+  logEvent(log_level::Warning, "request_quarantined",
+           {{"request", Traits.Attempt},
+            {"signature", formatSignature(Signature)},
+            {"crashes", std::to_string(Decision.Crashes)},
+            {"early_crashes", std::to_string(Decision.EarlyCrashes)},
+            {"retry_in_ms", std::to_string(Decision.RetryIn.count())}});
+  respondWithError(proxy_error::Quarantined);
+  return true;
+}
+
 permit_rank exchange::permitRank() const {
   if (Traits.ProgramTimeLeft && Traits.ProgramTimeLeft->count() <= 0)
     return permit_rank::Late;
@@ -391,6 +414,11 @@
   TriedRunners.insert(Id);
   usePermit(View.Permits, Now);
   PermitUntil = {};
+  SentAt = Now;
+  if (Quarantine == quarantine_verdict::Trial) {
+    recordTrial(Context.Suspects, Signature, Now);
+    shareSuspects(Context, {Signature});
+  }
   ++View.Outstanding;
   recordContent(View, Traits, Now);
   Reader.reset();
@@ -583,6 +611,8 @@
   }
   if (runner_view *View = currentRunner())
     recordSuccess(*View);
+  if (recordCompletion(Context.Suspects, Signature, Now))
+    shareSuspects(Context, {Signature});
   // A runner that responds early leaves part of the request body unsent, so
   // the connection cannot be reused.
   const bool Reusable = Reader.keepAlive() && !Reader.endsWithConnection() &&
@@ -633,7 +663,10 @@
 }
 
 void exchange::onRunnerEnd(stream_end End) {
+  const instant Now = readClock();
   if (End == stream_end::ConnectFailed) {
+    if (Now.Steady - SentAt.Steady < MaxRefusalTime)
+      reportCrash(Context, RunnerId, RunnerBornMs, "connection_refused");
     onSendFailed(send_outcome::NotSent, "connect_failed");
     return;
   }
@@ -645,6 +678,11 @@
       return;
     }
   }
+  // An engine answers with the head as soon as it begins to run a request.
+  const bool Begun = Route->Kind != route_kind::Streaming || ResponseStarted;
+  const bool NoOutput = EventCount == 0 && ResponseBody.empty();
+  watchBrokenSend(Context, RunnerId, RunnerBornMs,
+                  {Signature, Now, Begun && NoOutput});
   onSendFailed(send_outcome::Unknown, streamEndName(End));
 }
 
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "forward/crash_watch.h"
 #include "forward/exchange_context.h"
 #include "forward/permit_client.h"
 #include "forward/request_traits.h"
@@ -70,6 +71,7 @@
   void chooseRoute();
   void reserve();
   void onReserved(reserve_result Result);
+  bool rejectQuarantined(const quarantine_decision &Decision);
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
   permit_rank permitRank() const;
@@ -114,6 +116,8 @@
   const route *Route = nullptr;
   std::string Service;
   std::optional<engine_traits> Engine;
+  request_signature Signature = 0;
+  quarantine_verdict Quarantine = quarantine_verdict::Send;
   instant Deadline{};
   asio::steady_timer DeadlineTimer;
   asio::steady_timer StepTimer;
@@ -146,6 +150,7 @@
   bool Buffered = true;    ///< The whole response is read before it is relayed.
   bool ResponseStarted = false;
   std::size_t ResponseBytes = 0;
+  instant SentAt{}; ///< When the runner was selected.
   instant FirstByte{};
   instant ReservedAt{};
   instant ResponseCompletedAt{};
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -6,6 +6,7 @@
 #include "limit/permit_issuer.h"
 #include "metrics/metrics.h"
 #include "placement/runner_directory.h"
+#include "quarantine/broken_sends.h"
 
 #include <asio/io_context.hpp>
 #include <memory>
@@ -26,6 +27,11 @@
   runner_directory Runners{};
   /// Issues this instance's share of limits while no replica can be reached.
   permit_issuer OwnShare{};
+  suspect_table Suspects{}; ///< Evidence against requests.
+  broken_sends Broken{};
+  /// Runners by ID and incarnation to which a connection is tried, to see
+  /// whether they have ended.
+  std::set<std::pair<std::string, std::int64_t>> RunnerProbes{};
   route_table_ptr Routes{};    ///< Null before the first configuration.
   instant ConfigUpdatedAt{};   ///< When Routes was last replaced.
   instant RegistryUpdatedAt{}; ///< When the runner registry last reported.
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -21,6 +21,9 @@
 constexpr milliseconds RateLimitedRetryDelay{300};
 constexpr milliseconds RateLimitedRetrySpread{900};
 
+/// A trial may follow as soon as FirstQuarantine is over.
+constexpr milliseconds QuarantineRetryDelay{5'000};
+
 /// Range of times at which rejected callers return.
 struct retry_delays {
   milliseconds Base;
@@ -34,6 +37,8 @@
     return {RunnersFullRetryDelay, RunnersFullRetryDelay};
   case proxy_error::RateLimited:
     return {RateLimitedRetryDelay, RateLimitedRetrySpread};
+  case proxy_error::Quarantined:
+    return {QuarantineRetryDelay, QuarantineRetryDelay};
   default:
     return {ShortRetryDelay, ShortRetryDelay};
   }
@@ -67,6 +72,8 @@
     return "runners_full";
   case proxy_error::RateLimited:
     return "rate_limited";
+  case proxy_error::Quarantined:
+    return "quarantined";
   case proxy_error::HistoryUnavailable:
     return "history_away";
   case proxy_error::BudgetExhausted:
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -43,6 +43,7 @@
   NoRunner,           ///< No runner is available.
   RunnersFull,        ///< Runners refused it or could not be reached.
   RateLimited,        ///< The runners' limits leave no room for it.
+  Quarantined,        ///< Requests like it have ended runners.
   HistoryUnavailable, ///< Too few history replicas answered in time.
   BudgetExhausted,    ///< The turn exceeds the program's token budget.
   UnknownTurn,        ///< The turn that it continues is not stored.
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -143,6 +143,8 @@
         Client.OnReplicaSetOutdated();
       return;
     }
+    if (Client.OnSuspects && !Reply.Suspects.empty())
+      Client.OnSuspects(Reply.Suspects);
     const instant Now = readClock();
     addAnswer(Round, Slot, std::move(Reply), Now);
     if (IsSufficient(Round, Now))
@@ -274,6 +276,8 @@
     replica_request Ping;
     Ping.SetVersion = Set.Version;
     Ping.RelayAddress = RelayAddress;
+    if (ListSuspects)
+      Ping.Suspects = ListSuspects();
     Replica.send(
         std::move(Ping), [this, RelayAddress](const replica_reply &Reply) {
           applyPing(Reply);
@@ -301,6 +305,19 @@
     InstanceCount = Reply.Relays.size();
   if (OnLimits && !Reply.Limits.empty())
     OnLimits(Reply.Limits);
+  if (OnSuspects && !Reply.Suspects.empty())
+    OnSuspects(Reply.Suspects);
+}
+
+void history_client::shareSuspects(const std::vector<suspect_notice> &Notices) {
+  for (const replica_slot &Slot : Set.Slots) {
+    replica_request Ping;
+    Ping.SetVersion = Set.Version;
+    Ping.Suspects = Notices;
+    link(Slot.Address)
+        .send(std::move(Ping),
+              [this](const replica_reply &Reply) { applyPing(Reply); });
+  }
 }
 
 bool history_client::requestPermit(
@@ -396,6 +413,7 @@
   Request.Entry = {Reservation->Attempt, Reservation->MaxTokens, false};
   Request.RetentionMs = Reservation->RetentionMs;
   Request.Previous = Reservation->Previous;
+  Request.Signature = Reservation->Signature;
   Request.WantChain =
       !Reservation->Previous.empty() && !Chains.find(Reservation->Previous);
   // The operation owns the handler, so the handler holds only a weak pointer to
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -21,7 +21,8 @@
   std::string Previous;        ///< Turn to continue; empty for the first turn.
   std::uint64_t MaxTokens = 0; ///< Upper bound of generated tokens.
   std::uint64_t Budget = 0;    ///< Tokens, for the whole program.
-  std::uint64_t RetentionMs = 0; ///< Retention of the reservation.
+  std::uint64_t RetentionMs = 0;   ///< Retention of the reservation.
+  request_signature Signature = 0; ///< See signatureOf().
 };
 
 /// Result of a reservation.
@@ -126,6 +127,19 @@
     OnLimits = std::move(Handler);
   }
 
+  /// Tells all replicas evidence against requests.
+  /// \param Notices the evidence.
+  void shareSuspects(const std::vector<suspect_notice> &Notices);
+
+  /// \param List supplies the evidence that pings carry.
+  /// \param OnReceived receives evidence from replicas.
+  void exchangeSuspects(
+      std::function<std::vector<suspect_notice>()> List,
+      std::function<void(const std::vector<suspect_notice> &)> OnReceived) {
+    ListSuspects = std::move(List);
+    OnSuspects = std::move(OnReceived);
+  }
+
   /// \returns number of entry instances that a replica has listed, this one
   /// included; 0 if not known yet.
   std::size_t instanceCount() const { return InstanceCount; }
@@ -178,6 +192,8 @@
   std::list<std::weak_ptr<operation>> ActiveOperations;
   std::function<void()> OnReplicaSetOutdated;
   std::function<void(const std::vector<limit_notice> &)> OnLimits;
+  std::function<std::vector<suspect_notice>()> ListSuspects;
+  std::function<void(const std::vector<suspect_notice> &)> OnSuspects;
   std::size_t InstanceCount = 0;
   chain_cache Chains;
 };
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -3,6 +3,7 @@
 #include "history/replica_set.h"
 #include "history/turn_record.h"
 #include "limit/permit_message.h"
+#include "quarantine/suspect_message.h"
 
 #include <cstdint>
 #include <msgpack.hpp>
@@ -54,10 +55,12 @@
   std::string Target;
   /// Ping: address where the sender relays requests; empty if it does not.
   std::string RelayAddress;
-  std::vector<permit_request> Permits; ///< Ping: permits to issue.
+  std::vector<permit_request> Permits;  ///< Ping: permits to issue.
+  std::vector<suspect_notice> Suspects; ///< Ping: evidence of the sender.
+  request_signature Signature = 0;      ///< Reserve: of the turn's request.
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
                  Previous, WantChain, Turn, Turns, Cursor, Set, Target,
-                 RelayAddress, Permits)
+                 RelayAddress, Permits, Suspects, Signature)
 };
 
 /// Token ledger of one program on a replica.
@@ -96,9 +99,11 @@
   runner_incarnation PreviousRunner; ///< Reserve: runner of Previous.
   std::vector<permit_reply> Permits; ///< Ping: in the order of the request.
   std::vector<limit_notice> Limits;  ///< Ping: limits of runners.
+  /// Ping: the newest evidence; Reserve: that about the turn's signature.
+  std::vector<suspect_notice> Suspects;
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
                  Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner,
-                 Permits, Limits)
+                 Permits, Limits, Suspects)
 };
 
 /// \param Message the message.
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -27,6 +27,8 @@
 /// Time that a runner saves if it handled the object recently: half of the
 /// work.
 constexpr double AffinitySavingMs = 20;
+/// Cost of each request beside one that may end the runner.
+constexpr double IsolationMsPerRequest = 100;
 /// Ranks runners in backoff after all others.
 constexpr double BackoffPenaltyMs = 10'000;
 /// Age at which a load report has lost all weight, about the duration of a
@@ -90,6 +92,8 @@
   }
   if (Runner.Entry.Domain != Query.Domain)
     Cost.Total += CrossDomainPenaltyMs;
+  if (Query.Isolate)
+    Cost.Total = Cost.Load * IsolationMsPerRequest;
   Cost.InBackoff = Runner.RefusedUntil.Steady > Now.Steady ||
                    Runner.FailedUntil.Steady > Now.Steady;
   if (Cost.InBackoff)
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -18,6 +18,8 @@
   int Priority = 0; ///< Priority of the route; 0 is the most urgent.
   /// Rank of the request at runners that limit their rate.
   permit_rank Rank = permit_rank::New;
+  /// Prefer the runner with the fewest requests: this one may end it.
+  bool Isolate = false;
 };
 
 /// The selected runner and the estimates behind the selection.
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -4,10 +4,12 @@
 #include "history/history_link.h"
 #include "history/permit_service.h"
 #include "history/replica_server.h"
+#include "history/suspect_service.h"
 #include "log/log.h"
 #include "metrics/metrics.h"
 #include "net/address.h"
 #include "net/text_server.h"
+#include "quarantine/suspect_archive.h"
 #include "replica/replica_store.h"
 #include "store/store_watch.h"
 
@@ -52,6 +54,9 @@
 /// seconds.
 constexpr milliseconds RetirementWatchWait{2'000};
 constexpr const char *ReplicaSetName = "main";
+/// Kind of the backup that holds evidence against requests; no kind of the
+/// platform's store.
+constexpr const char *SuspectBackupKind = "suspects";
 
 /// The replica process: state, server, store watches and timers on one event
 /// loop.
@@ -81,6 +86,7 @@
         ExpiryTimer(Loop) {}
 
   int run() {
+    loadSuspects();
     watchReplicaSet();
     watchRetirements();
     ConfigWatch = watchForBackup(platform::ConfigKind);
@@ -115,6 +121,7 @@
     Json["segments"] = State.LiveRecords.size();
     Json["sources_copied"] = Progress.Copied.size();
     Json["limited_runners"] = Issuer.Runners.size();
+    Json["suspects"] = Suspects.Suspects.size();
     Json["replicas"] = nlohmann::ordered_json::array();
     if (Set)
       for (const replica_slot &Slot : Set->Slots)
@@ -155,9 +162,12 @@
                    });
       return;
     }
-    Store.handle(Request, [this, Start, OnReply](const replica_reply &Reply) {
+    Store.handle(Request, [this, Start, Signature = Request.Signature,
+                           OnReply](replica_reply Reply) {
+      const instant Now = readClock();
       Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
-                      readClock().Steady - Start.Steady);
+                      Now.Steady - Start.Steady);
+      answerSuspect(Suspects, Signature, Reply, Now);
       OnReply(Reply);
     });
   }
@@ -167,7 +177,14 @@
     if (RelayPing)
       for (const auto &[Relay, LastPing] : Relays)
         Reply.Relays.push_back(Relay);
-    answerPermitRequests(Issuer, Request, Reply, readClock());
+    const instant Now = readClock();
+    answerPermitRequests(Issuer, Request, Reply, Now);
+    if (exchangeSuspects(Suspects, Request, Reply, Now)) {
+      SuspectsChanged = true;
+      logEvent(log_level::Info, "suspects_changed",
+               {{"notices", std::to_string(Request.Suspects.size())},
+                {"signatures", std::to_string(Suspects.Suspects.size())}});
+    }
     for (const permit_reply &Permit : Reply.Permits)
       Metrics.count(
           Permit.Granted
@@ -276,6 +293,30 @@
     }
   }
 
+  /// Saves the evidence as a further backup, which each segment repeats.
+  void storeSuspects() {
+    if (!std::exchange(SuspectsChanged, false))
+      return;
+    replica_change Change;
+    Change.Kind = change_kind::Backup;
+    Change.Backup = {SuspectBackupKind,
+                     {SuspectBackupKind},
+                     {packSuspects(Suspects, readClock())}};
+    Store.apply(Change, [](bool) {});
+  }
+
+  void loadSuspects() {
+    const auto Saved = Store.state().Backups.find(SuspectBackupKind);
+    if (Saved == Store.state().Backups.end() || Saved->second.Specs.empty())
+      return;
+    try {
+      unpackSuspects(Suspects, Saved->second.Specs.front(), readClock());
+    } catch (const std::exception &Error) {
+      logEvent(log_level::Error, "suspects_unreadable",
+               {{"reason", Error.what()}});
+    }
+  }
+
   void watchRetirements() {
     watch_settings Timing;
     Timing.Wait = RetirementWatchWait;
@@ -304,6 +345,7 @@
     MembershipTimer.async_wait([this](const asio::error_code &) {
       updateMembership();
       storeBackups();
+      storeSuspects();
       scheduleMembership();
     });
   }
@@ -534,6 +576,7 @@
     ExpiryTimer.async_wait([this](const asio::error_code &) {
       Store.expire();
       forgetIdleRunners(Issuer, readClock());
+      forgetOldSuspects(Suspects, readClock());
       const auto OldestPing = readClock().Steady - RelayTimeout;
       std::erase_if(Relays, [&](const auto &Relay) {
         return Relay.second.Steady < OldestPing;
@@ -577,6 +620,8 @@
   std::map<std::string, std::map<std::string, std::string>> Backups;
   std::map<std::string, instant> Relays; ///< Time of the last ping, by address.
   permit_issuer Issuer;
+  suspect_table Suspects;
+  bool SuspectsChanged = false; ///< Since they were last saved.
 
   std::optional<replica_set> Set;
   std::int64_t SetRevision = 0;
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2,6 +2,7 @@
 #include "forward/caller_connection.h"
 #include "history/relay_server.h"
 #include "history/replica_state.h"
+#include "history/suspect_service.h"
 #include "net/address.h"
 #include "net/frame.h"
 
@@ -61,6 +62,15 @@
   int Ended = 0;                ///< Connections closed by the code under test.
   std::size_t EndlessBytes = 0; ///< Sent of scripted_response::Endless.
 
+  /// Ends as a process does: connections break, and new ones are refused.
+  void end() {
+    Acceptor.close();
+    for (const auto &Connection : Open)
+      Connection->Stream->abort();
+    Open.clear();
+  }
+  bool ended() const { return !Acceptor.is_open(); }
+
   /// Sends bytes on all open connections.
   void write(const std::string &Bytes) {
     for (const auto &Connection : Open)
@@ -155,6 +165,7 @@
 
   replica_state State;
   permit_issuer Issuer;
+  suspect_table Suspects;
   std::vector<std::string> Relays; ///< Sent in replies to pings.
   /// Index of the first connection whose requests are ignored; none by default.
   std::size_t FirstIgnored = ~std::size_t{0};
@@ -193,8 +204,11 @@
               .Reply;
       if (!Request.RelayAddress.empty())
         Reply.Relays = Relays;
-      if (Request.Operation == replica_operation::Ping)
+      if (Request.Operation == replica_operation::Ping) {
         answerPermitRequests(Issuer, Request, Reply, readClock());
+        exchangeSuspects(Suspects, Request, Reply, readClock());
+      }
+      answerSuspect(Suspects, Request.Signature, Reply, readClock());
       Stream->write(encodeMessage(Reply));
     }
   }
@@ -1009,10 +1023,17 @@
     Context.Routes = Given.Context.Routes;
     for (const auto &[Id, View] : Given.Context.Runners.Runners)
       upsertRunner(Context.Runners, View.Entry);
+    History.exchangeSuspects(
+        [this] {
+          return listSuspects(Context.Suspects, MaxListedSuspects, readClock());
+        },
+        [this](const std::vector<suspect_notice> &Notices) {
+          mergeSuspects(Context.Suspects, Notices, readClock());
+        });
     History.setReplicas(Given.History.replicas(), "test");
   }
 
-  void begin(const std::string &Attempt) {
+  void begin(const std::string &Attempt, const std::string &Body = "body") {
     caller_sink Sink;
     Sink.Write = [this](const std::string &Bytes) { Received += Bytes; };
     Sink.Finish = [](bool) {};
@@ -1020,7 +1041,7 @@
     Sink.PendingBytes = [] { return std::size_t{0}; };
     const http_request_head Head{
         "POST", "/x", {{"Host", "h"}, {"X-Attempt-Id", Attempt}}};
-    Exchanges.push_back(std::make_shared<exchange>(Context, Head, "body",
+    Exchanges.push_back(std::make_shared<exchange>(Context, Head, Body,
                                                    readClock(), true, Sink));
     Exchanges.back()->begin();
   }
@@ -1125,3 +1146,76 @@
   REQUIRE(Granted.size() == 1);
   CHECK_FALSE(Granted[0]); // The number of instances is not known.
 }
+
+// Guards against a request that ends runner after runner, at any instance, and
+// against sound ones that are shut out with it.
+TEST_CASE("a request that has ended two runners is rejected by every instance, "
+          "others are served") {
+  std::list<scripted_runner> Runners;
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{sealedResponse(attemptOf(Head), "x")};
+  });
+  Fixture.startHistory();
+  Fixture.setRoutes(route_kind::Streaming, true);
+  removeRunner(Fixture.Context.Runners, "first");
+  removeRunner(Fixture.Context.Runners, "second");
+  for (int Index = 0; Index < 4; ++Index) {
+    Runners.emplace_back(Fixture.Loop, [&, Index](const http_request_head &Head,
+                                                  const std::string &Body) {
+      if (Body != "bad")
+        return scripted_response{streamHead(attemptOf(Head)) +
+                                 "6\r\ndata:x\r\n2\r\n\n\n\r\n0\r\n\r\n"};
+      // The head arrives, then the runner ends.
+      scripted_runner &Runner = *std::next(Runners.begin(), Index);
+      asio::post(Fixture.Loop, [&Fixture, &Runner] {
+        asio::post(Fixture.Loop, [&Runner] { Runner.end(); });
+      });
+      return scripted_response{streamHead(attemptOf(Head))};
+    });
+    Fixture.addRunner(std::to_string(Index).c_str(), Runners.back().address());
+  }
+  second_instance First(Fixture);
+  second_instance Second(Fixture);
+  Fixture.runFor(milliseconds(100));
+  int Attempt = 0;
+  const auto send = [&](second_instance &Instance, const char *Body) {
+    Instance.Received.clear();
+    Instance.begin("t" + std::to_string(++Attempt), Body);
+    Fixture.runFor(milliseconds(200));
+    return Instance.Received;
+  };
+  const auto endedCount = [&] {
+    return std::count_if(
+        Runners.begin(), Runners.end(),
+        [](const scripted_runner &Runner) { return Runner.ended(); });
+  };
+  send(First, "bad");
+  CHECK(endedCount() == 1);
+  CHECK(send(Second, "good").find("data:x") != std::string::npos);
+  send(Second, "bad");
+  CHECK(endedCount() == 2);
+  for (int Count = 0; Count < 3; ++Count)
+    for (second_instance *Instance : {&First, &Second}) {
+      const std::string Response = send(*Instance, "bad");
+      CHECK(Response.starts_with("HTTP/1.1 503"));
+      CHECK(Response.find("quarantined") != std::string::npos);
+      CHECK(send(*Instance, "good").find("data:x") != std::string::npos);
+    }
+  CHECK(endedCount() == 2);
+  First.History.close();
+  Second.History.close();
+}
+
+// Guards against evidence from connections that break while the runner lives.
+TEST_CASE("a broken connection to a runner that lives is no evidence") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{streamHead(attemptOf(Head)), false, true};
+  });
+  Fixture.setRoutes(route_kind::Streaming, false);
+  for (int Count = 0; Count < 5; ++Count) {
+    Fixture.call(std::to_string(Count));
+    Fixture.runFor(milliseconds(400));
+  }
+  CHECK(Fixture.Context.Suspects.Suspects.empty());
+  CHECK(Fixture.arrivals() == 5);
+}
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -6,6 +6,7 @@
 #include "history/permit_service.h"
 #include "history/quorum.h"
 #include "history/segment_log.h"
+#include "history/suspect_service.h"
 #include "limit/permit_stock.h"
 #include "net/address.h"
 
@@ -551,6 +552,23 @@
   CHECK(Reply.Limits[0].PerSecond == 5.0);
 }
 
+TEST_CASE("a ping tells and learns evidence, a reservation learns that about "
+          "its request") {
+  suspect_table Table;
+  replica_request Ping;
+  Ping.Suspects = {{7, {{"r", 1, 100, true}}, -1, -1}};
+  replica_reply Reply;
+  CHECK(exchangeSuspects(Table, Ping, Reply, Start));
+  CHECK_FALSE(exchangeSuspects(Table, Ping, Reply, Start));
+  REQUIRE(Reply.Suspects.size() == 1);
+  CHECK(Reply.Suspects[0].Crashes[0].AgeMs == 100);
+  replica_reply Reserved;
+  answerSuspect(Table, 8, Reserved, Start);
+  CHECK(Reserved.Suspects.empty());
+  answerSuspect(Table, 7, Reserved, Start);
+  CHECK(Reserved.Suspects.size() == 1);
+}
+
 TEST_CASE("a request with an unknown operation is refused") {
   replica_state State = makeReplica();
   replica_request Request;
@@ -706,14 +724,19 @@
     Request.Turns = {"t1", "t2"};
     Request.Set = {makeSet()};
     Request.Permits = {{"r", 1, 5.0, 100, permit_rank::New, 500, false}};
+    Request.Suspects = {{7, {{"r", 1, 100, true}}, 50, -1}};
+    Request.Signature = 7;
     Requests.push_back(encodeMessage(Request).substr(4));
   }
   replica_state State = makeReplica();
   permit_issuer Issuer;
+  suspect_table Suspects;
   fuzz(Requests, [&](const std::string &Bytes) {
     const replica_request Request = decodeReplicaRequest(Bytes);
     replica_reply Reply = handleRequest(State, Request, 1, Limits, Start).Reply;
     answerPermitRequests(Issuer, Request, Reply, Start);
+    exchangeSuspects(Suspects, Request, Reply, Start);
+    answerSuspect(Suspects, Request.Signature, Reply, Start);
     expireRecords(State, later(Start, seconds(70)));
   });
   replica_request Copy;
