List only evidence from two ends of runners on in pings, and forget single ones

Change: single ends are told to the replicas once and returned with the reservation of the signature; pings carry signatures with two or more. A single one is forgotten after a minute.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -417,7 +417,8 @@
     History.onReplicaSetOutdated([this] { ReplicaWatch->refresh(); });
     History.exchangeSuspects(
         [this] {
-          return listSuspects(Context.Suspects, MaxListedSuspects, readClock());
+          return listSuspects(Context.Suspects, MaxListedSuspects,
+                              MinListedCrashes, readClock());
         },
         [this](const std::vector<suspect_notice> &Notices) {
           mergeSuspects(Context.Suspects, Notices, readClock());
--- a/src/forward/crash_watch.cpp
+++ b/src/forward/crash_watch.cpp
@@ -84,7 +84,7 @@
         Found != Context.Suspects.Suspects.end())
       Changed.Suspects.insert(*Found);
   Context.History.shareSuspects(
-      listSuspects(Changed, MaxListedSuspects, readClock()));
+      listSuspects(Changed, MaxListedSuspects, 0, readClock()));
 }
 
 } // namespace lentilhoist
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -334,10 +334,7 @@
                                Traits.Attempt, Ignore);
     return;
   }
-  const bool Requested =
-      PermitRequestedAt.Steady.count() != 0 &&
-      Now.Steady - PermitRequestedAt.Steady < PermitReplyTimeout;
-  if (Requested || PermitUntil.Steady > Now.Steady)
+  if (waitsForPermit(Now))
     return;
   PermitRequestedAt = Now;
   lentilhoist::requestPermit(Context, Id, Rank, holdTimeLeft(Now),
@@ -348,6 +345,13 @@
                              });
 }
 
+bool exchange::waitsForPermit(instant Now) const {
+  const bool Requested =
+      PermitRequestedAt.Steady.count() != 0 &&
+      Now.Steady - PermitRequestedAt.Steady < PermitReplyTimeout;
+  return Requested || PermitUntil.Steady > Now.Steady;
+}
+
 void exchange::onPermit(permit_outcome Outcome) {
   PermitRequestedAt = {};
   if (Outcome.Granted)
@@ -364,9 +368,7 @@
                                instant Now) const {
   if (!Placement.Runner.empty() || !Placement.RateLimited)
     return false;
-  const bool Waits =
-      PermitRequestedAt.Steady.count() != 0 || PermitUntil.Steady > Now.Steady;
-  if (Waits)
+  if (waitsForPermit(Now))
     return false;
   const bool Refused =
       Placement.PermitRunner.empty() || PermitRefusals >= MaxPermitRefusals;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -77,6 +77,7 @@
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
   void onPermit(permit_outcome Outcome);
+  bool waitsForPermit(instant Now) const;
   bool isRateExhausted(const placement_result &Placement, instant Now) const;
   milliseconds holdTimeLeft(instant Now) const;
   void hold(const char *Reason);
--- a/src/history/suspect_service.cpp
+++ b/src/history/suspect_service.cpp
@@ -9,7 +9,8 @@
   std::vector<suspect_notice> Notices = Request.Suspects;
   Notices.resize(std::min(Notices.size(), MaxListedSuspects));
   const bool Changed = mergeSuspects(Table, Notices, Now);
-  Reply.Suspects = listSuspects(Table, MaxListedSuspects, Now);
+  Reply.Suspects =
+      listSuspects(Table, MaxListedSuspects, MinListedCrashes, Now);
   return Changed;
 }
 
@@ -20,7 +21,7 @@
     return;
   suspect_table Only;
   Only.Suspects.insert(*Found);
-  Reply.Suspects = listSuspects(Only, 1, Now);
+  Reply.Suspects = listSuspects(Only, 1, 0, Now);
 }
 
 } // namespace lentilhoist
--- a/src/quarantine/suspect_archive.cpp
+++ b/src/quarantine/suspect_archive.cpp
@@ -23,9 +23,9 @@
   if (Table.Suspects.empty())
     return {};
   msgpack::sbuffer Buffer;
-  msgpack::pack(Buffer,
-                suspect_archive{Now.Unix.count(),
-                                listSuspects(Table, MaxArchivedSuspects, Now)});
+  msgpack::pack(Buffer, suspect_archive{
+                            Now.Unix.count(),
+                            listSuspects(Table, MaxArchivedSuspects, 0, Now)});
   return {Buffer.data(), Buffer.size()};
 }
 
--- a/src/quarantine/suspect_table.cpp
+++ b/src/quarantine/suspect_table.cpp
@@ -204,10 +204,13 @@
 }
 
 std::vector<suspect_notice> listSuspects(const suspect_table &Table,
-                                         std::size_t Max, instant Now) {
+                                         std::size_t Max,
+                                         std::size_t MinCrashCount,
+                                         instant Now) {
   std::vector<std::pair<microseconds, request_signature>> Newest;
   for (const auto &[Signature, Suspect] : Table.Suspects)
-    Newest.emplace_back(lastChange(Suspect), Signature);
+    if (Suspect.Crashes.size() >= MinCrashCount)
+      Newest.emplace_back(lastChange(Suspect), Signature);
   const std::size_t Count = std::min(Newest.size(), Max);
   std::partial_sort(Newest.begin(),
                     Newest.begin() + static_cast<std::ptrdiff_t>(Count),
@@ -233,7 +236,10 @@
 
 void forgetOldSuspects(suspect_table &Table, instant Now) {
   std::erase_if(Table.Suspects, [&](const auto &Item) {
-    return lastChange(Item.second) < Now.Steady - SuspectLifetime;
+    const seconds Lifetime = Item.second.Crashes.size() < MinListedCrashes
+                                 ? SingleCrashLifetime
+                                 : SuspectLifetime;
+    return lastChange(Item.second) < Now.Steady - Lifetime;
   });
 }
 
--- a/src/quarantine/suspect_table.h
+++ b/src/quarantine/suspect_table.h
@@ -68,12 +68,17 @@
 inline constexpr seconds LongQuarantine{600};
 /// Time for the outcome of a trial to become known to all instances.
 inline constexpr seconds TrialTime{3};
-/// Evidence is forgotten after this time.
+/// Evidence is forgotten after this time; a single end after a shorter one, as
+/// most requests at a runner that ends are sound and come only once.
 inline constexpr seconds SuspectLifetime{900};
+inline constexpr seconds SingleCrashLifetime{60};
 /// Bounds of the evidence that is kept and exchanged.
 inline constexpr std::size_t MaxCrashRecords = 8;
 inline constexpr std::size_t MaxSuspects = 4'096;
 inline constexpr std::size_t MaxListedSuspects = 64;
+/// Pings list only signatures from this number of ends on. Single ones are told
+/// to the replicas once, which add them up.
+inline constexpr std::size_t MinListedCrashes = 2;
 
 /// \param Method the request's method.
 /// \param Host its host.
@@ -126,10 +131,13 @@
 /// Lists evidence for another instance.
 /// \param Table the table.
 /// \param Max most signatures to list.
+/// \param MinCrashCount signatures with fewer ends of runners are left out.
 /// \param Now the current time.
 /// \returns the evidence, newest first.
 std::vector<suspect_notice> listSuspects(const suspect_table &Table,
-                                         std::size_t Max, instant Now);
+                                         std::size_t Max,
+                                         std::size_t MinCrashCount,
+                                         instant Now);
 
 /// Forgets evidence older than SuspectLifetime.
 /// \param Table the table; updated.
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1025,7 +1025,8 @@
       upsertRunner(Context.Runners, View.Entry);
     History.exchangeSuspects(
         [this] {
-          return listSuspects(Context.Suspects, MaxListedSuspects, readClock());
+          return listSuspects(Context.Suspects, MaxListedSuspects,
+                              MinListedCrashes, readClock());
         },
         [this](const std::vector<suspect_notice> &Notices) {
           mergeSuspects(Context.Suspects, Notices, readClock());
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -557,9 +557,13 @@
   suspect_table Table;
   replica_request Ping;
   Ping.Suspects = {{7, {{"r", 1, 100, true}}, -1, -1}};
+  // A single end is taken, but not listed.
   replica_reply Reply;
   CHECK(exchangeSuspects(Table, Ping, Reply, Start));
   CHECK_FALSE(exchangeSuspects(Table, Ping, Reply, Start));
+  CHECK(Reply.Suspects.empty());
+  Ping.Suspects[0].Crashes = {{"s", 1, 50, true}};
+  CHECK(exchangeSuspects(Table, Ping, Reply, Start));
   REQUIRE(Reply.Suspects.size() == 1);
   CHECK(Reply.Suspects[0].Crashes[0].AgeMs == 100);
   replica_reply Reserved;
--- a/tests/quarantine_test.cpp
+++ b/tests/quarantine_test.cpp
@@ -83,30 +83,30 @@
   }
 
   void ping(std::size_t Index) {
-    exchange(Index);
+    exchange(Index, MinListedCrashes);
     Clock.after(seconds(2), [this, Index] { ping(Index); });
   }
 
   /// Exchanges evidence with all replicas.
-  void exchange(std::size_t Index) {
+  void exchange(std::size_t Index, std::size_t Least = 0) {
     if (Planted == planted_fault::NoSharing)
       return;
     const instant Now = Clock.now();
     if (Entries[Index].ExcusedUntil.Steady > Now.Steady)
       return;
     const auto Notices =
-        listSuspects(Entries[Index].Table, MaxListedSuspects, Now);
+        listSuspects(Entries[Index].Table, MaxListedSuspects, Least, Now);
     for (suspect_table &Replica : Replicas)
-      Clock.after(delay(),
-                  [this, Index, Notices, &Replica, Life = Entries[Index].Life] {
-                    mergeSuspects(Replica, Notices, Clock.now());
-                    const auto Reply =
-                        listSuspects(Replica, MaxListedSuspects, Clock.now());
-                    Clock.after(delay(), [this, Index, Reply, Life] {
-                      if (Entries[Index].Life == Life)
-                        mergeSuspects(Entries[Index].Table, Reply, Clock.now());
-                    });
-                  });
+      Clock.after(delay(), [this, Index, Notices, &Replica,
+                            Life = Entries[Index].Life] {
+        mergeSuspects(Replica, Notices, Clock.now());
+        const auto Reply = listSuspects(Replica, MaxListedSuspects,
+                                        MinListedCrashes, Clock.now());
+        Clock.after(delay(), [this, Index, Reply, Life] {
+          if (Entries[Index].Life == Life)
+            mergeSuspects(Entries[Index].Table, Reply, Clock.now());
+        });
+      });
   }
 
   void sendSound() {
@@ -171,7 +171,7 @@
         Entry.ExcusedUntil.Steady <= Now.Steady)
       for (const suspect_table &Replica : Replicas)
         mergeSuspects(Entry.Table,
-                      listSuspects(Replica, MaxListedSuspects, Now), Now);
+                      listSuspects(Replica, MaxListedSuspects, 0, Now), Now);
     auto Decision = decideQuarantine(Entry.Table, Bad, Now);
     if (Planted == planted_fault::Forgiving &&
         Decision.RetryIn < LongQuarantine - FirstQuarantine)
@@ -352,8 +352,8 @@
   recordCrash(First, Bad, crashOf("a", Start), Start);
   recordCrash(Second, Bad, crashOf("b", Start), Start);
   const instant Now = later(Start, seconds(1));
-  CHECK(mergeSuspects(First, listSuspects(Second, 10, Now), Now));
-  CHECK_FALSE(mergeSuspects(First, listSuspects(Second, 10, Now), Now));
+  CHECK(mergeSuspects(First, listSuspects(Second, 10, 0, Now), Now));
+  CHECK_FALSE(mergeSuspects(First, listSuspects(Second, 10, 0, Now), Now));
   CHECK(verdictOf(First, Now) == quarantine_verdict::Reject);
   suspect_table Loaded;
   const instant Restarted{seconds(5), later(Now, seconds(2)).Unix};
@@ -361,8 +361,14 @@
   CHECK(verdictOf(Loaded, Restarted) == quarantine_verdict::Reject);
   CHECK(verdictOf(Loaded, later(Restarted, seconds(2))) ==
         quarantine_verdict::Trial);
+  forgetOldSuspects(First, later(Start, SuspectLifetime - seconds(1)));
+  CHECK_FALSE(First.Suspects.empty());
   forgetOldSuspects(First, later(Start, SuspectLifetime + seconds(1)));
   CHECK(First.Suspects.empty());
+  // A single end is neither listed in pings nor kept for long.
+  CHECK(listSuspects(Second, 10, MinListedCrashes, Now).empty());
+  forgetOldSuspects(Second, later(Start, SingleCrashLifetime + seconds(1)));
+  CHECK(Second.Suspects.empty());
 }
 
 // Guards against peers that pass ages to and fro until they grow young.
@@ -370,7 +376,7 @@
   suspect_table Table;
   recordCrash(Table, Bad, crashOf("a", Start), Start);
   recordTrial(Table, Bad, Start);
-  const auto Notices = listSuspects(Table, 10, Start);
+  const auto Notices = listSuspects(Table, 10, 0, Start);
   CHECK_FALSE(mergeSuspects(Table, Notices, later(Start, milliseconds(900))));
   CHECK(Table.Suspects.at(Bad).TrialAt->Steady == Start.Steady);
 }
@@ -390,7 +396,7 @@
   for (request_signature Index = 1; Index <= MaxSuspects + 10; ++Index)
     recordCrash(Table, Index, crashOf("a", Start), Start);
   CHECK(Table.Suspects.size() == MaxSuspects);
-  CHECK(listSuspects(Table, MaxListedSuspects, Start).size() ==
+  CHECK(listSuspects(Table, MaxListedSuspects, 0, Start).size() ==
         MaxListedSuspects);
   for (int Index = 0; Index < 20; ++Index)
     recordCrash(Table, Bad, crashOf(std::to_string(Index).c_str(), Start),
