Log how a runner's response was framed and how its connection ended

Change: http_reader::framing(); request_done and send_failed carry it, and request_done the end of the runner's connection.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -427,6 +427,7 @@
   if (Head.Method == "HEAD")
     Reader.expectNoBody();
   RunnerResponse = {};
+  RunnerEnd = "open";
   ResponseBody.clear();
   Stream = Context.Pool.acquire(RunnerAddress, Now);
   ReusedConnection = Stream != nullptr;
@@ -666,6 +667,7 @@
 
 void exchange::onRunnerEnd(stream_end End) {
   const instant Now = readClock();
+  RunnerEnd = streamEndName(End);
   if (End == stream_end::ConnectFailed) {
     if (Now.Steady - SentAt.Steady < MaxRefusalTime)
       reportCrash(Context, RunnerId, RunnerBornMs, "connection_refused");
@@ -711,6 +713,7 @@
             {"reason", Reason},
             {"reused_connection", ReusedConnection ? "true" : "false"},
             {"events", std::to_string(EventCount)},
+            {"framing", responseFraming()},
             {"again", Retry ? "true" : "false"}});
   if (Retry) {
     place();
@@ -823,6 +826,10 @@
                          static_cast<std::uint64_t>(Route->Retention.count()));
 }
 
+const char *exchange::responseFraming() const {
+  return Reader.headComplete() ? bodyFramingName(Reader.framing()) : "none";
+}
+
 void exchange::finalize(const char *Result, int Status) {
   const instant Now = readClock();
   const stage Last = std::exchange(Stage, stage::Done);
@@ -855,7 +862,9 @@
             {"runner_done_ms", Since(ResponseCompletedAt)},
             {"total_ms", Since(Now)},
             {"events", std::to_string(EventCount)},
-            {"bytes", std::to_string(ResponseBytes)}});
+            {"bytes", std::to_string(ResponseBytes)},
+            {"framing", responseFraming()},
+            {"runner_end", RunnerEnd}});
   Sink = {};
   Context.Detached.erase(shared_from_this());
 }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -100,6 +100,7 @@
   void abortResponse(const char *Reason);
   void releaseRunner(bool Reusable);
   void settleReservation();
+  const char *responseFraming() const;
   void finalize(const char *Result, int Status);
   runner_view *currentRunner();
   milliseconds timeLeft(instant Now) const;
@@ -143,6 +144,9 @@
   bool ReusedConnection = false; ///< The connection came from the pool.
   http_reader Reader{http_message::Response};
   response_traits RunnerResponse;
+  /// How the connection of the last send ended, for the log; "open" if it
+  /// hasn't.
+  const char *RunnerEnd = "open";
   std::string ResponseBody; ///< Bytes not yet relayed.
   event_parser Events;
   std::string Output; ///< Data of the relayed events.
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -138,6 +138,18 @@
   return Out;
 }
 
+const char *bodyFramingName(body_framing Framing) {
+  switch (Framing) {
+  case body_framing::Length:
+    return "length";
+  case body_framing::Chunked:
+    return "chunked";
+  case body_framing::Connection:
+    return "connection";
+  }
+  return "unknown";
+}
+
 std::string encodeChunk(std::string_view Bytes) {
   return fmt::format("{:x}\r\n{}\r\n", Bytes.size(), Bytes);
 }
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -59,11 +59,19 @@
 std::string encodeRequest(const http_request_head &Head, std::string_view Body);
 
 /// How the body of a response is delimited.
-enum class body_framing { Length, Chunked };
+enum class body_framing {
+  Length,     ///< By Content-Length, or the message has no body.
+  Chunked,    ///< By its last chunk.
+  Connection, ///< By the end of the connection; responses only.
+};
+
+/// \param Framing the value to name.
+/// \returns its stable text form.
+const char *bodyFramingName(body_framing Framing);
 
 /// Writes the head of a response.
 /// \param Head the head, without framing fields.
-/// \param Framing how the body is delimited.
+/// \param Framing how the body is delimited: by Length or Chunked.
 /// \param Length the body's length, for body_framing::Length.
 /// \param Close whether the connection ends after this response.
 /// \returns the bytes to send.
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -48,7 +48,7 @@
   HeadBytes = 0;
   InformationalResponses = 0;
   InValue = Started = HeadComplete = Complete = KeepAlive = NoBody = false;
-  EndsWithConnection = false;
+  Framing = body_framing::Length;
   Error = http_read_error::None;
 }
 
@@ -164,6 +164,8 @@
     return StopParsing;
   }
   KeepAlive = http_should_keep_alive(&Parser) != 0;
+  if (findField(fields(), "Transfer-Encoding"))
+    Framing = body_framing::Chunked;
   // A switch of protocols is not offered; the message is read as any other.
   Parser.upgrade = 0;
   if (Kind == http_message::Request) {
@@ -180,9 +182,9 @@
     Response.Status = Parser.status_code;
     const bool Bodyless = NoBody || Response.Status / 100 == 1 ||
                           Response.Status == 204 || Response.Status == 304;
-    EndsWithConnection = !Bodyless &&
-                         !findField(Response.Fields, "Content-Length") &&
-                         !findField(Response.Fields, "Transfer-Encoding");
+    if (!Bodyless && Framing != body_framing::Chunked &&
+        !findField(Response.Fields, "Content-Length"))
+      Framing = body_framing::Connection;
   }
   HeadComplete = true;
   return NoBody ? SkipBody : 0;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -55,7 +55,11 @@
   /// \returns whether the connection may carry another message.
   bool keepAlive() const { return KeepAlive; }
   /// \returns whether only the end of the connection ends the body.
-  bool endsWithConnection() const { return EndsWithConnection; }
+  bool endsWithConnection() const {
+    return Framing == body_framing::Connection;
+  }
+  /// \returns how the body is delimited; valid once the head is complete.
+  body_framing framing() const { return Framing; }
 
   const http_request_head &request() const { return Request; }
   const http_response_head &response() const { return Response; }
@@ -90,7 +94,7 @@
   bool HeadComplete = false;
   bool Complete = false;
   bool KeepAlive = false;
-  bool EndsWithConnection = false;
+  body_framing Framing = body_framing::Length;
   bool NoBody = false;
   http_read_error Error = http_read_error::None;
 };
