--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -36,6 +36,22 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
+/// A stream whose body is delimited in one of the three ways.
+std::string streamResponse(const std::string &Attempt, body_framing Framing,
+                           const std::string &Body) {
+  std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+                     "\r\nX-Server-Seal: s\r\n"
+                     "Content-Type: text/event-stream\r\n";
+  if (Framing == body_framing::Length)
+    Head += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  if (Framing == body_framing::Chunked) {
+    Head += "Transfer-Encoding: chunked\r\n\r\n";
+    return Head + (Body.empty() ? "" : encodeChunk(Body)) +
+           std::string(LastChunk);
+  }
+  return Head + "\r\n" + Body;
+}
+
 const std::string NotExecutedResponse =
     "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 
@@ -456,6 +472,82 @@
   }
 }
 
+// Guards against a stream that broke off inside an event reaching its caller,
+// and the history, as a complete response.
+TEST_CASE("a stream that ends inside an event is broken off, however it is "
+          "framed and delivered") {
+  const std::string Whole = "id: 1\ndata: a\n\n";
+  const std::string Part = "id: 2\nda";
+  for (const body_framing Framing :
+       {body_framing::Length, body_framing::Chunked, body_framing::Connection})
+    for (const bool InEvent : {false, true})
+      for (const bool KeepsHistory : {false, true})
+        for (const bool Reset : {false, true}) {
+          const std::string Body = InEvent ? Whole + Part : Whole;
+          fixture Fixture([&](const http_request_head &Head,
+                              const std::string &) {
+            return scripted_response{
+                streamResponse(attemptOf(Head), Framing, Body), !Reset, Reset};
+          });
+          Fixture.startHistory();
+          Fixture.setRoutes(route_kind::Streaming, KeepsHistory);
+          const std::string Response =
+              Fixture.call("1", {{"X-Program-Id", "p"},
+                                 {"X-Token-Budget", "1000"},
+                                 {"X-Token-Usage", "100,70"}});
+          INFO(std::string(bodyFramingName(Framing)), " ", Body, " ", Reset);
+          const bool Delimited = Framing != body_framing::Connection || !Reset;
+          const bool Complete = Delimited && !InEvent;
+          CHECK(Response.ends_with(Complete ? std::string(LastChunk)
+                                            : std::string("<aborted>")));
+          CHECK(Response.find("id: 2") == std::string::npos);
+          CHECK(Fixture.Replicas.front().State.Turns.contains("1") ==
+                (Complete && KeepsHistory));
+          CHECK(Fixture.arrivals() == 1);
+        }
+}
+
+// Guards against an engine's crash before its first event passing for a
+// complete, empty stream.
+TEST_CASE(
+    "a stream without any event is complete only if its framing says so") {
+  for (const body_framing Framing :
+       {body_framing::Length, body_framing::Chunked,
+        body_framing::Connection}) {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      return scripted_response{streamResponse(attemptOf(Head), Framing, ""),
+                               true};
+    });
+    Fixture.setRoutes(route_kind::Streaming, false);
+    const std::string Response = Fixture.call("1");
+    INFO(std::string(bodyFramingName(Framing)));
+    CHECK(Response.ends_with(Framing == body_framing::Connection
+                                 ? std::string("<aborted>")
+                                 : std::string(LastChunk)));
+  }
+}
+
+// Guards against events being held back, or taken for broken off, because their
+// lines end with a carriage return.
+TEST_CASE("events with any line ending are relayed and stored") {
+  for (const std::string End : {"\n", "\r\n"}) {
+    const std::string Body = "id: 1" + End + "data: a" + End + End;
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      return scripted_response{
+          streamResponse(attemptOf(Head), body_framing::Connection, Body),
+          true};
+    });
+    Fixture.startHistory();
+    Fixture.setRoutes(route_kind::Streaming, true);
+    const std::string Response =
+        Fixture.call("1", {{"X-Program-Id", "p"},
+                           {"X-Token-Budget", "1000"},
+                           {"X-Token-Usage", "100,70"}});
+    CHECK(Response.ends_with(std::string(LastChunk)));
+    CHECK(Response.find(Body) != std::string::npos);
+  }
+}
+
 TEST_CASE("exchange prepends the text of earlier turns to the request body") {
   fixture Fixture([](const http_request_head &Head, const std::string &) {
     return scripted_response{
