Break off streams that end inside an event

Cause: the framing alone decided whether a response is complete. One without a length or chunks ends with its connection, and an engine that crashes closes it in order too, so the exchange relayed the half event behind the last whole one and the last chunk. Change: one rule, net/response_end.h: the framing has ended, a stream has not ended inside an event, and one that only its connection ends has an event. Whatever fails it is a broken send: no last chunk, no turn, never sent again if it must not run twice. Events are recognised by any line ending.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -46,6 +46,8 @@
 constexpr milliseconds DefaultTimeout{30'000};
 /// The address now belongs to another runner.
 constexpr int StatusMisdirected = 421;
+/// Reason of a failed send whose response was delimited and is not complete.
+constexpr const char *EndedInsideStream = "ended_inside_stream";
 /// Longest wait for a commit. It may pass the caller's deadline, because the
 /// caller has already received the output of the turn.
 constexpr milliseconds CommitTimeout{3'000};
@@ -428,6 +430,7 @@
     Reader.expectNoBody();
   RunnerResponse = {};
   RunnerEnd = "open";
+  EventStream = false;
   ResponseBody.clear();
   Stream = Context.Pool.acquire(RunnerAddress, Now);
   ReusedConnection = Stream != nullptr;
@@ -493,7 +496,10 @@
     return;
   if (HasTrailingBytes) // Bytes after the response belong to no request.
     Stream->close();
-  onResponseComplete();
+  if (isWhole())
+    onResponseComplete();
+  else
+    onSendFailed(send_outcome::Unknown, EndedInsideStream);
 }
 
 void exchange::onResponseHead() {
@@ -516,6 +522,8 @@
   if (RunnerResponse.NotExecuted)
     return;
   const bool Success = Reader.response().Status / 100 == 2;
+  EventStream = Success &&
+                (RunnerResponse.Events || Route->Kind == route_kind::Streaming);
   if (Success && (!RunnerResponse.Sealed || RunnerResponse.Encoded)) {
     onSendFailed(send_outcome::Unknown, "answer_without_proof");
     return;
@@ -551,18 +559,31 @@
       0, !KeepAlive || Context.Draining));
 }
 
+bool exchange::isWhole() const {
+  response_progress Progress;
+  Progress.Framing = Reader.framing();
+  Progress.Delimited = Reader.complete();
+  Progress.EventStream = EventStream;
+  // What relayBody() leaves is the start of an event.
+  const std::size_t WholeEvents =
+      Buffered ? wholeEventsLength(ResponseBody) : 0;
+  Progress.InsideEvent = ResponseBody.size() > WholeEvents;
+  Progress.AnyEvent = ResponseBytes > 0 || WholeEvents > 0;
+  return isComplete(Progress);
+}
+
 bool exchange::isResponseTooLarge() const {
   if (RunnerResponse.NotExecuted)
     return ResponseBody.size() > MaxEventBytes;
-  const bool Events = !Buffered && Route->Kind == route_kind::Streaming;
-  return Events && (ResponseBody.size() > MaxEventBytes ||
-                    Output.size() > MaxOutputBytes);
+  return EventStream && !Buffered &&
+         (ResponseBody.size() > MaxEventBytes ||
+          Output.size() > MaxOutputBytes);
 }
 
 void exchange::onResponseBody() {
   ResponseBody += Reader.takeBody();
   if (!Buffered) {
-    relayEvents(Reader.complete());
+    relayBody();
     return;
   }
   if (ResponseBody.size() > MaxBufferedResponseBytes &&
@@ -570,14 +591,11 @@
     startRelaying();
 }
 
-void exchange::relayEvents(bool Last) {
-  std::size_t Length = ResponseBody.size();
-  if (!Last && Route->Kind == route_kind::Streaming) {
-    // Relays whole events only: a caller cannot use the start of an event that
-    // the runner never completes.
-    const std::size_t End = ResponseBody.rfind("\n\n");
-    Length = End == std::string::npos ? 0 : End + 2;
-  }
+void exchange::relayBody() {
+  // Relays whole events only: a caller cannot use the start of an event that
+  // the runner never completes.
+  const std::size_t Length =
+      EventStream ? wholeEventsLength(ResponseBody) : ResponseBody.size();
   if (Length == 0)
     return;
   const std::string_view Ready =
@@ -677,7 +695,7 @@
   if (End == stream_end::Finished && Reader.headComplete()) {
     Reader.feedEnd();
     onResponseBody();
-    if (Reader.complete()) {
+    if (isWhole()) {
       onResponseComplete();
       return;
     }
@@ -687,7 +705,8 @@
   const bool NoOutput = EventCount == 0 && ResponseBody.empty();
   watchBrokenSend(Context, RunnerId, RunnerBornMs,
                   {Signature, Now, Begun && NoOutput});
-  onSendFailed(send_outcome::Unknown, streamEndName(End));
+  onSendFailed(send_outcome::Unknown,
+               Reader.complete() ? EndedInsideStream : streamEndName(End));
 }
 
 void exchange::onSendFailed(send_outcome Outcome, const char *Reason) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -7,6 +7,7 @@
 #include "forward/retry_policy.h"
 #include "net/event_parser.h"
 #include "net/http_reader.h"
+#include "net/response_end.h"
 #include "placement/placement.h"
 
 #include <asio/steady_timer.hpp>
@@ -91,7 +92,8 @@
   bool isResponseTooLarge() const;
   void onResponseComplete();
   void startRelaying();
-  void relayEvents(bool Last);
+  bool isWhole() const;
+  void relayBody();
   void commit();
   void onSendFailed(send_outcome Outcome, const char *Reason);
   void respondWithError(proxy_error Reason);
@@ -147,6 +149,7 @@
   /// How the connection of the last send ended, for the log; "open" if it
   /// hasn't.
   const char *RunnerEnd = "open";
+  bool EventStream = false; ///< A success whose body is events.
   std::string ResponseBody; ///< Bytes not yet relayed.
   event_parser Events;
   std::string Output; ///< Data of the relayed events.
--- a/src/net/event_parser.cpp
+++ b/src/net/event_parser.cpp
@@ -6,46 +6,73 @@
 
 namespace {
 
-constexpr std::string_view EventEnd = "\n\n";
 constexpr std::string_view DataField = "data:";
 
-/// Joins the data lines of an event; nothing if it has none.
-std::optional<std::string> dataOf(std::string_view Event) {
-  std::optional<std::string> Data;
-  while (!Event.empty()) {
-    const std::size_t End = Event.find('\n');
-    std::string_view Line = Event.substr(0, End);
-    Event.remove_prefix(End == std::string_view::npos ? Event.size() : End + 1);
-    if (!Line.starts_with(DataField))
-      continue;
-    Line.remove_prefix(DataField.size());
-    if (Line.starts_with(' '))
-      Line.remove_prefix(1);
-    if (Data)
-      *Data += '\n';
-    else
-      Data.emplace();
-    *Data += Line;
+/// Takes the first line off a text.
+/// \param[in,out] Bytes the text; without the line and its end if there was
+/// one.
+/// \returns the line without its end, or nothing if no line has ended.
+std::optional<std::string_view> takeLine(std::string_view &Bytes) {
+  const std::size_t End = Bytes.find_first_of("\r\n");
+  if (End == std::string_view::npos)
+    return std::nullopt;
+  std::size_t Next = End + 1;
+  if (Bytes[End] == '\r') {
+    // The line feed of this line end may not have arrived.
+    if (Next == Bytes.size())
+      return std::nullopt;
+    if (Bytes[Next] == '\n')
+      ++Next;
   }
-  return Data;
+  const std::string_view Line = Bytes.substr(0, End);
+  Bytes.remove_prefix(Next);
+  return Line;
+}
+
+/// Appends a line of an event's data, if it is one.
+void addDataLine(std::string_view Line, std::optional<std::string> &Data) {
+  if (!Line.starts_with(DataField))
+    return;
+  Line.remove_prefix(DataField.size());
+  if (Line.starts_with(' '))
+    Line.remove_prefix(1);
+  if (Data)
+    *Data += '\n';
+  else
+    Data.emplace();
+  *Data += Line;
 }
 
 } // namespace
 
+std::size_t wholeEventsLength(std::string_view Bytes) {
+  std::size_t Length = 0;
+  std::string_view Rest = Bytes;
+  while (const auto Line = takeLine(Rest))
+    if (Line->empty())
+      Length = Bytes.size() - Rest.size();
+  return Length;
+}
+
 void event_parser::add(std::string_view Bytes,
                        const std::function<void(std::string_view)> &OnData) {
   Partial += Bytes;
-  std::size_t Start = 0;
-  for (;;) {
-    const std::size_t End = Partial.find(EventEnd, Start);
-    if (End == std::string::npos)
-      break;
-    if (const auto Data =
-            dataOf(std::string_view(Partial).substr(Start, End - Start)))
+  const std::size_t Length = wholeEventsLength(Partial);
+  // Lines are taken from all bytes: those behind the events show whether a CR
+  // at their end is a line end of its own.
+  std::string_view Rest = Partial;
+  std::optional<std::string> Data;
+  while (Partial.size() - Rest.size() < Length) {
+    const auto Line = takeLine(Rest);
+    if (!Line->empty()) {
+      addDataLine(*Line, Data);
+      continue;
+    }
+    if (Data)
       OnData(*Data);
-    Start = End + EventEnd.size();
+    Data.reset();
   }
-  Partial.erase(0, Start);
+  Partial.erase(0, Length);
 }
 
 } // namespace lentilhoist
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -5,6 +5,7 @@
 #include "net/frame.h"
 #include "net/http_reader.h"
 #include "net/listener.h"
+#include "net/response_end.h"
 
 #include <doctest/doctest.h>
 #include <random>
@@ -121,6 +122,55 @@
   CHECK(Reader.response().Status == 204);
 }
 
+// Guards against a response that broke off passing for a complete one.
+TEST_CASE(
+    "isComplete needs the end that the framing asks for, and whole events "
+    "in a stream") {
+  const auto Check = [](body_framing Framing, bool Delimited, bool EventStream,
+                        bool InsideEvent, bool AnyEvent) {
+    return isComplete({Framing, Delimited, EventStream, InsideEvent, AnyEvent});
+  };
+  for (const body_framing Framing :
+       {body_framing::Length, body_framing::Chunked,
+        body_framing::Connection}) {
+    const bool ByConnection = Framing == body_framing::Connection;
+    CHECK(Check(Framing, true, false, false, false));
+    CHECK_FALSE(Check(Framing, false, false, false, false));
+    CHECK(Check(Framing, true, true, false, true));
+    CHECK_FALSE(Check(Framing, false, true, false, true));
+    CHECK_FALSE(Check(Framing, true, true, true, true));
+    CHECK(Check(Framing, true, true, false, false) == !ByConnection);
+  }
+}
+
+// Guards against events that are held back because their lines end otherwise.
+TEST_CASE("wholeEventsLength finds the end of events with any line ending") {
+  CHECK(wholeEventsLength("") == 0);
+  CHECK(wholeEventsLength("id: 1\ndata: a\n") == 0);
+  CHECK(wholeEventsLength("data: a\n\n") == 9);
+  CHECK(wholeEventsLength("data: a\n\ndata: b\n") == 9);
+  CHECK(wholeEventsLength("data: a\r\n\r\ndata") == 11);
+  CHECK(wholeEventsLength("data: a\r\rdata") == 9);
+  CHECK(wholeEventsLength("data: a\r\n\r") == 0);
+  CHECK(wholeEventsLength("data: a\n\r\ndata") == 10);
+}
+
+TEST_CASE("event_parser yields the same data however the bytes are cut") {
+  const std::string Stream =
+      "id: 1\ndata: a\n\ndata: b\r\ndata: c\r\n\r\n: no data\n\ndata:d\r\r.";
+  for (std::size_t Cut = 0; Cut <= Stream.size(); ++Cut) {
+    event_parser Parser;
+    std::vector<std::string> Found;
+    const auto Add = [&](std::string_view Bytes) {
+      Parser.add(Bytes,
+                 [&](std::string_view Data) { Found.emplace_back(Data); });
+    };
+    Add(std::string_view(Stream).substr(0, Cut));
+    Add(std::string_view(Stream).substr(Cut));
+    CHECK(Found == std::vector<std::string>{"a", "b\nc", "d"});
+  }
+}
+
 TEST_CASE("no mutation of a message makes the reader fail or overrun") {
   const std::string Text = "POST /a HTTP/1.1\r\nHost: x\r\n"
                            "Transfer-Encoding: chunked\r\n\r\n"
