Read responses of the store that end with their connection

Both daemons took a response of the store without a length or chunks for a lost one: the call ended as unknown, a watch as store_lost. Change: an orderly end is fed to the reader; what it completes is the call's response, all else stays unknown.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -45,14 +45,10 @@
     if (const auto Self = Weak.lock())
       Self->onBytes(Bytes);
   };
-  Handlers.OnEnd = [Weak, Opened = Stream.get()](stream_end) {
+  Handlers.OnEnd = [Weak, Opened = Stream.get()](stream_end End) {
     const auto Self = Weak.lock();
-    if (!Self || Self->Stream.get() != Opened)
-      return;
-    if (Self->Busy)
-      Self->finish({}, false);
-    else
-      Self->Stream.reset();
+    if (Self && Self->Stream.get() == Opened)
+      Self->onEnd(End);
   };
   Stream->setHandlers(std::move(Handlers));
   Stream->connect(*Target);
@@ -90,9 +86,28 @@
     return;
   }
   if (Reader.complete())
-    finish({platform::decodeStoreStatus(Reader.response().Status),
-            std::move(Body)},
-           Reader.keepAlive());
+    finishComplete();
+}
+
+void store_client::onEnd(stream_end End) {
+  if (!Busy) {
+    Stream.reset();
+    return;
+  }
+  if (End == stream_end::Finished) {
+    Reader.feedEnd();
+    Body += Reader.takeBody();
+  }
+  if (Reader.complete())
+    finishComplete();
+  else
+    finish({}, false);
+}
+
+void store_client::finishComplete() {
+  finish(
+      {platform::decodeStoreStatus(Reader.response().Status), std::move(Body)},
+      Reader.keepAlive() && !Reader.endsWithConnection());
 }
 
 void store_client::finish(store_answer Answer, bool KeepConnection) {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -54,6 +54,8 @@
   void sendNext();
   void connect();
   void onBytes(std::string_view Bytes);
+  void onEnd(stream_end End);
+  void finishComplete();
   void finish(store_answer Answer, bool KeepConnection);
 
   asio::io_context &Loop;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -38,6 +38,7 @@
 
   std::vector<std::string> Calls; ///< Request targets, in order.
   int Connections = 0;
+  bool FinishAfterResponse = false; ///< End each connection in order.
 
 private:
   void accept() {
@@ -58,8 +59,12 @@
               return;
             Calls.push_back(Reader->request().Target);
             Reader->reset();
-            if (const auto Self = Weak.lock())
-              Self->write(Script(Calls.back()));
+            const auto Self = Weak.lock();
+            if (!Self)
+              return;
+            Self->write(Script(Calls.back()));
+            if (FinishAfterResponse)
+              Self->finish();
           };
       Stream->setHandlers(std::move(Handlers));
       Stream->start();
@@ -250,6 +255,40 @@
   Client->close();
 }
 
+// Guards against a response that only its connection ends being taken for a
+// lost one.
+TEST_CASE("store_client reads responses that end with their connection") {
+  asio::io_context Loop;
+  std::string Text = "HTTP/1.1 200 OK\r\n\r\n{}";
+  store_status Expected = store_status::Done;
+  SUBCASE("whole") {}
+  SUBCASE("shorter than its length") {
+    Text = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{}";
+    Expected = store_status::Unknown;
+  }
+  SUBCASE("without its last chunk") {
+    Text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+           encodeChunk("{}");
+    Expected = store_status::Unknown;
+  }
+  scripted_store Store(Loop, [&](const std::string &) { return Text; });
+  Store.FinishAfterResponse = true;
+  const auto Client = std::make_shared<store_client>(Loop, Store.address());
+  std::vector<store_answer> Answers;
+  for (const char *Name : {"one", "two"})
+    Client->call(
+        platform::readRequest("kind", Name), milliseconds(500),
+        [&](const store_answer &Answer) { Answers.push_back(Answer); });
+  Loop.run_for(milliseconds(300));
+  REQUIRE(Answers.size() == 2);
+  for (const store_answer &Answer : Answers) {
+    CHECK(Answer.Status == Expected);
+    if (Expected == store_status::Done)
+      CHECK(Answer.Body == "{}");
+  }
+  Client->close();
+}
+
 TEST_CASE("store_client sends calls sequentially on one connection") {
   asio::io_context Loop;
   scripted_store Store(Loop, [](const std::string &Target) {
