Test how our own interface's runners end their responses

Change: tests only: a service's response in three framings, ended in order or by a reset, and a model's stream that ends inside its last event.

--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -291,6 +291,111 @@
   CHECK(Server.Sent < MaxReadBytes);
 }
 
+namespace {
+
+/// Sends a response to each request and then ends the connection, in order or
+/// by a reset.
+class closing_server {
+public:
+  closing_server(std::string Response, bool Reset)
+      : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
+                   sizeof(Address)) == 0);
+    ::listen(Listener, 8);
+    Thread = std::thread([this, Response, Reset] {
+      for (;;) {
+        const int Socket = ::accept(Listener, nullptr, nullptr);
+        if (Socket < 0)
+          return;
+        char Request[4'096];
+        (void)::recv(Socket, Request, sizeof(Request), 0);
+        (void)::send(Socket, Response.data(), Response.size(), MSG_NOSIGNAL);
+        // Lets the response arrive before a reset.
+        std::this_thread::sleep_for(milliseconds(50));
+        const linger Linger{Reset ? 1 : 0, 0};
+        ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Linger, sizeof(Linger));
+        ::close(Socket);
+      }
+    });
+  }
+  ~closing_server() {
+    ::shutdown(Listener, SHUT_RDWR);
+    Thread.join();
+    ::close(Listener);
+  }
+
+  int port() const {
+    sockaddr_in Address{};
+    socklen_t Length = sizeof(Address);
+    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+    return ntohs(Address.sin_port);
+  }
+
+private:
+  int Listener;
+  std::thread Thread;
+};
+
+} // namespace
+
+// Guards against a service's response that broke off passing for a complete
+// one, and against one that only its connection ends passing for broken.
+TEST_CASE("a service's response is complete only if its end is that of its "
+          "framing") {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const struct {
+    std::string Response;
+    bool Reset;
+    bool Complete;
+  } Cases[] = {
+      {Ok + "Content-Length: 3\r\n\r\nabc", false, true},
+      {Ok + "Content-Length: 4\r\n\r\nabc", false, false},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false,
+       true},
+      {Ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false, false},
+      {Ok + "\r\nabc", false, true},
+      {Ok + "\r\nabc", true, false},
+      {Ok, false, false},
+  };
+  for (const auto &Case : Cases) {
+    closing_server Server(Case.Response, Case.Reset);
+    const attempt_result Result =
+        runServiceAttempt(makeAttempt(Server.port(), 0));
+    INFO(Case.Response, Case.Reset);
+    CHECK((Result.Code == error_code::None) == Case.Complete);
+    if (Case.Complete)
+      CHECK(Result.Response == "abc");
+    else
+      CHECK(Result.Run == run_state::OutcomeUnknown);
+  }
+}
+
+// Guards against a model's stream that broke off passing for a complete one.
+TEST_CASE("a model's stream is complete only with its last event, however it "
+          "ends") {
+  const std::string Token =
+      "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+  const std::string Usage =
+      "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":"
+      "1,\"completion_tokens\":1}}\n";
+  for (const bool Whole : {false, true})
+    for (const bool Reset : {false, true}) {
+      closing_server Server("HTTP/1.1 200 OK\r\nContent-Type: "
+                            "text/event-stream\r\n\r\n" +
+                                Token + Usage + (Whole ? "\n" : ""),
+                            Reset);
+      model_client_settings Settings;
+      Settings.MaxResumes = 0;
+      const attempt_result Result =
+          runModelAttempt(makeAttempt(Server.port(), 5), Settings, never,
+                          [](std::string_view) {});
+      CHECK((Result.Code == error_code::None) == Whole);
+    }
+}
+
 TEST_CASE("a service's response that trickles ends at the call's deadline") {
   endless_server Server("HTTP/1.1 200 OK\r\n\r\n", "x", milliseconds(50));
   placed_attempt Placed = makeAttempt(Server.port(), 0);
