--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -3,6 +3,7 @@
 #include "edge/drain_plan.h"
 #include "forward/caller_connection.h"
 #include "forward/crash_watch.h"
+#include "forward/path_watch.h"
 #include "forward/permit_client.h"
 #include "history/relay_server.h"
 #include "log/log.h"
@@ -11,6 +12,7 @@
 #include "net/text_server.h"
 #include "platform/config_decoder.h"
 #include "store/store_watch.h"
+#include "tunnel/tunnel_server.h"
 
 #include <algorithm>
 #include <asio/signal_set.hpp>
@@ -34,6 +36,8 @@
 /// Offset of the history relay port from the instance's first port, which
 /// serves metrics.
 constexpr std::uint16_t RelayPortOffset = 1;
+/// Offset of the port for tunnels to runners, on every instance.
+constexpr std::uint16_t TunnelPortOffset = 2;
 /// Interval between pings of the replicas, in which limits and evidence reach
 /// every instance.
 constexpr seconds PingInterval{2};
@@ -60,14 +64,24 @@
                 }),
         Readiness(Loop, *parseAddress(Settings.ReadinessAddress),
                   [this](const http_request_head &) { return readiness(); }),
-        MetricsServer(Loop, metricsEndpoint(),
+        MetricsServer(Loop, endpoint(0),
                       [this](const http_request_head &Head) {
                         return handleMetricsRequest(Head);
                       }),
-        Relay(Loop, relayEndpoint(), History),
+        Relay(Loop, endpoint(RelayPortOffset), History),
+        Tunnels(Loop, endpoint(TunnelPortOffset), tunnelHost()),
         Signals(Loop, SIGTERM, SIGINT, SIGHUP), SweepTimer(Loop),
         PingTimer(Loop), BackupTimer(Loop), DrainTimer(Loop) {
     Context.MaxBodyBytes = Settings.MemoryBytes / BodyMemoryDivisor;
+    Context.RelayAddress = formatAddress(endpoint(TunnelPortOffset));
+    // Without a list of relays the next ping is too far away.
+    Context.OnPathLost = [this] {
+      if (Context.Relays.Relays.empty())
+        sendPings();
+    };
+    History.onRelays([this](const std::vector<std::string> &Addresses) {
+      applyRelays(Addresses);
+    });
     // Sweep now: closing expired idle connections frees descriptors.
     Callers.OnError = [this] { SweepTimer.cancel(); };
   }
@@ -85,22 +99,68 @@
   }
 
 private:
-  asio::ip::tcp::endpoint metricsEndpoint() const {
-    return {asio::ip::make_address(Settings.Address), Settings.FirstPort};
+  /// \returns the address of this instance's port at an offset from its first.
+  asio::ip::tcp::endpoint endpoint(std::uint16_t Offset) const {
+    return {asio::ip::make_address(Settings.Address),
+            static_cast<std::uint16_t>(Settings.FirstPort + Offset)};
   }
 
-  asio::ip::tcp::endpoint relayEndpoint() const {
-    return {asio::ip::make_address(Settings.Address),
-            static_cast<std::uint16_t>(Settings.FirstPort + RelayPortOffset)};
+  void sendPings() {
+    History.pingReplicas(formatAddress(endpoint(RelayPortOffset)));
   }
 
   void pingReplicas() {
-    History.pingReplicas(Settings.Address + ":" +
-                         std::to_string(relayEndpoint().port()));
+    sendPings();
     PingTimer.expires_after(PingInterval);
     PingTimer.async_wait([this](const asio::error_code &) { pingReplicas(); });
   }
 
+  tunnel_host tunnelHost() {
+    tunnel_host Host;
+    Host.CheckOpen = [this] {
+      if (Context.Draining)
+        return tunnel_refusal::Stopping;
+      return Context.Path.State == path_state::Open ? tunnel_refusal::None
+                                                    : tunnel_refusal::PathLost;
+    };
+    Host.FindRunner =
+        [this](const std::string &Runner,
+               std::int64_t BornMs) -> std::optional<std::string> {
+      if (const runner_view *View =
+              findIncarnation(Context.Runners, Runner, BornMs))
+        return View->Entry.Address;
+      return std::nullopt;
+    };
+    Host.OnConnect = [this](const std::string &Runner, bool Accepted) {
+      const auto Found = Context.Runners.Runners.find(Runner);
+      if (Found != Context.Runners.Runners.end())
+        reportPathConnect(Context, Runner, Found->second.Entry.BornMs, Accepted,
+                          false);
+    };
+    Host.OnClosed = [this] {
+      if (Context.Draining)
+        scheduleDrain(milliseconds(0));
+    };
+    return Host;
+  }
+
+  /// Replicas list where instances relay history requests; tunnels are opened
+  /// at another port of the same instances.
+  void applyRelays(const std::vector<std::string> &Addresses) {
+    std::vector<std::string> TunnelAddresses;
+    for (const std::string &Address : Addresses)
+      if (auto Parsed = parseAddress(Address)) {
+        Parsed->port(static_cast<std::uint16_t>(
+            Parsed->port() + TunnelPortOffset - RelayPortOffset));
+        TunnelAddresses.push_back(formatAddress(*Parsed));
+      } else {
+        logEvent(log_level::Error, "relay_address_malformed",
+                 {{"address", Address}});
+      }
+    listRelays(Context.Relays, TunnelAddresses, Context.RelayAddress,
+               readClock());
+  }
+
   /// Until the configuration, the runner list and the replica set are known,
   /// queries the seed replicas for the store content that they saw last, so
   /// that a process can start while the store is unreachable.
@@ -150,7 +210,7 @@
 
   bool ready() {
     return !Context.Draining && Context.Routes && RunnerListReceived &&
-           History.available(readClock());
+           canReachRunners(Context) && History.available(readClock());
   }
 
   text_answer readiness() {
@@ -161,6 +221,7 @@
                 {"draining", Context.Draining ? "true" : "false"},
                 {"configuration", Context.Routes ? "true" : "false"},
                 {"runners", RunnerListReceived ? "true" : "false"},
+                {"reachable", canReachRunners(Context) ? "true" : "false"},
                 {"replica_set", std::to_string(History.replicas().Version)}});
       WasReady = Now;
     }
@@ -201,6 +262,14 @@
            {"address", Slot.Address},
            {"domain", Slot.Domain},
            {"suspected", History.link(Slot.Address).isSuspected(readClock())}});
+    Json["runner_path"] = pathStateName(Context.Path.State);
+    Json["relays"] = nlohmann::ordered_json::array();
+    for (const auto &[Address, Known] : Context.Relays.Relays)
+      if (Known.Usable)
+        Json["relays"].push_back(
+            {{"address", Address}, {"requests", Known.Requests}});
+    Json["known_relays"] = Context.Relays.Relays.size();
+    Json["tunnels_of_others"] = Tunnels.tunnels();
     Json["active_requests"] = Context.ActiveRequests;
     Json["caller_connections"] = Connections.size();
     return Json;
@@ -234,6 +303,10 @@
                   static_cast<double>(Connections.size()));
     Metrics.gauge("lentilhoist_request_body_bytes",
                   static_cast<double>(Context.BodyBytes));
+    Metrics.gauge("lentilhoist_runner_path_lost",
+                  Context.Path.State == path_state::Lost ? 1 : 0);
+    Metrics.gauge("lentilhoist_tunnels",
+                  static_cast<double>(Tunnels.tunnels()));
     Metrics.gauge("lentilhoist_runners",
                   static_cast<double>(Context.Runners.Runners.size()));
     Metrics.gauge("lentilhoist_config_version",
@@ -471,7 +544,9 @@
     logEvent(log_level::Info, "process_stopping",
              {{"signal", std::to_string(Signal)},
               {"active_requests", std::to_string(Context.ActiveRequests)},
-              {"connections", std::to_string(Connections.size())}});
+              {"connections", std::to_string(Connections.size())},
+              {"tunnels", std::to_string(Tunnels.tunnels())}});
+    Tunnels.announceStop();
     continueDrain();
   }
 
@@ -485,7 +560,8 @@
 
   void continueDrain() {
     const instant Now = readClock();
-    const bool Idle = Connections.empty() && Context.ActiveRequests == 0;
+    const bool Idle = Connections.empty() && Context.ActiveRequests == 0 &&
+                      Tunnels.tunnels() == 0;
     const drain_decision Decision = decideDrain(Drain, Idle, Now);
     microseconds Delay = Decision.NextCheck.Steady - Now.Steady;
     switch (Decision.Step) {
@@ -522,6 +598,7 @@
   text_server Readiness;
   text_server MetricsServer;
   relay_server Relay;
+  tunnel_server Tunnels;
   asio::signal_set Signals;
   asio::steady_timer SweepTimer;
   asio::steady_timer PingTimer;
--- a/src/forward/crash_watch.cpp
+++ b/src/forward/crash_watch.cpp
@@ -1,41 +1,12 @@
 #include "forward/crash_watch.h"
 
+#include "forward/path_watch.h"
 #include "log/log.h"
-#include "net/address.h"
 
 #include <fmt/format.h>
 
 namespace lentilhoist {
 
-namespace {
-
-/// Connects to a runner to see whether its process still listens.
-void probeRunner(exchange_context &Context, const std::string &RunnerId,
-                 std::int64_t BornMs, const std::string &Address) {
-  const std::pair<std::string, std::int64_t> Key{RunnerId, BornMs};
-  const auto Target = parseAddress(Address);
-  if (!Target || !Context.RunnerProbes.insert(Key).second)
-    return;
-  const auto Stream = Context.Pool.createUnconnected();
-  const instant Start = readClock();
-  tcp_stream::handlers Handlers;
-  Handlers.OnConnected = [&Context, Key,
-                          Weak = std::weak_ptr<tcp_stream>(Stream)] {
-    Context.RunnerProbes.erase(Key);
-    if (const auto Connection = Weak.lock())
-      Connection->close();
-  };
-  Handlers.OnEnd = [&Context, Key, Start](stream_end) {
-    Context.RunnerProbes.erase(Key);
-    if (readClock().Steady - Start.Steady < MaxRefusalTime)
-      reportCrash(Context, Key.first, Key.second, "connection_refused");
-  };
-  Stream->setHandlers(std::move(Handlers));
-  Stream->connect(*Target);
-}
-
-} // namespace
-
 std::string formatSignature(request_signature Signature) {
   return fmt::format("{:016x}", Signature);
 }
@@ -51,7 +22,7 @@
   if (Entry.BornMs != BornMs)
     reportCrash(Context, RunnerId, BornMs, "new_incarnation");
   else
-    probeRunner(Context, RunnerId, BornMs, Entry.Address);
+    probeRunner(Context, RunnerId);
 }
 
 void reportCrash(exchange_context &Context, const std::string &RunnerId,
--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -4,10 +4,6 @@
 
 namespace lentilhoist {
 
-/// A connection attempt that fails sooner than this was refused: no process
-/// listens. One that takes longer says nothing about the process.
-inline constexpr milliseconds MaxRefusalTime{150};
-
 /// Records that a runner's connection broke under a request, and finds out
 /// whether the runner has ended.
 /// \param Context state of the instance.
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "core/hash.h"
 #include "log/log.h"
-#include "net/address.h"
 #include "net/frame.h"
 #include "platform/request_headers.h"
 
@@ -255,6 +254,8 @@
   if (rejectQuarantined(Decision))
     return;
   Quarantine = Decision.Verdict;
+  if (!selectWay(Now))
+    return;
   placement_query Query;
   Query.Isolate = Quarantine != quarantine_verdict::Send;
   Query.Service = Service;
@@ -287,6 +288,7 @@
       log_level::Info, "request_placed",
       {{"request", Traits.Attempt},
        {"route", Route->Name},
+       {"relay", Relay.empty() ? "none" : Relay},
        {"config_version", std::to_string(Routes->config().Version)},
        {"runner", Placement.Runner},
        {"candidates", std::to_string(Placement.Candidates)},
@@ -306,6 +308,23 @@
   send(Placement.Runner);
 }
 
+/// Decides whether the next send goes through a relay.
+/// \returns false if there is neither a path nor a relay; the request is then
+/// held or answered.
+bool exchange::selectWay(instant Now) {
+  Relay.clear();
+  if (Context.Path.State == path_state::Open)
+    return true;
+  Relay = chooseRelay(Context.Relays, Now);
+  if (!Relay.empty())
+    return true;
+  if (mayFindRelay(Context.Relays, Now))
+    hold("no_path");
+  else
+    respondWithError(proxy_error::PathLost);
+  return false;
+}
+
 bool exchange::rejectQuarantined(const quarantine_decision &Decision) {
   if (Decision.Verdict != quarantine_verdict::Reject)
     return false;
@@ -432,17 +451,29 @@
   RunnerEnd = "open";
   EventStream = false;
   ResponseBody.clear();
-  Stream = Context.Pool.acquire(RunnerAddress, Now);
+  Stream = Context.Pool.acquire(RunnerAddress, !Relay.empty(), Now);
   ReusedConnection = Stream != nullptr;
   if (!ReusedConnection)
-    Stream = Context.Pool.createUnconnected();
+    Stream = Context.Pool.createUnconnected(
+        {RunnerAddress, Relay, RunnerId, RunnerBornMs});
+  Relay = Stream->target().Relay;
+  if (!Relay.empty()) {
+    Context.Metrics.count("lentilhoist_relayed_sends_total");
+    if (const auto Found = Context.Relays.Relays.find(Relay);
+        Found != Context.Relays.Relays.end())
+      ++Found->second.Requests;
+  }
   const std::weak_ptr<exchange> Weak = weak_from_this();
-  const tcp_stream *ExpectedStream = Stream.get();
+  const runner_connection *ExpectedStream = Stream.get();
   tcp_stream::handlers Handlers;
   Handlers.OnConnected = [Weak, ExpectedStream] {
     const auto Self = Weak.lock();
-    if (Self && Self->Stream.get() == ExpectedStream)
-      Self->writeRequest();
+    if (!Self || Self->Stream.get() != ExpectedStream)
+      return;
+    if (Self->Relay.empty())
+      reportPathConnect(Self->Context, Self->RunnerId, Self->RunnerBornMs, true,
+                        false);
+    Self->writeRequest();
   };
   Handlers.OnBytes = [Weak, ExpectedStream](std::string_view Bytes) {
     const auto Self = Weak.lock();
@@ -461,18 +492,23 @@
   }
   Context.Metrics.count("lentilhoist_runner_connections_total");
   Stage = stage::Connecting;
-  // The address was validated when the registry entry was decoded.
-  Stream->connect(*parseAddress(RunnerAddress));
+  Stream->connect();
 }
 
 void exchange::writeRequest() {
   Stage = stage::Awaiting;
+  if (Relay.empty()) {
+    Context.DirectExchanges.insert(weak_from_this());
+    reportPathSent(Context);
+  }
   const platform::runner_request_options Order{RunnerId, timeLeft(readClock())};
   Stream->write(
       encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body));
 }
 
 void exchange::onRunnerBytes(std::string_view Bytes) {
+  if (Relay.empty())
+    reportPathHeard(Context, RunnerId, RunnerBornMs);
   const bool HadHead = Reader.headComplete();
   const std::size_t Consumed = Reader.feed(Bytes);
   if (Reader.error() != http_read_error::None) {
@@ -687,9 +723,7 @@
   const instant Now = readClock();
   RunnerEnd = streamEndName(End);
   if (End == stream_end::ConnectFailed) {
-    if (Now.Steady - SentAt.Steady < MaxRefusalTime)
-      reportCrash(Context, RunnerId, RunnerBornMs, "connection_refused");
-    onSendFailed(send_outcome::NotSent, "connect_failed");
+    onConnectFailed();
     return;
   }
   if (End == stream_end::Finished && Reader.headComplete()) {
@@ -709,10 +743,37 @@
                Reader.complete() ? EndedInsideStream : streamEndName(End));
 }
 
-void exchange::onSendFailed(send_outcome Outcome, const char *Reason) {
+void exchange::onConnectFailed() {
+  if (Relay.empty()) {
+    const bool Refused = readClock().Steady - SentAt.Steady < MaxRefusalTime;
+    reportPathConnect(Context, RunnerId, RunnerBornMs, false, Refused);
+    // If that was the last sign of a lost path, the runner is sound.
+    onSendFailed(send_outcome::NotSent, "connect_failed",
+                 Context.Path.State == path_state::Open);
+    return;
+  }
+  const tunnel_refusal Refusal = Stream->refusal();
+  const bool RunnerFailed = Refusal == tunnel_refusal::RunnerUnreachable;
+  if (!RunnerFailed) {
+    reportRelayFailed(Context, Relay, Refusal);
+    TriedRunners.erase(RunnerId);
+  }
+  onSendFailed(send_outcome::NotSent,
+               RunnerFailed ? "connect_failed" : "relay_failed", RunnerFailed);
+}
+
+void exchange::onCutOff() {
+  const bool Waits =
+      Stage == stage::Awaiting && Stream && Relay.empty() && !Reader.started();
+  if (Waits && Route->Kind == route_kind::Idempotent && !CallerLeft)
+    onSendFailed(send_outcome::Unknown, "path_lost", false);
+}
+
+void exchange::onSendFailed(send_outcome Outcome, const char *Reason,
+                            bool RunnerFailed) {
   const instant Now = readClock();
   if (runner_view *View = currentRunner();
-      View && Outcome != send_outcome::Refused)
+      View && RunnerFailed && Outcome != send_outcome::Refused)
     recordFailure(*View, Now);
   // A second copy of a refusal that names no request could be taken for the
   // refusal of the connection's next request.
@@ -728,6 +789,7 @@
   logEvent(log_level::Info, "send_failed",
            {{"request", Traits.Attempt},
             {"runner", RunnerId},
+            {"relay", Relay.empty() ? "none" : Relay},
             {"outcome", sendOutcomeName(Outcome)},
             {"reason", Reason},
             {"reused_connection", ReusedConnection ? "true" : "false"},
@@ -827,10 +889,14 @@
     return;
   if (runner_view *View = currentRunner())
     View->Outstanding = std::max(0, View->Outstanding - 1);
+  if (Context.DirectExchanges.erase(weak_from_this()) != 0)
+    recordPathEnded(Context.Path);
+  if (const auto Found = Context.Relays.Relays.find(Relay);
+      Found != Context.Relays.Relays.end())
+    Found->second.Requests = std::max(0, Found->second.Requests - 1);
   const auto Connection = std::exchange(Stream, nullptr);
-  if (Reusable)
-    Context.Pool.release(RunnerAddress, Connection, RunnerResponse.KeepAlive,
-                         readClock());
+  if (Reusable && Connection->reusable())
+    Context.Pool.release(Connection, RunnerResponse.KeepAlive, readClock());
   else
     Connection->close();
 }
@@ -874,6 +940,7 @@
             {"status", std::to_string(Status)},
             {"stage", stageName(Last)},
             {"runner", RunnerId},
+            {"relay", Relay.empty() ? "none" : Relay},
             {"sends_not_run", std::to_string(Sends.NotRun)},
             {"sends_unknown", std::to_string(Sends.MayHaveRun)},
             {"reserved_ms", Since(ReservedAt)},
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -2,6 +2,7 @@
 
 #include "forward/crash_watch.h"
 #include "forward/exchange_context.h"
+#include "forward/path_watch.h"
 #include "forward/permit_client.h"
 #include "forward/request_traits.h"
 #include "forward/retry_policy.h"
@@ -53,6 +54,10 @@
   /// Resumes reading from the runner after the caller's send queue has drained.
   void onCallerDrained();
 
+  /// Sends the request again through a relay, if it may run again and its
+  /// response has not begun.
+  void onCutOff();
+
 private:
   /// Stage of processing.
   enum class stage {
@@ -82,10 +87,12 @@
   bool isRateExhausted(const placement_result &Placement, instant Now) const;
   milliseconds holdTimeLeft(instant Now) const;
   void hold(const char *Reason);
+  bool selectWay(instant Now);
   void send(const std::string &RunnerId);
   void writeRequest();
   void onRunnerBytes(std::string_view Bytes);
   void onRunnerEnd(stream_end End);
+  void onConnectFailed();
   void onResponseHead();
   void recordRateLimit(runner_view &View, instant Now);
   void onResponseBody();
@@ -95,7 +102,8 @@
   bool isWhole() const;
   void relayBody();
   void commit();
-  void onSendFailed(send_outcome Outcome, const char *Reason);
+  void onSendFailed(send_outcome Outcome, const char *Reason,
+                    bool RunnerFailed = true);
   void respondWithError(proxy_error Reason);
   void onTimeout();
   void finishResponse(std::string Tail);
@@ -142,7 +150,8 @@
   std::string RunnerId;
   std::int64_t RunnerBornMs = 0;
   std::string RunnerAddress;
-  std::shared_ptr<tcp_stream> Stream;
+  std::string Relay; ///< Of the last send; empty if it had none.
+  std::shared_ptr<runner_connection> Stream;
   bool ReusedConnection = false; ///< The connection came from the pool.
   http_reader Reader{http_message::Response};
   response_traits RunnerResponse;
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -5,10 +5,14 @@
 #include "history/history_client.h"
 #include "limit/permit_issuer.h"
 #include "metrics/metrics.h"
+#include "path/relay_directory.h"
+#include "path/runner_path.h"
 #include "placement/runner_directory.h"
 #include "quarantine/broken_sends.h"
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -29,9 +33,21 @@
   permit_issuer OwnShare{};
   suspect_table Suspects{}; ///< Evidence against requests.
   broken_sends Broken{};
-  /// Runners by ID and incarnation to which a connection is tried, to see
-  /// whether they have ended.
+  runner_path Path{};         ///< This instance's own path to runners.
+  relay_directory Relays{};   ///< Instances that may have one instead.
+  std::string RelayAddress{}; ///< Where this instance relays for others.
+  asio::steady_timer PathTimer{Loop};
+  bool PathTimerSet = false;
+  std::function<void()> OnPathLost{}; ///< May be empty.
+  /// Connections that only test a runner or a relay.
+  std::set<std::shared_ptr<runner_connection>> PathProbes{};
+  /// Runners by ID and incarnation to which such a connection is under way.
   std::set<std::pair<std::string, std::int64_t>> RunnerProbes{};
+  /// Runners by ID and incarnation that refused a connection, until it is known
+  /// whether they or the path have failed.
+  std::set<std::pair<std::string, std::int64_t>> RunnerRefusals{};
+  /// Exchanges that wait for a runner without a relay.
+  std::set<std::weak_ptr<exchange>, std::owner_less<>> DirectExchanges{};
   route_table_ptr Routes{};    ///< Null before the first configuration.
   instant ConfigUpdatedAt{};   ///< When Routes was last replaced.
   instant RegistryUpdatedAt{}; ///< When the runner registry last reported.
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -68,6 +68,8 @@
     return "bad_request";
   case proxy_error::NoRunner:
     return "no_runner";
+  case proxy_error::PathLost:
+    return "path_lost";
   case proxy_error::RunnersFull:
     return "runners_full";
   case proxy_error::RateLimited:
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -41,6 +41,7 @@
   NoRoute,            ///< No route matches.
   BadRequest,         ///< A required header is missing or malformed.
   NoRunner,           ///< No runner is available.
+  PathLost,           ///< Neither this instance nor a relay reaches runners.
   RunnersFull,        ///< Runners refused it or could not be reached.
   RateLimited,        ///< The runners' limits leave no room for it.
   Quarantined,        ///< Requests like it have ended runners.
--- a/src/forward/runner_connection_pool.cpp
+++ b/src/forward/runner_connection_pool.cpp
@@ -10,32 +10,34 @@
 constexpr milliseconds DefaultIdleTime{500};
 } // namespace
 
-std::shared_ptr<tcp_stream>
-runner_connection_pool::acquire(const std::string &Address, instant Now) {
-  const auto Found = Idle.find(Address);
-  if (Found == Idle.end())
+std::shared_ptr<runner_connection>
+runner_connection_pool::acquire(const std::string &Address, bool Relayed,
+                                instant Now) {
+  idle_map &Way = Idle[Relayed ? 1 : 0];
+  const auto Found = Way.find(Address);
+  if (Found == Way.end())
     return nullptr;
   auto &Connections = Found->second;
   while (!Connections.empty()) {
     // The most recently used connection is the least likely to be closing.
     auto &Last = Connections.back();
-    std::shared_ptr<tcp_stream> Stream;
-    if (!Last.Stream->closed() && Last.Expiry.Steady > Now.Steady)
-      Stream = std::exchange(Last.Stream, nullptr);
+    std::shared_ptr<runner_connection> Connection;
+    if (Last.Connection->reusable() && Last.Expiry.Steady > Now.Steady)
+      Connection = std::exchange(Last.Connection, nullptr);
     Connections.pop_back();
-    if (Stream)
-      return Stream;
+    if (Connection)
+      return Connection;
   }
   return nullptr;
 }
 
-std::shared_ptr<tcp_stream> runner_connection_pool::createUnconnected() {
-  return std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
-                                      socket_settings{});
+std::shared_ptr<runner_connection>
+runner_connection_pool::createUnconnected(runner_target Target) {
+  return std::make_shared<runner_connection>(Loop, std::move(Target));
 }
 
 void runner_connection_pool::release(
-    const std::string &Address, std::shared_ptr<tcp_stream> Stream,
+    std::shared_ptr<runner_connection> Connection,
     std::optional<std::chrono::seconds> KeepAlive, instant Now) {
   milliseconds Time = DefaultIdleTime;
   if (KeepAlive)
@@ -45,24 +47,33 @@
   tcp_stream::handlers Handlers;
   // Unsolicited bytes cannot be matched to a request, so the connection cannot
   // be reused.
-  Handlers.OnBytes = [Weak =
-                          std::weak_ptr<tcp_stream>(Stream)](std::string_view) {
-    if (const auto Self = Weak.lock())
-      Self->close();
-  };
-  Stream->setHandlers(std::move(Handlers));
-  Stream->pauseReading(false);
-  Idle[Address].emplace_back(std::move(Stream), later(Now, Time));
+  Handlers.OnBytes =
+      [Weak = std::weak_ptr<runner_connection>(Connection)](std::string_view) {
+        if (const auto Self = Weak.lock())
+          Self->close();
+      };
+  Connection->setHandlers(std::move(Handlers));
+  Connection->pauseReading(false);
+  idle_map &Way = Idle[Connection->relayed() ? 1 : 0];
+  const std::string Address = Connection->target().Address;
+  Way[Address].emplace_back(std::move(Connection), later(Now, Time));
 }
 
-void runner_connection_pool::closeExpired(instant Now) {
-  for (auto Runner = Idle.begin(); Runner != Idle.end();) {
-    Runner->second.remove_if([&](const idle_connection &Connection) {
-      return Connection.Stream->closed() ||
-             Connection.Expiry.Steady <= Now.Steady;
+void runner_connection_pool::closeAll(const std::string &Relay) {
+  for (auto &[Address, Connections] : Idle[Relay.empty() ? 0 : 1])
+    Connections.remove_if([&](const idle_connection &Item) {
+      return Item.Connection->target().Relay == Relay;
     });
-    Runner = Runner->second.empty() ? Idle.erase(Runner) : std::next(Runner);
-  }
+}
+
+void runner_connection_pool::closeExpired(instant Now) {
+  for (idle_map &Way : Idle)
+    for (auto Runner = Way.begin(); Runner != Way.end();) {
+      Runner->second.remove_if([&](const idle_connection &Item) {
+        return !Item.Connection->reusable() || Item.Expiry.Steady <= Now.Steady;
+      });
+      Runner = Runner->second.empty() ? Way.erase(Runner) : std::next(Runner);
+    }
 }
 
 } // namespace lentilhoist
--- a/src/forward/runner_connection_pool.h
+++ b/src/forward/runner_connection_pool.h
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "core/instant.h"
-#include "net/tcp_stream.h"
+#include "tunnel/runner_connection.h"
 
+#include <array>
 #include <asio/io_context.hpp>
 #include <list>
 #include <map>
@@ -22,48 +23,52 @@
 
   /// Takes an idle connection out of the pool.
   /// \param Address the runner as IP:PORT.
+  /// \param Relayed whether the connection goes through a relay.
   /// \param Now the present time.
   /// \returns an open connection, now owned by the caller, or null if there is
   /// none.
-  std::shared_ptr<tcp_stream> acquire(const std::string &Address, instant Now);
+  std::shared_ptr<runner_connection> acquire(const std::string &Address,
+                                             bool Relayed, instant Now);
 
+  /// \param Target the runner.
   /// \returns a new connection that is not connected yet.
-  std::shared_ptr<tcp_stream> createUnconnected();
+  std::shared_ptr<runner_connection> createUnconnected(runner_target Target);
 
   /// Returns a connection to the pool. Its last response must have been read
   /// completely.
-  /// \param Address the runner as IP:PORT.
-  /// \param Stream the connection.
+  /// \param Connection the connection.
   /// \param KeepAlive the keep-alive time that the runner stated, if any.
   /// \param Now the present time.
-  void release(const std::string &Address, std::shared_ptr<tcp_stream> Stream,
+  void release(std::shared_ptr<runner_connection> Connection,
                std::optional<std::chrono::seconds> KeepAlive, instant Now);
 
   /// Closes connections that have been idle for too long.
   /// \param Now the present time.
   void closeExpired(instant Now);
 
-  /// Closes all idle connections to a runner.
-  /// \param Address the runner as IP:PORT.
-  void closeAll(const std::string &Address) { Idle.erase(Address); }
+  /// Closes all idle connections that go the same way.
+  /// \param Relay address of the relay; empty for those without one.
+  void closeAll(const std::string &Relay);
 
 private:
   /// Owns an idle connection and closes it on destruction.
   struct idle_connection {
-    std::shared_ptr<tcp_stream> Stream;
+    std::shared_ptr<runner_connection> Connection;
     instant Expiry{};
-    idle_connection(std::shared_ptr<tcp_stream> Given, instant Until)
-        : Stream(std::move(Given)), Expiry(Until) {}
+    idle_connection(std::shared_ptr<runner_connection> Given, instant Until)
+        : Connection(std::move(Given)), Expiry(Until) {}
     idle_connection(const idle_connection &) = delete;
     idle_connection &operator=(const idle_connection &) = delete;
     ~idle_connection() {
-      if (Stream)
-        Stream->close();
+      if (Connection)
+        Connection->close();
     }
   };
+  using idle_map = std::map<std::string, std::list<idle_connection>>;
 
   asio::io_context &Loop;
-  std::map<std::string, std::list<idle_connection>> Idle;
+  /// By the runner's address; direct connections, then those through relays.
+  std::array<idle_map, 2> Idle;
 };
 
 } // namespace lentilhoist
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -301,8 +301,11 @@
 }
 
 void history_client::applyPing(const replica_reply &Reply) {
-  if (!Reply.Relays.empty())
+  if (!Reply.Relays.empty()) {
     InstanceCount = Reply.Relays.size();
+    if (OnRelays)
+      OnRelays(Reply.Relays);
+  }
   if (OnLimits && !Reply.Limits.empty())
     OnLimits(Reply.Limits);
   if (OnSuspects && !Reply.Suspects.empty())
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -127,6 +127,12 @@
     OnLimits = std::move(Handler);
   }
 
+  /// \param Handler receives the addresses at which instances relay history
+  /// requests, those of this instance included, as a replica lists them.
+  void onRelays(std::function<void(const std::vector<std::string> &)> Handler) {
+    OnRelays = std::move(Handler);
+  }
+
   /// Tells all replicas evidence against requests.
   /// \param Notices the evidence.
   void shareSuspects(const std::vector<suspect_notice> &Notices);
@@ -192,6 +198,7 @@
   std::list<std::weak_ptr<operation>> ActiveOperations;
   std::function<void()> OnReplicaSetOutdated;
   std::function<void(const std::vector<limit_notice> &)> OnLimits;
+  std::function<void(const std::vector<std::string> &)> OnRelays;
   std::function<std::vector<suspect_notice>()> ListSuspects;
   std::function<void(const std::vector<suspect_notice> &)> OnSuspects;
   std::size_t InstanceCount = 0;
--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -25,6 +25,10 @@
   return asio::ip::tcp::endpoint(Ip, Port);
 }
 
+std::string formatAddress(const asio::ip::tcp::endpoint &Address) {
+  return Address.address().to_string() + ":" + std::to_string(Address.port());
+}
+
 asio::ip::tcp::acceptor listenOn(asio::io_context &Loop,
                                  const asio::ip::tcp::endpoint &Address) {
   asio::ip::tcp::acceptor Acceptor(Loop);
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -11,6 +11,10 @@
 /// \returns the address, or nothing if the text is malformed.
 std::optional<asio::ip::tcp::endpoint> parseAddress(const std::string &Text);
 
+/// \param Address an address.
+/// \returns its text as IP:PORT.
+std::string formatAddress(const asio::ip::tcp::endpoint &Address);
+
 /// Opens a listening socket.
 /// \param Loop the event loop.
 /// \param Address where to listen.
--- a/src/net/frame.cpp
+++ b/src/net/frame.cpp
@@ -24,7 +24,7 @@
   std::size_t Length = 0;
   for (std::size_t Index = 0; Index < LengthBytes; ++Index)
     Length = Length << 8 | static_cast<unsigned char>(Buffer[Index]);
-  if (Length > MaxFrameBytes)
+  if (Length > MaxBytes)
     throw std::runtime_error("a frame exceeds the limit");
   if (Buffer.size() < LengthBytes + Length)
     return std::nullopt;
--- /dev/null
+++ b/src/tunnel/runner_connection.cpp
@@ -0,0 +1,134 @@
+#include "tunnel/runner_connection.h"
+
+#include "log/log.h"
+#include "net/address.h"
+
+#include <stdexcept>
+
+namespace lentilhoist {
+
+namespace {
+
+/// Longest time to open a tunnel: the relay and the runner each take at most
+/// the time of one connection.
+constexpr milliseconds OpenTimeout = 2 * socket_settings{}.ConnectTimeout;
+
+} // namespace
+
+runner_connection::runner_connection(asio::io_context &Loop,
+                                     runner_target GivenTarget)
+    : Target(std::move(GivenTarget)),
+      Stream(std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
+                                          socket_settings{})),
+      OpenTimer(Loop) {}
+
+void runner_connection::connect() {
+  const std::weak_ptr<runner_connection> Weak = weak_from_this();
+  tcp_stream::handlers Inner;
+  Inner.OnConnected = [Weak] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (Self->relayed()) {
+      tunnel_message Open;
+      Open.Kind = tunnel_kind::Open;
+      Open.Runner = Self->Target.Runner;
+      Open.BornMs = Self->Target.BornMs;
+      Self->Stream->write(encodeMessage(Open));
+      return;
+    }
+    Self->Opened = true;
+    if (const auto Keep = Self->Handlers; Keep->OnConnected)
+      Keep->OnConnected();
+  };
+  Inner.OnBytes = [Weak](std::string_view Bytes) {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (Self->relayed())
+      Self->onRelayBytes(Bytes);
+    else if (const auto Keep = Self->Handlers; Keep->OnBytes)
+      Keep->OnBytes(Bytes);
+  };
+  Inner.OnEnd = [Weak](stream_end End) {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    if (!Self->Opened)
+      End = stream_end::ConnectFailed;
+    else if (Self->relayed())
+      End = stream_end::Reset; // The runner's end comes as a message.
+    Self->end(End);
+  };
+  Stream->setHandlers(std::move(Inner));
+  // Addresses were validated when the registry and the pings were decoded.
+  Stream->connect(*parseAddress(relayed() ? Target.Relay : Target.Address));
+  if (!relayed())
+    return;
+  OpenTimer.expires_after(OpenTimeout);
+  OpenTimer.async_wait([Weak](const asio::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (Self && !Error && !Self->Opened)
+      Self->end(stream_end::ConnectFailed);
+  });
+}
+
+void runner_connection::write(std::string Bytes) {
+  Stream->write(relayed() ? encodeTunnelData(Bytes) : std::move(Bytes));
+}
+
+void runner_connection::close() {
+  OpenTimer.cancel();
+  Handlers = std::make_shared<tcp_stream::handlers>();
+  Stream->close();
+}
+
+void runner_connection::end(stream_end How) {
+  const auto Keep = Handlers;
+  close();
+  if (Keep->OnEnd)
+    Keep->OnEnd(How);
+}
+
+void runner_connection::onRelayBytes(std::string_view Bytes) {
+  const auto Self = shared_from_this(); // A handler may drop the connection.
+  Frames.add(Bytes);
+  try {
+    while (const auto Frame = closed() ? std::nullopt : Frames.next())
+      onMessage(decodeTunnelMessage(*Frame));
+  } catch (const std::runtime_error &Error) {
+    logEvent(log_level::Warning, "tunnel_message_unreadable",
+             {{"relay", Target.Relay}, {"reason", Error.what()}});
+    end(Opened ? stream_end::Reset : stream_end::ConnectFailed);
+  }
+}
+
+void runner_connection::onMessage(const tunnel_message &Message) {
+  const auto Keep = Handlers;
+  switch (Message.Kind) {
+  case tunnel_kind::Opened:
+    Opened = true;
+    OpenTimer.cancel();
+    if (Keep->OnConnected)
+      Keep->OnConnected();
+    return;
+  case tunnel_kind::Refused:
+    Refusal = Message.Refusal;
+    end(stream_end::ConnectFailed);
+    return;
+  case tunnel_kind::Data:
+    if (Keep->OnBytes)
+      Keep->OnBytes(Message.Data);
+    return;
+  case tunnel_kind::End:
+    end(Message.End);
+    return;
+  case tunnel_kind::Closing:
+    RelayClosing = true;
+    return;
+  case tunnel_kind::Open:
+    throw std::runtime_error("a relay does not open tunnels");
+  }
+}
+
+} // namespace lentilhoist
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -84,10 +84,10 @@
   Settings.CallerAddress = "127.0.0.1:" + std::to_string(freePort());
   Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(freePort());
   Settings.StoreAddress = "127.0.0.1:" + std::to_string(freePort());
-  // The relay takes the next port.
+  // The history relay and the tunnels take the next two ports.
   do
     Settings.FirstPort = freePort();
-  while (Settings.FirstPort == 65'535);
+  while (Settings.FirstPort >= 65'534);
   Settings.MemoryBytes = 100'000'000;
   instant Stopped{};
   // The signal goes to the thread of the event loop, as in a daemon: raised in
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -5,6 +5,7 @@
 #include "history/suspect_service.h"
 #include "net/address.h"
 #include "net/frame.h"
+#include "tunnel/tunnel_server.h"
 
 #include <algorithm>
 #include <doctest/doctest.h>
@@ -1325,3 +1326,149 @@
   CHECK(Fixture.Context.Suspects.Suspects.empty());
   CHECK(Fixture.arrivals() == 5);
 }
+
+namespace {
+
+/// An instance whose own connections to all runners are refused, and another
+/// one that reaches them and relays.
+struct stranded_fixture : fixture {
+  explicit stranded_fixture(scripted_runner::script Script)
+      : fixture(std::move(Script)) {
+    for (auto &[Id, Runner] : Context.Runners.Runners) {
+      RealAddresses[Id] = Runner.Entry.Address;
+      Runner.Entry.Address = unusedAddress();
+    }
+    tunnel_host Host;
+    Host.CheckOpen = [this] { return Refusal; };
+    Host.FindRunner = [this](const std::string &Id, std::int64_t) {
+      return std::optional(RealAddresses.at(Id));
+    };
+    Host.OnConnect = [](const std::string &, bool) {};
+    Host.OnClosed = [] {};
+    Relay.emplace(Loop,
+                  asio::ip::tcp::endpoint{asio::ip::address_v4::loopback(), 0},
+                  std::move(Host));
+    listRelays(Context.Relays, {"127.0.0.1:" + std::to_string(Relay->port())},
+               "own", readClock());
+  }
+
+  /// \returns an address at which connections are refused.
+  std::string unusedAddress() {
+    const auto Port =
+        listenOn(Loop, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
+    return "127.0.0.1:" + std::to_string(Port.port());
+  }
+
+  /// Gives this instance its path to the runners back.
+  void restorePath() {
+    for (auto &[Id, Runner] : Context.Runners.Runners)
+      Runner.Entry.Address = RealAddresses.at(Id);
+  }
+
+  std::map<std::string, std::string> RealAddresses;
+  tunnel_refusal Refusal = tunnel_refusal::None;
+  std::optional<tunnel_server> Relay;
+};
+
+} // namespace
+
+// Guards against an instance without a path to runners that serves its callers
+// worse than the others (incident RECOVER).
+TEST_CASE("an instance that reaches no runner itself serves through one that "
+          "does, and by itself again once it can") {
+  for (const route_kind Kind :
+       {route_kind::Idempotent, route_kind::NonIdempotent,
+        route_kind::Streaming}) {
+    stranded_fixture Fixture(
+        [&](const http_request_head &Head, const std::string &) {
+          if (Kind != route_kind::Streaming)
+            return scripted_response{sealedResponse(attemptOf(Head), "x")};
+          return scripted_response{streamResponse(attemptOf(Head),
+                                                  body_framing::Connection,
+                                                  "id: 1\ndata: a\n\n"),
+                                   true};
+        });
+    Fixture.setRoutes(Kind, false);
+    for (int Count = 0; Count < 5; ++Count)
+      CHECK(Fixture.call(std::to_string(Count)).starts_with("HTTP/1.1 200"));
+    CHECK(Fixture.Context.Path.State == path_state::Lost);
+    CHECK(Fixture.arrivals() == 5);
+    for (const http_request_head &Head : Fixture.First.Heads)
+      CHECK(fieldValue(Head.Fields, "X-Expect-Instance") == "first");
+
+    Fixture.restorePath();
+    Fixture.runFor(milliseconds(800));
+    CHECK(Fixture.Context.Path.State == path_state::Open);
+    Fixture.Relay.reset();
+    CHECK(Fixture.call("5").starts_with("HTTP/1.1 200"));
+    CHECK(Fixture.arrivals() == 6);
+  }
+}
+
+// Guards against a request that runs twice, or a response that passes for
+// complete, because a relay ended.
+TEST_CASE(
+    "a request whose relay ends is broken, and runs again only if it may") {
+  for (const route_kind Kind :
+       {route_kind::Idempotent, route_kind::NonIdempotent,
+        route_kind::Streaming}) {
+    stranded_fixture *Current = nullptr;
+    std::optional<tunnel_server> Ended;
+    stranded_fixture Fixture(
+        [&](const http_request_head &Head, const std::string &) {
+          if (attemptOf(Head) != "2")
+            return scripted_response{sealedResponse(attemptOf(Head), "x")};
+          asio::post(Current->Loop, [&] { Current->Relay.reset(); });
+          return scripted_response{streamResponse("2", body_framing::Connection,
+                                                  "id: 1\ndata: a\n\n")};
+        });
+    Current = &Fixture;
+    CHECK(Fixture.call("1").starts_with("HTTP/1.1 200"));
+    const std::size_t Before = Fixture.arrivals();
+    Fixture.setRoutes(Kind, false);
+    const std::string Response = Fixture.call("2");
+    CHECK(Fixture.arrivals() == Before + 1);
+    const bool Broken = Response.starts_with("HTTP/1.1 502") ||
+                        Response.ends_with("<aborted>") ||
+                        (Response.empty() && Kind == route_kind::Streaming);
+    CHECK(Broken);
+  }
+}
+
+// Guards against callers that wait, or are told that a request may have run,
+// where no runner can be reached.
+TEST_CASE("without a path and without a relay a request is refused at once") {
+  stranded_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{sealedResponse(attemptOf(Head), "x")};
+      });
+  SUBCASE("no relay is known") { Fixture.Context.Relays.Relays.clear(); }
+  SUBCASE("the relay has no path") {
+    Fixture.Refusal = tunnel_refusal::PathLost;
+  }
+  SUBCASE("the relay is gone") { Fixture.Relay.reset(); }
+  const instant Start = readClock();
+  for (int Count = 0; Count < 4; ++Count) {
+    const std::string Response = Fixture.call(std::to_string(Count));
+    CHECK(Response.starts_with("HTTP/1.1 503"));
+    CHECK(Response.find("Retry-After: ") != std::string::npos);
+  }
+  CHECK(readClock().Steady - Start.Steady < milliseconds(600));
+  CHECK(Fixture.arrivals() == 0);
+  CHECK_FALSE(canReachRunners(Fixture.Context));
+}
+
+// Guards against sound requests that are kept back because a lost path looks
+// like the end of one runner after the other.
+TEST_CASE("runners that refuse connections on a lost path have not ended") {
+  stranded_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{sealedResponse(attemptOf(Head), "x")};
+      });
+  for (const char *Runner : {"first", "second"})
+    watchBrokenSend(Fixture.Context, Runner, 0, {1, readClock(), true});
+  Fixture.runFor(milliseconds(600));
+  CHECK(Fixture.Context.Path.State == path_state::Lost);
+  CHECK(Fixture.Context.Suspects.Suspects.empty());
+  CHECK(Fixture.call("1").starts_with("HTTP/1.1 200"));
+}
--- /dev/null
+++ b/tests/tunnel_test.cpp
@@ -0,0 +1,301 @@
+#define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "fuzz.h"
+#include "net/address.h"
+#include "tunnel/runner_connection.h"
+#include "tunnel/tunnel_server.h"
+
+#include <doctest/doctest.h>
+#include <list>
+
+using namespace lentilhoist;
+
+namespace {
+
+const asio::ip::tcp::endpoint AnyPort{asio::ip::address_v4::loopback(), 0};
+
+std::string addressOf(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+/// A server on loopback that records what it receives.
+class recording_server {
+public:
+  explicit recording_server(asio::io_context &Loop)
+      : Listener(Loop, AnyPort, "test", [this](asio::ip::tcp::socket Socket) {
+          auto Stream = std::make_shared<tcp_stream>(std::move(Socket),
+                                                     socket_settings{});
+          tcp_stream::handlers Handlers;
+          Handlers.OnBytes = [this](std::string_view Bytes) {
+            Received += Bytes;
+          };
+          Handlers.OnEnd = [this](stream_end) { ++Ended; };
+          Handlers.OnDrained = [this] {
+            if (OnDrained)
+              OnDrained();
+          };
+          Stream->setHandlers(std::move(Handlers));
+          Stream->start();
+          Streams.push_back(Stream);
+        }) {}
+  std::string address() const { return addressOf(Listener.port()); }
+
+  std::string Received;
+  int Ended = 0;
+  std::function<void()> OnDrained;
+  std::list<std::shared_ptr<tcp_stream>> Streams;
+
+private:
+  listener Listener;
+};
+
+/// A relay, a runner, and an instance's connection through the one to the
+/// other.
+struct fixture {
+  fixture() : Runner(Loop) {
+    tunnel_host Host;
+    Host.CheckOpen = [this] { return Refusal; };
+    Host.FindRunner = [this](const std::string &Id, std::int64_t BornMs) {
+      return Id == "r" && BornMs == 7 ? std::optional(RunnerAddress)
+                                      : std::nullopt;
+    };
+    Host.OnConnect = [this](const std::string &, bool Accepted) {
+      ++(Accepted ? Accepts : Failures);
+    };
+    Host.OnClosed = [this] { ++Closed; };
+    Host.TunnelLimit = TunnelLimit;
+    RunnerAddress = Runner.address();
+    Relay.emplace(Loop, AnyPort, std::move(Host));
+  }
+
+  std::shared_ptr<runner_connection> connect(const std::string &Id = "r",
+                                             std::int64_t BornMs = 7) {
+    auto Connection = std::make_shared<runner_connection>(
+        Loop,
+        runner_target{"127.0.0.1:1", addressOf(Relay->port()), Id, BornMs});
+    tcp_stream::handlers Handlers;
+    Handlers.OnConnected = [this] { ++Connected; };
+    Handlers.OnBytes = [this](std::string_view Bytes) { Received += Bytes; };
+    Handlers.OnEnd = [this](stream_end End) { Ends.push_back(End); };
+    Connection->setHandlers(std::move(Handlers));
+    Connection->connect();
+    return Connection;
+  }
+
+  void runUntil(const std::function<bool()> &Condition) {
+    const instant Start = readClock();
+    while (!Condition() && readClock().Steady - Start.Steady < seconds(5)) {
+      Loop.restart();
+      Loop.run_for(milliseconds(2));
+    }
+    CHECK(Condition());
+  }
+
+  static constexpr std::size_t TunnelLimit = 8;
+
+  asio::io_context Loop;
+  recording_server Runner;
+  std::string RunnerAddress;
+  std::optional<tunnel_server> Relay;
+  tunnel_refusal Refusal = tunnel_refusal::None;
+  int Accepts = 0;
+  int Failures = 0;
+  int Closed = 0;
+  int Connected = 0;
+  std::string Received;
+  std::vector<stream_end> Ends;
+};
+
+/// \returns a port on which nothing listens.
+std::uint16_t closedPort(asio::io_context &Loop) {
+  return listenOn(Loop, AnyPort).local_endpoint().port();
+}
+
+} // namespace
+
+TEST_CASE("bytes pass through a tunnel in both directions, whatever their "
+          "length") {
+  fixture Fixture;
+  const auto Connection = Fixture.connect();
+  Fixture.runUntil([&] { return Fixture.Connected == 1; });
+  const std::string Long(3 * MaxTunnelDataBytes + 17, 'x');
+  Connection->write("a");
+  Connection->write(Long);
+  Fixture.runUntil(
+      [&] { return Fixture.Runner.Received.size() == Long.size() + 1; });
+  CHECK(Fixture.Runner.Received == "a" + Long);
+  Fixture.Runner.Streams.front()->write(Long + "b");
+  Fixture.runUntil([&] { return Fixture.Received.size() == Long.size() + 1; });
+  CHECK(Fixture.Received == Long + "b");
+  CHECK(Fixture.Relay->tunnels() == 1);
+  Connection->close();
+  Fixture.runUntil([&] { return Fixture.Runner.Ended == 1; });
+  CHECK(Fixture.Relay->tunnels() == 0);
+  CHECK(Fixture.Closed == 1);
+  CHECK(Fixture.Ends.empty());
+}
+
+// Guards against a response that only its connection ends being taken for
+// complete because the relay, not the runner, ended the connection.
+TEST_CASE(
+    "a tunnel tells a runner's orderly end from a reset and from the end of "
+    "the relay") {
+  fixture Fixture;
+  const auto Connection = Fixture.connect();
+  Fixture.runUntil([&] { return Fixture.Connected == 1; });
+  const auto Stream = Fixture.Runner.Streams.front();
+  Stream->write("part");
+  Fixture.runUntil([&] { return Fixture.Received == "part"; });
+  stream_end Expected = stream_end::Reset;
+  SUBCASE("orderly") {
+    Stream->finish();
+    Expected = stream_end::Finished;
+  }
+  SUBCASE("reset") { Stream->abort(); }
+  SUBCASE("the relay ends") { Fixture.Relay.reset(); }
+  Fixture.runUntil([&] { return !Fixture.Ends.empty(); });
+  CHECK(Fixture.Ends == std::vector<stream_end>{Expected});
+  CHECK(Connection->closed());
+}
+
+// Guards against a request that is taken for sent, or for run, though its
+// tunnel was never open.
+TEST_CASE("a tunnel that is not opened has sent nothing and says why") {
+  fixture Fixture;
+  tunnel_refusal Expected = tunnel_refusal::None;
+  std::string Id = "r";
+  std::int64_t BornMs = 7;
+  SUBCASE("the relay has no path") {
+    Expected = Fixture.Refusal = tunnel_refusal::PathLost;
+  }
+  SUBCASE("the relay stops") {
+    Expected = Fixture.Refusal = tunnel_refusal::Stopping;
+  }
+  SUBCASE("an unknown runner") {
+    Id = "other";
+    Expected = tunnel_refusal::UnknownRunner;
+  }
+  SUBCASE("another incarnation") {
+    BornMs = 8;
+    Expected = tunnel_refusal::UnknownRunner;
+  }
+  SUBCASE("the runner refuses") {
+    Fixture.RunnerAddress = addressOf(closedPort(Fixture.Loop));
+    Expected = tunnel_refusal::RunnerUnreachable;
+  }
+  SUBCASE("the relay is gone") { Fixture.Relay.reset(); }
+  const auto Connection = [&] {
+    if (Fixture.Relay)
+      return Fixture.connect(Id, BornMs);
+    Fixture.Relay.emplace(Fixture.Loop, AnyPort, tunnel_host{});
+    auto Made = Fixture.connect(Id, BornMs);
+    Fixture.Relay.reset();
+    return Made;
+  }();
+  Fixture.runUntil([&] { return !Fixture.Ends.empty(); });
+  CHECK(Fixture.Ends == std::vector<stream_end>{stream_end::ConnectFailed});
+  CHECK(Connection->refusal() == Expected);
+  CHECK(Fixture.Connected == 0);
+  CHECK(Fixture.Runner.Received.empty());
+  CHECK(Fixture.Failures ==
+        (Expected == tunnel_refusal::RunnerUnreachable ? 1 : 0));
+}
+
+// Guards against a request that waits for a relay that is silent.
+TEST_CASE("a tunnel that a silent relay does not open fails in time") {
+  fixture Fixture;
+  recording_server Silent(Fixture.Loop);
+  const auto Connection = std::make_shared<runner_connection>(
+      Fixture.Loop, runner_target{"127.0.0.1:1", Silent.address(), "r", 7});
+  tcp_stream::handlers Handlers;
+  Handlers.OnEnd = [&](stream_end End) { Fixture.Ends.push_back(End); };
+  Connection->setHandlers(std::move(Handlers));
+  const instant Start = readClock();
+  Connection->connect();
+  Fixture.runUntil([&] { return !Fixture.Ends.empty(); });
+  CHECK(Fixture.Ends == std::vector<stream_end>{stream_end::ConnectFailed});
+  CHECK(readClock().Steady - Start.Steady < milliseconds(900));
+}
+
+TEST_CASE("a relay answers whether it can open tunnels, and opens a bounded "
+          "number") {
+  fixture Fixture;
+  const auto Check = Fixture.connect("", 0);
+  Fixture.runUntil([&] { return Fixture.Connected == 1; });
+  Check->close();
+  Fixture.Ends.clear(); // A relay ends the connection of such a question.
+  std::vector<std::shared_ptr<runner_connection>> Open;
+  for (std::size_t Count = 0; Count < fixture::TunnelLimit + 3; ++Count)
+    Open.push_back(Fixture.connect());
+  Fixture.runUntil([&] { return Fixture.Ends.size() == 3; });
+  CHECK(Fixture.Connected == static_cast<int>(fixture::TunnelLimit) + 1);
+  CHECK(std::count_if(Open.begin(), Open.end(), [](const auto &Connection) {
+          return Connection->refusal() == tunnel_refusal::Busy;
+        }) == 3);
+}
+
+// Guards against a relay whose memory a slow instance or an endless runner
+// fills.
+TEST_CASE("a relay reads no more from a runner than the instance takes") {
+  fixture Fixture;
+  const auto Connection = Fixture.connect();
+  Fixture.runUntil([&] { return Fixture.Connected == 1; });
+  Connection->pauseReading(true);
+  const std::string Part(64UL * 1024UL, 'x');
+  std::size_t Sent = 0;
+  const auto Send = [&] {
+    Sent += Part.size();
+    Fixture.Runner.Streams.front()->write(Part);
+  };
+  Fixture.Runner.OnDrained = Send;
+  Send();
+  Fixture.Loop.restart();
+  Fixture.Loop.run_for(milliseconds(500));
+  // The rest lies in the buffers of the two connections.
+  CHECK(Sent < 24UL * 1024UL * 1024UL);
+  const std::size_t Stalled = Sent;
+  Connection->pauseReading(false);
+  Fixture.runUntil([&] { return Sent > Stalled + 4UL * 1024UL * 1024UL; });
+  Fixture.Runner.OnDrained = nullptr;
+}
+
+TEST_CASE("a relay that stops tells the instances, whose requests go on") {
+  fixture Fixture;
+  const auto Connection = Fixture.connect();
+  Fixture.runUntil([&] { return Fixture.Connected == 1; });
+  CHECK(Connection->reusable());
+  Fixture.Relay->announceStop();
+  Fixture.runUntil([&] { return !Connection->reusable(); });
+  Connection->write("a");
+  Fixture.runUntil([&] { return Fixture.Runner.Received == "a"; });
+  Fixture.Runner.Streams.front()->write("b");
+  Fixture.runUntil([&] { return Fixture.Received == "b"; });
+}
+
+// Guards against messages of a damaged or foreign peer that end the process or
+// reach a runner.
+TEST_CASE("damaged tunnel messages are refused and end only their tunnel") {
+  tunnel_message Message;
+  Message.Kind = tunnel_kind::Open;
+  Message.Runner = "r";
+  Message.BornMs = 7;
+  Message.Data = "data";
+  fuzz({encodeMessage(Message).substr(4)},
+       [](const std::string &Bytes) { decodeTunnelMessage(Bytes); });
+  fixture Fixture;
+  recording_server Peer(Fixture.Loop);
+  for (const std::string &Bytes :
+       {encodeTunnelData("early"), std::string("\xff\xff\xff\xff"),
+        encodeFrame("\xc1"), encodeFrame(std::string(5, '\0'))}) {
+    const auto Stream = std::make_shared<tcp_stream>(
+        asio::ip::tcp::socket(Fixture.Loop), socket_settings{});
+    bool Ended = false;
+    tcp_stream::handlers Handlers;
+    Handlers.OnEnd = [&](stream_end) { Ended = true; };
+    Stream->setHandlers(std::move(Handlers));
+    Stream->connect(*parseAddress(addressOf(Fixture.Relay->port())));
+    Stream->write(Bytes);
+    Fixture.runUntil([&] { return Ended; });
+  }
+  CHECK(Fixture.Relay->tunnels() == 0);
+  CHECK(Fixture.Runner.Received.empty());
+}
