Give connections to runners half a second more before they count as lost

Cause: with probes a second apart, a user timeout of two seconds can end a connection whose runner was silent for just over one: the bytes before the silence and the next probe lie up to a second apart each. Change: 2.5 s for connections to runners; other connections keep 2 s. No run showed a sound connection ended by the 2 s; the reason is the arithmetic above.

--- a/src/net/socket_settings.h
+++ b/src/net/socket_settings.h
@@ -17,4 +17,12 @@
   std::chrono::seconds ProbeInterval{1};
 };
 
+/// UserTimeout of connections to runners. A sound runner may be silent for a
+/// second or so. The probe that finds it back comes up to a second later, and
+/// the timeout counts from the last bytes before the silence.
+inline constexpr std::chrono::milliseconds RunnerUserTimeout{2'500};
+
+/// Options of connections to runners.
+inline constexpr socket_settings RunnerSocketSettings{RunnerUserTimeout};
+
 } // namespace lentilhoist
--- a/src/tunnel/runner_connection.cpp
+++ b/src/tunnel/runner_connection.cpp
@@ -19,7 +19,7 @@
                                      runner_target GivenTarget)
     : Target(std::move(GivenTarget)),
       Stream(std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
-                                          socket_settings{})),
+                                          RunnerSocketSettings)),
       OpenTimer(Loop) {}
 
 void runner_connection::connect() {
--- a/src/tunnel/tunnel_server.cpp
+++ b/src/tunnel/tunnel_server.cpp
@@ -151,7 +151,7 @@
                                   const std::string &Address) {
   ++WithRunner;
   Tunnel->Runner = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
-                                                socket_settings{});
+                                                RunnerSocketSettings);
   const std::weak_ptr<tunnel> Weak = Tunnel;
   tcp_stream::handlers Handlers;
   Handlers.OnConnected = [this, Weak] {
