Tell the end of a relay from that of the runner behind it

Cause: a tunnel that broke counted as a failure of the runner, which was paused and suspected to have ended under the request; the relay stayed in use. Change: runner_connection says which of the two ended; the exchange reports the relay. Result: the test 'a relay that ends under a request is no failure of the runner' failed 2 checks before and passes.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -726,6 +726,11 @@
     onConnectFailed();
     return;
   }
+  if (Stream->relayBroke()) {
+    reportRelayFailed(Context, Relay, tunnel_refusal::None);
+    onSendFailed(send_outcome::Unknown, "relay_broke", false);
+    return;
+  }
   if (End == stream_end::Finished && Reader.headComplete()) {
     Reader.feedEnd();
     onResponseBody();
--- a/src/tunnel/runner_connection.cpp
+++ b/src/tunnel/runner_connection.cpp
@@ -54,11 +54,10 @@
     const auto Self = Weak.lock();
     if (!Self)
       return;
-    if (!Self->Opened)
-      End = stream_end::ConnectFailed;
-    else if (Self->relayed())
-      End = stream_end::Reset; // The runner's end comes as a message.
-    Self->end(End);
+    if (Self->relayed())
+      Self->onRelayBroke(); // The runner's end comes as a message.
+    else
+      Self->end(End);
   };
   Stream->setHandlers(std::move(Inner));
   // Addresses were validated when the registry and the pings were decoded.
@@ -99,10 +98,15 @@
   } catch (const std::runtime_error &Error) {
     logEvent(log_level::Warning, "tunnel_message_unreadable",
              {{"relay", Target.Relay}, {"reason", Error.what()}});
-    end(Opened ? stream_end::Reset : stream_end::ConnectFailed);
+    onRelayBroke();
   }
 }
 
+void runner_connection::onRelayBroke() {
+  RelayBroke = Opened;
+  end(Opened ? stream_end::Reset : stream_end::ConnectFailed);
+}
+
 void runner_connection::onMessage(const tunnel_message &Message) {
   const auto Keep = Handlers;
   switch (Message.Kind) {
--- a/src/tunnel/runner_connection.h
+++ b/src/tunnel/runner_connection.h
@@ -59,10 +59,14 @@
   bool reusable() const { return !Stream->closed() && !RelayClosing; }
   /// \returns why the relay opened no tunnel; None if it gave no reason.
   tunnel_refusal refusal() const { return Refusal; }
+  /// \returns whether an established connection ended because of the relay, not
+  /// of the runner.
+  bool relayBroke() const { return RelayBroke; }
 
 private:
   void onRelayBytes(std::string_view Bytes);
   void onMessage(const tunnel_message &Message);
+  void onRelayBroke();
   void end(stream_end How);
 
   runner_target Target;
@@ -74,6 +78,7 @@
   frame_reader Frames{MaxTunnelMessageBytes};
   bool Opened = false;
   bool RelayClosing = false; ///< The relay stops.
+  bool RelayBroke = false;
   tunnel_refusal Refusal = tunnel_refusal::None;
 };
 
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1435,6 +1435,22 @@
   }
 }
 
+// Guards against the end of a relay being taken for that of a runner.
+TEST_CASE("a relay that ends under a request is no failure of the runner") {
+  stranded_fixture *Current = nullptr;
+  stranded_fixture Fixture([&](const http_request_head &, const std::string &) {
+    asio::post(Current->Loop, [&] { Current->Relay.reset(); });
+    return scripted_response{""};
+  });
+  Current = &Fixture;
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  CHECK(Fixture.call("1").starts_with("HTTP/1.1 502"));
+  CHECK(Fixture.arrivals() == 1);
+  for (const auto &[Id, Runner] : Fixture.Context.Runners.Runners)
+    CHECK(Runner.ConsecutiveFailures == 0);
+  CHECK(Fixture.Context.Broken.ByRunner.empty());
+}
+
 // Guards against callers that wait, or are told that a request may have run,
 // where no runner can be reached.
 TEST_CASE("without a path and without a relay a request is refused at once") {
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -151,9 +151,14 @@
     Expected = stream_end::Finished;
   }
   SUBCASE("reset") { Stream->abort(); }
-  SUBCASE("the relay ends") { Fixture.Relay.reset(); }
+  bool RelayBroke = false;
+  SUBCASE("the relay ends") {
+    Fixture.Relay.reset();
+    RelayBroke = true;
+  }
   Fixture.runUntil([&] { return !Fixture.Ends.empty(); });
   CHECK(Fixture.Ends == std::vector<stream_end>{Expected});
+  CHECK(Connection->relayBroke() == RelayBroke);
   CHECK(Connection->closed());
 }
 
