--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -67,7 +67,7 @@
       {"unknown", "unknown", "", "list side effects of unknown outcome"},
       {"resolve", "resolve", "program call outcome reason",
        "record an outcome (ran or not_run) with a reason", true},
-      {"entry", "", "", "show an entry daemon: readiness, configuration", false,
+      {"entry", "", "", "show an entry daemon: readiness, path, relays", false,
        "/status"},
       {"engines", "", "", "list the runners as an entry daemon sees them",
        false, "/runners"},
--- a/src/path/runner_path.cpp
+++ b/src/path/runner_path.cpp
@@ -143,7 +143,7 @@
                 : static_cast<std::uint64_t>(
                       std::max<std::int64_t>(0, Runner.HeardAt.Steady.count()));
   };
-  const std::vector<std::string> Chosen =
+  std::vector<std::string> Chosen =
       chooseSpread(Directory, Lost ? RunnersToRegain : ProbesPerRound, Rank);
   if (Lost && Path.Failed == Path.RoundSize)
     Path.Regained.clear();
