Share the listening socket of two servers in runner_test

Cause: the server added for the ends of responses repeated the set-up. Change: two functions; no check is touched.

--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -219,6 +219,25 @@
 
 namespace {
 
+/// \returns a socket that listens on a free port of loopback.
+int listenOnLoopback() {
+  const int Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
+                 sizeof(Address)) == 0);
+  ::listen(Listener, 8);
+  return Listener;
+}
+
+int portOf(int Listener) {
+  sockaddr_in Address{};
+  socklen_t Length = sizeof(Address);
+  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+  return ntohs(Address.sin_port);
+}
+
 /// Sends a start and then the same bytes again and again on the first
 /// connection, until that is closed or a limit is reached.
 class endless_server {
@@ -229,13 +248,7 @@
   /// \param Repeat bytes sent without end.
   /// \param Pause time between two of them.
   endless_server(std::string Start, std::string Repeat, milliseconds Pause)
-      : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
-                   sizeof(Address)) == 0);
-    ::listen(Listener, 8);
+      : Listener(listenOnLoopback()) {
     Thread = std::thread([this, Start, Repeat, Pause] {
       const int Socket = ::accept(Listener, nullptr, nullptr);
       char Request[4'096];
@@ -256,12 +269,7 @@
     ::close(Listener);
   }
 
-  int port() const {
-    sockaddr_in Address{};
-    socklen_t Length = sizeof(Address);
-    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-    return ntohs(Address.sin_port);
-  }
+  int port() const { return portOf(Listener); }
 
   std::atomic<std::size_t> Sent{0};
 
@@ -298,13 +306,7 @@
 class closing_server {
 public:
   closing_server(std::string Response, bool Reset)
-      : Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
-                   sizeof(Address)) == 0);
-    ::listen(Listener, 8);
+      : Listener(listenOnLoopback()) {
     Thread = std::thread([this, Response, Reset] {
       for (;;) {
         const int Socket = ::accept(Listener, nullptr, nullptr);
@@ -327,12 +329,7 @@
     ::close(Listener);
   }
 
-  int port() const {
-    sockaddr_in Address{};
-    socklen_t Length = sizeof(Address);
-    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-    return ntohs(Address.sin_port);
-  }
+  int port() const { return portOf(Listener); }
 
 private:
   int Listener;
