Let a stopping instance open tunnels while it takes callers' requests

Cause: a relay refused tunnels from SIGTERM on, though it listens for 3.2 s more; with a restart each 1.5 s all three that reached runners were stopping. Change: opensTunnels() decides by the step of the stop; other instances are told when the listening ends, since tunnels that are open can be used till then.

--- a/src/edge/drain_plan.cpp
+++ b/src/edge/drain_plan.cpp
@@ -16,6 +16,10 @@
   return "unknown";
 }
 
+bool opensTunnels(const drain_state &State, instant Now) {
+  return Now.Steady < later(State.StoppedAt, OutOfRotationTime).Steady;
+}
+
 drain_decision decideDrain(drain_state &State, bool Idle, instant Now) {
   const instant OutOfRotation = later(State.StoppedAt, OutOfRotationTime);
   if (Now.Steady < OutOfRotation.Steady)
--- a/src/edge/drain_plan.h
+++ b/src/edge/drain_plan.h
@@ -38,6 +38,12 @@
   instant NextCheck{};
 };
 
+/// Decides whether a stopping instance opens tunnels for others. As long as it
+/// takes requests of callers it can relay too: the others may be stopping as
+/// well, and those that are cut from runners have only them. \param State the
+/// progress. \param Now the current time. \returns whether it does.
+bool opensTunnels(const drain_state &State, instant Now);
+
 /// Decides what a stopping instance does.
 /// \param State the progress, which is updated.
 /// \param Idle whether no request and no connection is open.
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -118,7 +118,7 @@
   tunnel_host tunnelHost() {
     tunnel_host Host;
     Host.CheckOpen = [this] {
-      if (Context.Draining)
+      if (Context.Draining && !opensTunnels(Drain, readClock()))
         return tunnel_refusal::Stopping;
       return Context.Path.State == path_state::Open ? tunnel_refusal::None
                                                     : tunnel_refusal::PathLost;
@@ -546,7 +546,6 @@
               {"active_requests", std::to_string(Context.ActiveRequests)},
               {"connections", std::to_string(Connections.size())},
               {"tunnels", std::to_string(Tunnels.tunnels())}});
-    Tunnels.announceStop();
     continueDrain();
   }
 
@@ -571,6 +570,7 @@
       // If too few instances are ready, the load balancer still sends callers
       // here. Their connections are refused, so that they try another instance.
       Callers.stop();
+      Tunnels.announceStop();
       const auto Open = Connections; // Closing a connection modifies the set.
       for (const auto &Connection : Open)
         Connection->closeIfUnused(Now);
--- a/src/tunnel/tunnel_server.cpp
+++ b/src/tunnel/tunnel_server.cpp
@@ -4,6 +4,7 @@
 #include "net/address.h"
 
 #include <stdexcept>
+#include <utility>
 
 namespace lentilhoist {
 
@@ -202,6 +203,8 @@
 }
 
 void tunnel_server::announceStop() {
+  if (std::exchange(StopAnnounced, true))
+    return;
   tunnel_message Message;
   Message.Kind = tunnel_kind::Closing;
   const std::string Bytes = encodeMessage(Message);
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -73,6 +73,7 @@
   asio::io_context &Loop;
   tunnel_host Host;
   std::set<tunnel_ptr> Tunnels;
+  bool StopAnnounced = false;
   std::size_t WithRunner = 0; ///< Tunnels with a connection to a runner.
   listener Listener;
 };
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -68,6 +68,17 @@
         drain_step::Exit);
 }
 
+// Guards against instances without a path to runners that find no relay because
+// all others are stopping, one after the other (incident RECOVER).
+TEST_CASE("a stopping instance opens tunnels for others as long as it takes "
+          "callers' requests") {
+  const drain_state State = makeState();
+  CHECK(opensTunnels(State, after(milliseconds(0))));
+  CHECK(opensTunnels(State, after(OutOfRotationTime - milliseconds(1))));
+  CHECK_FALSE(opensTunnels(State, after(OutOfRotationTime)));
+  CHECK_FALSE(opensTunnels(State, after(milliseconds(7'000))));
+}
+
 TEST_CASE("a grace period shorter than the rotation still ends in an exit") {
   drain_state State = makeState();
   State.GracePeriod = milliseconds(1'000);
