--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -21,7 +21,7 @@
   std::optional<load_report> Load; ///< Latest load report.
   instant LoadReceivedAt{};        ///< Time of the latest load report.
   int OutstandingAtReport = 0;     ///< Outstanding at the time of that report.
-  instant HeardAt{}; ///< When bytes of it last arrived without a relay.
+  instant HeardAt{};      ///< When bytes of it last arrived without a relay.
   instant RefusedUntil{}; ///< End of the backoff after a refusal due to load.
   instant FailedUntil{};  ///< End of the backoff after a failure.
   permit_stock Permits;   ///< The runner's limit and permits to send to it.
