Ask another runner at once when one refuses a connection

Cause: since the path to runners is watched, a refusal is believed once another runner accepts a connection. With kept connections in use that was the next round of probes, up to half a second later, in which the request that had ended the runner could end the next. Change: chooseWitness() names the runner heard last in another failure domain, and it is asked at once, for two refusals at a time. Seen once, so the cause is what the code and the logs say, not a play that always fails.

--- a/src/forward/path_watch.cpp
+++ b/src/forward/path_watch.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Refusals up to which another runner is asked at once; more of them are left
+/// to a round of probes.
+constexpr std::size_t MaxWitnessedRefusals = 2;
+
 /// Runners refused a connection while the path was open: they have ended.
 void confirmRefusals(exchange_context &Context) {
   const auto Refusals = std::exchange(Context.RunnerRefusals, {});
@@ -108,6 +112,19 @@
       Exchange->onCutOff();
 }
 
+/// Finds out at once whether the runner has ended or the path is lost: until
+/// then, what has ended it may be sent to the next.
+void onRefused(exchange_context &Context, const std::string &RunnerId,
+               std::int64_t BornMs) {
+  auto &Refusals = Context.RunnerRefusals;
+  const bool Added = Refusals.insert({RunnerId, BornMs}).second;
+  if (!Added || Refusals.size() > MaxWitnessedRefusals)
+    return;
+  const std::string Witness = chooseWitness(Context.Runners, RunnerId);
+  if (!Witness.empty())
+    probeRunner(Context, Witness);
+}
+
 } // namespace
 
 void probeRunner(exchange_context &Context, const std::string &RunnerId) {
@@ -158,7 +175,7 @@
     onPathChanged(Context, Now);
   const bool Open = Context.Path.State == path_state::Open;
   if (Refused && Open)
-    Context.RunnerRefusals.insert({RunnerId, BornMs});
+    onRefused(Context, RunnerId, BornMs);
   if (Accepted && Open)
     confirmRefusals(Context);
   if (!Accepted)
--- a/src/path/runner_path.cpp
+++ b/src/path/runner_path.cpp
@@ -156,6 +156,25 @@
   return Chosen;
 }
 
+std::string chooseWitness(const runner_directory &Directory,
+                          const std::string &Failed) {
+  const auto Known = Directory.Runners.find(Failed);
+  const std::string Domain =
+      Known == Directory.Runners.end() ? "" : Known->second.Entry.Domain;
+  std::string Best;
+  std::pair<bool, microseconds> BestRank;
+  for (const auto &[Id, Runner] : Directory.Runners) {
+    if (Id == Failed || Runner.Entry.Draining)
+      continue;
+    const std::pair Rank{Runner.Entry.Domain != Domain, Runner.HeardAt.Steady};
+    if (!Best.empty() && Rank <= BestRank)
+      continue;
+    Best = Id;
+    BestRank = Rank;
+  }
+  return Best;
+}
+
 bool isCutOff(const runner_path &Path, instant Now) {
   return Path.State == path_state::Lost && isSilent(Path, CutOffSilence, Now);
 }
--- a/src/path/runner_path.h
+++ b/src/path/runner_path.h
@@ -101,6 +101,15 @@
                                          const runner_directory &Directory,
                                          instant Now);
 
+/// Selects a runner whose answer tells whether another one or the path has
+/// failed.
+/// \param Directory the known runners.
+/// \param Failed ID of the other one.
+/// \returns ID of the runner that was heard last, if possible in another
+/// failure domain; empty if there is no other runner.
+std::string chooseWitness(const runner_directory &Directory,
+                          const std::string &Failed);
+
 /// \param Path the path.
 /// \param Now the current time.
 /// \returns whether the path is lost and all runners have been silent for
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1474,6 +1474,23 @@
   CHECK_FALSE(canReachRunners(Fixture.Context));
 }
 
+// Guards against a request that ends a runner being sent to the next one while
+// the end of the first is not believed yet.
+TEST_CASE(
+    "the end of a runner is believed within the time of two connections") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{sealedResponse(attemptOf(Head), "x")};
+  });
+  // The last round of probes is so recent that the next one is not due.
+  recordPathConnect(Fixture.Context.Path, "second", false, readClock());
+  startProbeRound(Fixture.Context.Path, Fixture.Context.Runners, readClock());
+  recordPathConnect(Fixture.Context.Path, "second", true, readClock());
+  Fixture.First.end();
+  watchBrokenSend(Fixture.Context, "first", 0, {1, readClock(), true});
+  Fixture.runFor(milliseconds(60));
+  CHECK(Fixture.Context.Suspects.Suspects.size() == 1);
+}
+
 // Guards against sound requests that are kept back because a lost path looks
 // like the end of one runner after the other.
 TEST_CASE("runners that refuse connections on a lost path have not ended") {
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -253,6 +253,28 @@
   CHECK_FALSE(isCutOff(Path, at(milliseconds(2'000))));
 }
 
+// Guards against evidence that comes late, or from a runner that failed with
+// the other.
+TEST_CASE(
+    "the witness of a failure is the runner heard last in another failure "
+    "domain") {
+  runner_directory Directory;
+  CHECK(chooseWitness(Directory, "a0").empty());
+  for (const char *Id : {"a0", "a1", "b0", "b1"}) {
+    runner_entry Entry;
+    Entry.Id = Id;
+    Entry.Domain = Entry.Id.substr(0, 1);
+    upsertRunner(Directory, Entry);
+  }
+  Directory.Runners.at("a1").HeardAt = at(milliseconds(9));
+  Directory.Runners.at("b1").HeardAt = at(milliseconds(5));
+  CHECK(chooseWitness(Directory, "a0") == "b1");
+  CHECK(chooseWitness(Directory, "b0") == "a1");
+  Directory.Runners.at("b0").Entry.Draining = true;
+  Directory.Runners.at("b1").Entry.Draining = true;
+  CHECK(chooseWitness(Directory, "a0") == "a1");
+}
+
 // Guards against a path that is never found open again with a single runner.
 TEST_CASE("the path of an instance with one runner is lost and regained") {
   runner_directory Directory;
