--- a/src/path/runner_path.h
+++ b/src/path/runner_path.h
@@ -19,8 +19,8 @@
 const char *pathStateName(path_state State);
 
 /// Time without a byte from any runner, with requests at runners, after which
-/// the path is probed. A first event takes about 60 ms, and of several requests
-/// one is always sooner.
+/// the path is probed. Of several requests at several runners one is answered
+/// sooner; where that is wrong, a round costs a few connections.
 inline constexpr milliseconds SilenceBeforeProbe{150};
 /// The same after a round that found the path open and while no runner has sent
 /// a byte since: requests that take long are no reason to go on probing.
