review: ports of scripts that are started together no longer clash

Cause: the first port followed from the process id in steps of 40, and a script needs 100; four trial scripts that were started together couldn't run. Change: ids next to each other get ranges far apart.

--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -146,8 +146,9 @@
 
 /// Finds a free range of ports below the ephemeral ones.
 inline int freePorts(int Count) {
-  static std::atomic<int> Next{18'000 +
-                               static_cast<int>(::getpid() % 300) * 40};
+  // Far apart for scripts that are started one after the other.
+  static std::atomic<int> Next{
+      12'000 + static_cast<int>(::getpid() * 7'919L % 160) * 120};
   for (int Try = 0; Try < 400; ++Try) {
     int First = Next.fetch_add(Count);
     if (First + Count > 32'000) {
