--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -20,10 +20,10 @@
   return Body.substr(0, AnswerBytes);
 }
 
-/// A runner process: `case runner PORT WHOLE`. It begins to answer once it has
-/// read the first part of a body. If it is told to answer whole, it ends its
-/// answer, reads the rest of the body and closes.
-int runRunner(int Port, bool Whole) {
+/// A runner process: `case runner PORT WHOLE ID`. It begins to answer once it
+/// has read the first part of a body. If it is told to answer whole, it keeps
+/// the connection, reads the rest of the body, ends its answer and closes.
+int runRunner(int Port, bool Whole, const std::string &Id) {
   const int Listener = listenOn(Port, 65'536);
   if (Listener < 0)
     return 2;
@@ -41,6 +41,11 @@
     if (!Reader.readHead(Request))
       ::_exit(0);
     const std::string Attempt = Request.field("X-Attempt-Id");
+    if (const std::string Expected = Request.field("X-Expect-Instance");
+        !Expected.empty() && Expected != Id) {
+      sendAll(Socket, responseText(421, {{"X-Instance-Id", Id}}, ""));
+      ::_exit(0);
+    }
     const std::size_t Length = std::stoul(Request.field("Content-Length"));
     const std::size_t First = std::min<std::size_t>(Length, 100'000);
     Reader.readLength(First, Request.Body);
@@ -55,9 +60,9 @@
       for (;;)
         ::pause();
     sleepMs(200);
-    sendAll(Socket, Answer.substr(FirstBytes));
-    ::shutdown(Socket, SHUT_WR);
     Reader.readLength(Length - First, Request.Body);
+    sendAll(Socket, Answer.substr(FirstBytes));
+    ::close(Socket);
     ::_exit(0);
   }
 }
@@ -86,7 +91,7 @@
       ::close(File);
     const std::string PortText = std::to_string(Runner.Port);
     ::execl(Self, Self, "runner", PortText.c_str(), Whole ? "1" : "0",
-            static_cast<char *>(nullptr));
+            Runner.Id.c_str(), static_cast<char *>(nullptr));
     ::_exit(127);
   }
   ::close(Pipe[1]);
@@ -122,10 +127,9 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
-  if (Argc == 4 && std::string(Argv[1]) == "runner")
-    return runRunner(std::atoi(Argv[2]), std::string(Argv[3]) == "1");
+  if (Argc == 5 && std::string(Argv[1]) == "runner")
+    return runRunner(std::atoi(Argv[2]), std::string(Argv[3]) == "1", Argv[4]);
   beginScript(Argc, Argv);
-  const bool Trouble = troubleWanted();
   store Store(freePorts(1));
   Store.put("config", "main", configOf(7).dump());
   std::vector<runner_process> Pool;
@@ -162,7 +166,7 @@
       sleepMs(200);
       record("runner %s crashes", Pool[Place].Id.c_str());
       crash(Pool[Place]);
-      Store.remove("servers", Pool[Place].Id);
+      Store.lapse(Pool[Place].Id);
       Pool.erase(Pool.begin() + static_cast<std::ptrdiff_t>(Place));
     });
     const auto Answer =
--- a/review/common/stand.h
+++ b/review/common/stand.h
@@ -71,10 +71,10 @@
   std::fflush(Out);
 }
 
-inline bool troubleWanted() {
-  const char *Text = std::getenv("TROUBLE");
-  return !Text || std::string(Text) != "0";
-}
+/// Whether the disruption is wanted; the third argument of a script's program.
+inline bool Trouble = true;
+
+inline bool troubleWanted() { return Trouble; }
 
 /// Ends the script: the case could not run.
 [[noreturn]] void giveUp(const std::string &Reason);
@@ -364,28 +364,56 @@
         Listener(listenOn(GivenPort, ReceiveBuffer)) {
     if (Listener < 0)
       giveUp("a stand-in can't listen");
-    std::thread([this] {
-      for (;;) {
-        const int Socket = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-        if (Socket < 0)
-          continue;
-        const int On = 1;
-        ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-        std::thread([this, Socket] {
-          Handler(Socket);
-          ::close(Socket);
-        }).detach();
-      }
-    }).detach();
+    std::thread([this] { accept(); }).detach();
+  }
+
+  /// Ends the server as the exit of its process does: nothing listens any more,
+  /// and the connections are closed.
+  void stop() {
+    const std::lock_guard Lock(Mutex);
+    Stopped = true;
+    ::shutdown(Listener, SHUT_RDWR);
+    for (const int Socket : Sockets)
+      ::shutdown(Socket, SHUT_RDWR);
   }
 
   const int Port;
 
 private:
+  void accept() {
+    for (;;) {
+      const int Socket = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
+      const std::lock_guard Lock(Mutex);
+      if (Stopped) {
+        ::close(Listener);
+        if (Socket >= 0)
+          ::close(Socket);
+        return;
+      }
+      if (Socket < 0)
+        continue;
+      const int On = 1;
+      ::setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+      Sockets.insert(Socket);
+      std::thread([this, Socket] {
+        Handler(Socket);
+        const std::lock_guard Closing(Mutex);
+        Sockets.erase(Socket);
+        ::close(Socket);
+      }).detach();
+    }
+  }
+
   handler Handler;
   int Listener;
+  std::mutex Mutex;
+  std::set<int> Sockets;
+  bool Stopped = false;
 };
 
+/// How often a runner writes its entry (heartbeat-ms).
+constexpr milliseconds Heartbeat{1'200};
+
 // The platform's store.
 
 class store {
@@ -408,12 +436,26 @@
     write(Kind, Name, {}, true);
   }
 
+  /// A runner has crashed: its entry stays as it is and is removed after three
+  /// intervals of silence.
+  void lapse(const std::string &Name) {
+    {
+      const std::lock_guard Lock(Mutex);
+      Silent.insert(Name);
+    }
+    std::thread([this, Name] {
+      std::this_thread::sleep_for(3 * Heartbeat);
+      remove("servers", Name);
+    }).detach();
+  }
+
   /// Raises the sequence of each runner's entry.
   void beat() {
     const std::lock_guard Lock(Mutex);
     std::vector<std::string> Names;
     for (const auto &[Name, Object] : Objects["servers"])
-      Names.push_back(Name);
+      if (!Silent.contains(Name))
+        Names.push_back(Name);
     for (const std::string &Name : Names) {
       json Spec = json::parse(Objects["servers"][Name].Spec, nullptr, false);
       if (!Spec.is_object() || !Spec.contains("sequence"))
@@ -586,6 +628,7 @@
   std::int64_t Revision = 100;
   std::map<std::string, std::map<std::string, object>> Objects;
   std::deque<event> Events;
+  std::set<std::string> Silent;
   server Server;
 };
 
@@ -643,10 +686,11 @@
 
 /// Sets up a folder and ends everything after the longest time of a script.
 inline void beginScript(int Argc, char **Argv, int LimitSeconds = 115) {
-  if (Argc < 3) {
-    std::fprintf(stderr, "usage: %s ROOT RECORD\n", Argv[0]);
+  if (Argc < 4) {
+    std::fprintf(stderr, "usage: %s ROOT RECORD TROUBLE\n", Argv[0]);
     std::exit(2);
   }
+  Trouble = std::string(Argv[3]) != "0";
   std::signal(SIGPIPE, SIG_IGN);
   Deployment.Root = Argv[1];
   openRecord(Argv[2]);
@@ -824,9 +868,6 @@
 
 // The operator and the runners' registration.
 
-/// How often a runner writes its entry (heartbeat-ms).
-constexpr milliseconds Heartbeat{1'200};
-
 /// Writes a runner's entry; its sequence rises with each write.
 inline void registerRunner(store &Store, const std::string &Id,
                            const std::string &Service, int Port,
