Tell a reset from an orderly end, whichever side of a connection meets it

What callers saw: a booking answered 200, sealed and framed as whole, with 300 of its 800 bytes.

Cause: the system reports a reset once. The pending write met it first; the read side, which was left to report the end, then saw an orderly one, and the exchange took that for the end of the body. The same response also passed for whole where the crashed process had read what had arrived: its system ends the connection in order, and resets it only for the bytes that come later.

Change: tcp_stream remembers a failed write, and reads what is left before it reports a reset. Connections to runners and to the store report an orderly end only once the peer has received all that was written (SIOCOUTQ), so that a peer that ends its side and reads on is still told from one that has gone. Bytes that a broken connection never took stay pending, so it is not reused.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -1,5 +1,7 @@
 #include "net/tcp_stream.h"
 
+#include "net/socket_delivery.h"
+
 #include <algorithm>
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -34,7 +36,7 @@
 
 tcp_stream::tcp_stream(asio::ip::tcp::socket Given,
                        const socket_settings &GivenSettings)
-    : Socket(std::move(Given)), ConnectTimer(Socket.get_executor()),
+    : Socket(std::move(Given)), Timer(Socket.get_executor()),
       Settings(GivenSettings) {}
 
 void tcp_stream::setOptions() {
@@ -56,13 +58,12 @@
   Socket.open(Target.protocol(), Error);
   if (!Error)
     setOptions();
-  ConnectTimer.expires_after(Settings.ConnectTimeout);
-  ConnectTimer.async_wait(
-      [Weak = weak_from_this()](const asio::error_code &Expired) {
-        const auto Self = Weak.lock();
-        if (Self && !Expired && !Self->Connected)
-          Self->end(stream_end::ConnectFailed);
-      });
+  Timer.expires_after(Settings.ConnectTimeout);
+  Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Expired) {
+    const auto Self = Weak.lock();
+    if (Self && !Expired && !Self->Connected)
+      Self->end(stream_end::ConnectFailed);
+  });
   Socket.async_connect(
       Target, [Self = shared_from_this()](const asio::error_code &Failure) {
         if (Self->Closed)
@@ -72,7 +73,7 @@
           return;
         }
         Self->Connected = true;
-        Self->ConnectTimer.cancel();
+        Self->Timer.cancel();
         if (const auto Keep = Self->Handlers; Keep->OnConnected)
           Keep->OnConnected();
         if (Self->Closed)
@@ -92,6 +93,8 @@
   if (Closed || Finishing || Bytes.empty())
     return;
   Pending += Bytes.size();
+  if (WriteFailed)
+    return;
   Queue.push_back(std::move(Bytes));
   if (Connected)
     writeSome();
@@ -104,7 +107,7 @@
 }
 
 void tcp_stream::readSome() {
-  if (Reading || Paused || Closed)
+  if (Reading || Paused || Closed || PeerEnded)
     return;
   Reading = true;
   // The buffer is held only while there may be bytes: idle connections wait
@@ -131,9 +134,12 @@
           Self->readSome();
           return;
         }
+        if (Error == asio::error::eof) {
+          Self->onPeerEnd();
+          return;
+        }
         if (Error) {
-          Self->end(Error == asio::error::eof ? stream_end::Finished
-                                              : stream_end::Reset);
+          Self->end(stream_end::Reset);
           return;
         }
         const std::vector<char> Bytes = std::move(Self->ReadBuffer);
@@ -160,27 +166,62 @@
   asio::async_write(Socket, Buffers,
                     [Self = shared_from_this()](const asio::error_code &Error,
                                                 std::size_t Length) {
-                      Self->Writing = false;
-                      Self->Pending -= std::min(Self->Pending, Length);
-                      Self->Sending.clear();
-                      if (Self->Closed)
-                        return;
-                      if (Error) {
-                        // Bytes of the peer may still be waiting to be read;
-                        // the read side reports the end.
-                        Self->Queue.clear();
-                        Self->Pending = 0;
-                        if (Self->Paused)
-                          Self->end(stream_end::Reset);
-                        return;
-                      }
-                      const auto Keep = Self->Handlers;
-                      if (Self->Queue.empty() && Keep->OnDrained)
-                        Keep->OnDrained();
-                      Self->writeSome();
+                      Self->onWritten(Error, Length);
                     });
 }
 
+void tcp_stream::onWritten(const asio::error_code &Error, std::size_t Length) {
+  Writing = false;
+  Pending -= std::min(Pending, Length);
+  Sending.clear();
+  if (Closed)
+    return;
+  if (Error) {
+    // The system reports a reset once, to whichever side meets it first; the
+    // read side, which sees an orderly end then, still has what the peer sent.
+    WriteFailed = true;
+    Queue.clear();
+    if (Paused || PeerEnded)
+      end(stream_end::Reset);
+    return;
+  }
+  const auto Keep = Handlers;
+  if (Queue.empty() && Keep->OnDrained)
+    Keep->OnDrained();
+  writeSome();
+}
+
+void tcp_stream::onPeerEnd() {
+  PeerEnded = true;
+  if (WriteFailed)
+    end(stream_end::Reset);
+  else if (Settings.ConfirmDelivery)
+    awaitDelivery();
+  else
+    end(stream_end::Finished);
+}
+
+void tcp_stream::awaitDelivery() {
+  if (Closed)
+    return;
+  if (takeSocketError(Socket.native_handle()) != 0) {
+    end(stream_end::Reset);
+    return;
+  }
+  if (Pending == 0 && !hasUndeliveredBytes(Socket.native_handle())) {
+    end(stream_end::Finished);
+    return;
+  }
+  // Bounded by the user timeout, which breaks a connection that takes no bytes.
+  Timer.expires_after(DeliveryCheckInterval);
+  Timer.async_wait(
+      [Weak = weak_from_this()](const asio::error_code &Cancelled) {
+        const auto Self = Weak.lock();
+        if (Self && !Cancelled)
+          Self->awaitDelivery();
+      });
+}
+
 void tcp_stream::finish() {
   if (Closed || Finishing)
     return;
@@ -222,7 +263,7 @@
     return;
   Closed = true;
   Connected = false;
-  ConnectTimer.cancel();
+  Timer.cancel();
   asio::error_code Ignored; // Nothing is left to do about a failed close.
   Socket.close(Ignored);
   Handlers = std::make_shared<handlers>();
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -16,7 +16,8 @@
 /// How a connection ended.
 enum class stream_end {
   Finished,      ///< The peer ended it in order.
-  Reset,         ///< The peer or the network broke it.
+  Reset,         ///< The peer or the network broke it, whether reading or
+                 ///< writing met that first.
   ConnectFailed, ///< It was never established.
 };
 
@@ -77,6 +78,7 @@
 
   bool connected() const { return Connected; }
   bool closed() const { return Closed; }
+  /// \returns bytes that the system has not accepted yet, or never will.
   std::size_t pendingBytes() const { return Pending; }
 
 private:
@@ -89,11 +91,14 @@
   void setOptions();
   void readSome();
   void writeSome();
+  void onWritten(const asio::error_code &Error, std::size_t Length);
+  void onPeerEnd();
+  void awaitDelivery();
   void end(stream_end How);
   void shutdownAfterWrites();
 
   asio::ip::tcp::socket Socket;
-  asio::steady_timer ConnectTimer;
+  asio::steady_timer Timer; ///< Of connect(), later of awaitDelivery().
   socket_settings Settings;
   /// Shared, so that a handler may close the connection that runs it.
   std::shared_ptr<handlers> Handlers = std::make_shared<handlers>();
@@ -105,6 +110,8 @@
   bool Reading = false;
   bool Paused = false;
   bool Writing = false;
+  bool WriteFailed = false; ///< The system has reported a broken connection.
+  bool PeerEnded = false;   ///< All that the peer sent has been read.
   bool Finishing = false;
   bool Closed = false;
 };
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -38,7 +38,7 @@
   // The address was validated when the settings were parsed.
   const auto Target = parseAddress(Address);
   Stream = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
-                                        socket_settings{});
+                                        StoreSocketSettings);
   const std::weak_ptr<store_client> Weak = shared_from_this();
   tcp_stream::handlers Handlers;
   Handlers.OnBytes = [Weak](std::string_view Bytes) {
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "early_runner.h"
 #include "forward/caller_connection.h"
 #include "history/relay_server.h"
 #include "history/replica_state.h"
@@ -1505,3 +1506,125 @@
   CHECK(Fixture.Context.Suspects.Suspects.empty());
   CHECK(Fixture.call("1").starts_with("HTTP/1.1 200"));
 }
+
+namespace {
+
+/// A response whose second part follows when the request has been read.
+struct early_response {
+  std::string First;
+  std::string Rest;
+};
+
+early_response earlyResponse(route_kind Kind, body_framing Framing) {
+  const bool Events = Kind == route_kind::Streaming;
+  const std::string Parts[] = {Events ? "id: 1\ndata: a\n\n" : "first",
+                               Events ? "id: 2\ndata: b\n\n" : "rest"};
+  std::string Head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+                     "X-Server-Seal: s\r\n";
+  if (Framing == body_framing::Length)
+    Head +=
+        "Content-Length: " + std::to_string(Parts[0].size() + Parts[1].size()) +
+        "\r\n";
+  if (Framing != body_framing::Chunked)
+    return {Head + "\r\n" + Parts[0], Parts[1]};
+  Head += "Transfer-Encoding: chunked\r\n";
+  return {Head + "\r\n" + encodeChunk(Parts[0]),
+          encodeChunk(Parts[1]) + std::string(LastChunk)};
+}
+
+/// \returns whether the caller takes the response for a complete success.
+bool looksWhole(const std::string &Response) {
+  if (!Response.starts_with("HTTP/1.1 200"))
+    return false;
+  http_reader Reader(http_message::Response);
+  Reader.feed(Response);
+  return Reader.complete();
+}
+
+/// Sends a long request to runners that respond early.
+std::string callEarlyRunners(fixture &Fixture, route_kind Kind,
+                             body_framing Framing, early_end End,
+                             std::size_t Length,
+                             std::map<std::string, std::string> *Addresses) {
+  const early_response Response = earlyResponse(Kind, Framing);
+  early_runner First(Response.First, Response.Rest, End);
+  early_runner Second(Response.First, Response.Rest, End);
+  const auto Use = [&](const char *Id, const early_runner &Runner) {
+    const std::string Address = "127.0.0.1:" + std::to_string(Runner.port());
+    if (Addresses)
+      (*Addresses)[Id] = Address;
+    else
+      Fixture.Context.Runners.Runners.at(Id).Entry.Address = Address;
+  };
+  Use("first", First);
+  Use("second", Second);
+  Fixture.Context.MaxBodyBytes = 100'000'000;
+  Fixture.setRoutes(Kind, false, seconds(4));
+  return Fixture.call("1", {}, std::string(Length, 'x'));
+}
+
+constexpr std::size_t LongRequestBytes = 8'000'000;
+
+} // namespace
+
+// Guards against a response that broke off passing for a complete one because
+// the connection's end was met while the request was still being written
+// (review, case 2).
+TEST_CASE("a response is complete only if its runner took the whole request "
+          "and ended the connection in order") {
+  for (const route_kind Kind : {route_kind::NonIdempotent,
+                                route_kind::Idempotent, route_kind::Streaming})
+    for (const body_framing Framing :
+         {body_framing::Connection, body_framing::Length,
+          body_framing::Chunked})
+      for (const early_end End : EarlyEnds)
+        for (const std::size_t Length :
+             {std::size_t{400'000}, LongRequestBytes}) {
+          // A repetition shows nothing more than one framing does.
+          if (Kind == route_kind::Idempotent &&
+              Framing != body_framing::Connection)
+            continue;
+          fixture Fixture(nullptr);
+          const std::string Response =
+              callEarlyRunners(Fixture, Kind, Framing, End, Length, nullptr);
+          INFO("kind " << static_cast<int>(Kind) << ", framing "
+                       << bodyFramingName(Framing) << ", end "
+                       << static_cast<int>(End) << ", " << Length
+                       << " bytes: " << Response.substr(0, 400));
+          CHECK(looksWhole(Response) == isSound(End));
+          if (!isSound(End)) {
+            const bool Told = Response.starts_with("HTTP/1.1 502") ||
+                              Response.ends_with("<aborted>");
+            CHECK(Told);
+          }
+        }
+}
+
+// Guards against the same fault behind a relay, which passes on what of the
+// request has reached it by then.
+TEST_CASE("a response through a relay is complete only if its runner took the "
+          "whole request and ended the connection in order") {
+  for (const route_kind Kind :
+       {route_kind::NonIdempotent, route_kind::Streaming})
+    for (const early_end End : EarlyEnds)
+      for (const std::size_t Length :
+           {std::size_t{400'000}, LongRequestBytes}) {
+        stranded_fixture Fixture(nullptr);
+        const std::string Response =
+            callEarlyRunners(Fixture, Kind, body_framing::Connection, End,
+                             Length, &Fixture.RealAddresses);
+        INFO("kind " << static_cast<int>(Kind) << ", end "
+                     << static_cast<int>(End) << ", " << Length
+                     << " bytes: " << Response.substr(0, 400));
+        CHECK(Fixture.Context.Path.State == path_state::Lost);
+        // What follows the end of the runner's side is not relayed, so such a
+        // response may be given up.
+        if (End != early_end::HalfClosed)
+          CHECK(looksWhole(Response) == isSound(End));
+        if (!looksWhole(Response)) {
+          const bool Told = Response.starts_with("HTTP/1.1 502") ||
+                            Response.ends_with("<aborted>");
+          CHECK(Told);
+        }
+      }
+}
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "early_runner.h"
 #include "fuzz.h"
 #include "net/address.h"
 #include "net/event_parser.h"
@@ -6,6 +7,7 @@
 #include "net/http_reader.h"
 #include "net/listener.h"
 #include "net/response_end.h"
+#include "net/tcp_stream.h"
 
 #include <doctest/doctest.h>
 #include <random>
@@ -310,6 +312,89 @@
   CHECK(Accepted == 3);
 }
 
+namespace {
+
+/// What a connection told its owner.
+struct told_end {
+  std::string Received;
+  std::optional<stream_end> End;
+  std::size_t LeftBytes = 0; ///< Not written when the first bytes arrived.
+};
+
+/// Writes to a runner that responds early, until the connection ends.
+told_end writeToEarlyRunner(early_end End, std::size_t Length,
+                            const socket_settings &Settings) {
+  early_runner Runner("first", "rest", End);
+  asio::io_context Loop;
+  const auto Stream =
+      std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop), Settings);
+  told_end Told;
+  tcp_stream::handlers Handlers;
+  Handlers.OnBytes = [&](std::string_view Bytes) {
+    if (Told.Received.empty())
+      Told.LeftBytes = Stream->pendingBytes();
+    Told.Received += Bytes;
+  };
+  Handlers.OnEnd = [&](stream_end How) { Told.End = How; };
+  Stream->setHandlers(std::move(Handlers));
+  Stream->connect({asio::ip::address_v4::loopback(), Runner.port()});
+  Stream->write(std::string(Length, 'x'));
+  for (int Round = 0; Round < 2'500 && !Told.End; ++Round)
+    Loop.run_for(std::chrono::milliseconds(2));
+  Stream->close();
+  return Told;
+}
+
+/// Some of this is not accepted by the system while the peer reads nothing.
+constexpr std::size_t LongBytes = 16'000'000;
+
+} // namespace
+
+// Guards against a reset that is met while bytes are being written, and is told
+// as an orderly end because the read side learns no more of it (review, case
+// 2).
+TEST_CASE(
+    "tcp_stream tells a reset from an orderly end, whichever side meets it "
+    "first") {
+  for (const bool Confirm : {false, true}) {
+    const socket_settings Settings{.ConfirmDelivery = Confirm};
+    const told_end Long =
+        writeToEarlyRunner(early_end::Reset, LongBytes, Settings);
+    INFO("confirm delivery: " << Confirm);
+    CHECK(Long.LeftBytes > 0);
+    CHECK(Long.Received == "first");
+    CHECK(Long.End == stream_end::Reset);
+    const told_end Short =
+        writeToEarlyRunner(early_end::Reset, early_runner::FirstRead, Settings);
+    CHECK(Short.LeftBytes == 0);
+    CHECK(Short.Received == "first");
+    CHECK(Short.End == stream_end::Reset);
+  }
+}
+
+// Guards against the end of a killed process, which comes in order if it had
+// read what had arrived, being taken for the end of a response.
+TEST_CASE("tcp_stream with ConfirmDelivery tells an orderly end only of a peer "
+          "that has received all bytes") {
+  const socket_settings Settings{.ConfirmDelivery = true};
+  // The system accepts the shorter one whole before the peer has read it.
+  for (const std::size_t Length : {std::size_t{400'000}, LongBytes}) {
+    INFO("bytes: " << Length);
+    const told_end Killed =
+        writeToEarlyRunner(early_end::Killed, Length, Settings);
+    CHECK(Killed.Received == "first");
+    CHECK(Killed.End == stream_end::Reset);
+    for (const early_end Sound : {early_end::HalfClosed, early_end::ReadOn}) {
+      const told_end Whole = writeToEarlyRunner(Sound, Length, Settings);
+      CHECK(Whole.Received == "firstrest");
+      CHECK(Whole.End == stream_end::Finished);
+    }
+  }
+  const told_end AtOnce =
+      writeToEarlyRunner(early_end::HalfClosed, LongBytes, socket_settings{});
+  CHECK(AtOnce.End == stream_end::Finished);
+}
+
 TEST_CASE("damaged messages, frames and event streams are rejected or read") {
   fuzz({"POST /a?b HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc",
         "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
