Let a relay say how much of a request its runner took

The same fault on a related path: a relay knows only those bytes of a request that have reached it. If the runner ended in order after them, the relay passed that on as the end of the response, although the rest was still on its way.

Change: the End message of a tunnel carries the number of bytes passed on; the instance takes an orderly end for one only if that is all it has written. A relay of an older version sends no number; then what this instance has not written yet decides, as far as it goes.

--- a/src/tunnel/runner_connection.cpp
+++ b/src/tunnel/runner_connection.cpp
@@ -73,6 +73,7 @@
 }
 
 void runner_connection::write(std::string Bytes) {
+  WrittenBytes += static_cast<std::int64_t>(Bytes.size());
   Stream->write(relayed() ? encodeTunnelData(Bytes) : std::move(Bytes));
 }
 
@@ -107,6 +108,12 @@
   end(Opened ? stream_end::Reset : stream_end::ConnectFailed);
 }
 
+bool runner_connection::tookAllBytes(const tunnel_message &End) const {
+  if (End.Delivered == UnknownDelivery)
+    return Stream->pendingBytes() == 0;
+  return End.Delivered >= WrittenBytes;
+}
+
 void runner_connection::onMessage(const tunnel_message &Message) {
   const auto Keep = Handlers;
   switch (Message.Kind) {
@@ -125,7 +132,10 @@
       Keep->OnBytes(Message.Data);
     return;
   case tunnel_kind::End:
-    end(Message.End);
+    // As on a direct connection, see socket_settings::ConfirmDelivery.
+    end(Message.End == stream_end::Finished && !tookAllBytes(Message)
+            ? stream_end::Reset
+            : Message.End);
     return;
   case tunnel_kind::Closing:
     RelayClosing = true;
--- a/src/tunnel/runner_connection.h
+++ b/src/tunnel/runner_connection.h
@@ -67,6 +67,7 @@
   void onRelayBytes(std::string_view Bytes);
   void onMessage(const tunnel_message &Message);
   void onRelayBroke();
+  bool tookAllBytes(const tunnel_message &End) const;
   void end(stream_end How);
 
   runner_target Target;
@@ -76,6 +77,7 @@
       std::make_shared<tcp_stream::handlers>();
   asio::steady_timer OpenTimer;
   frame_reader Frames{MaxTunnelMessageBytes};
+  std::int64_t WrittenBytes = 0;
   bool Opened = false;
   bool RelayClosing = false; ///< The relay stops.
   bool RelayBroke = false;
--- a/src/tunnel/tunnel_message.h
+++ b/src/tunnel/tunnel_message.h
@@ -35,6 +35,9 @@
 /// \returns its stable text form.
 const char *tunnelRefusalName(tunnel_refusal Refusal);
 
+/// Value of tunnel_message::Delivered that a relay did not send.
+inline constexpr std::int64_t UnknownDelivery = -1;
+
 /// One message. The kind decides which fields are used.
 struct tunnel_message {
   tunnel_kind Kind = tunnel_kind::Data;
@@ -44,7 +47,10 @@
   tunnel_refusal Refusal = tunnel_refusal::None; ///< Refused.
   stream_end End = stream_end::Reset;            ///< End.
   std::string Data;                              ///< Data.
-  MSGPACK_DEFINE(Kind, Runner, BornMs, Refusal, End, Data)
+  /// End: bytes that were passed on to the runner, all of which it has received
+  /// if it ended in order; UnknownDelivery from a relay of an older version.
+  std::int64_t Delivered = UnknownDelivery;
+  MSGPACK_DEFINE(Kind, Runner, BornMs, Refusal, End, Data, Delivered)
 };
 
 /// Largest part of a body in one message, the size of one read.
--- a/src/tunnel/tunnel_server.cpp
+++ b/src/tunnel/tunnel_server.cpp
@@ -199,6 +199,7 @@
   tunnel_message Message;
   Message.Kind = tunnel_kind::End;
   Message.End = End;
+  Message.Delivered = static_cast<std::int64_t>(Tunnel->ToRunner);
   finish(Tunnel, Message);
 }
 
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -134,6 +134,44 @@
   CHECK(Fixture.Ends.empty());
 }
 
+// Guards against a response that only its connection ends being taken for
+// complete although its runner ended before it had the whole request, of which
+// the relay knows only what has reached it (review, case 2).
+TEST_CASE(
+    "a tunnel tells an orderly end only of a runner that took all bytes") {
+  fixture Fixture;
+  const auto Connection = Fixture.connect();
+  Fixture.runUntil([&] { return Fixture.Connected == 1; });
+  Connection->write("first");
+  Fixture.runUntil([&] { return Fixture.Runner.Received == "first"; });
+  stream_end Expected = stream_end::Finished;
+  SUBCASE("all of them") {}
+  SUBCASE("not those that the relay has not received yet") {
+    // More than the system takes at once for a relay that reads nothing.
+    Connection->write(std::string(16'000'000, 'x'));
+    Expected = stream_end::Reset;
+  }
+  Fixture.Runner.Streams.front()->finish();
+  Fixture.runUntil([&] { return Fixture.Ends.size() == 1; });
+  CHECK(Fixture.Ends.front() == Expected);
+}
+
+TEST_CASE("an end from a relay of an older version is read") {
+  msgpack::sbuffer Older;
+  msgpack::packer Packer(Older);
+  Packer.pack_array(6);
+  Packer.pack(tunnel_kind::End);
+  Packer.pack("");
+  Packer.pack(0);
+  Packer.pack(tunnel_refusal::None);
+  Packer.pack(stream_end::Finished);
+  Packer.pack("");
+  const tunnel_message Message =
+      decodeTunnelMessage({Older.data(), Older.size()});
+  CHECK(Message.End == stream_end::Finished);
+  CHECK(Message.Delivered == UnknownDelivery);
+}
+
 // Guards against a response that only its connection ends being taken for
 // complete because the relay, not the runner, ended the connection.
 TEST_CASE(
