Take a service's orderly end for one only once it has the whole request

Change: callBounded waits after the end of the connection until the server has received the request, within the call's time; a reset meanwhile means that the response broke off. A reset that the write side meets already did.

--- a/src/http/bounded_call.cpp
+++ b/src/http/bounded_call.cpp
@@ -2,12 +2,14 @@
 
 #include "http/http_server.h"
 #include "net/http_reader.h"
+#include "net/socket_delivery.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <poll.h>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace lentilhoist {
@@ -70,6 +72,20 @@
   return true;
 }
 
+/// Waits after the server's orderly end until it has received the whole
+/// request. One that is killed may end its connection in order, too, and resets
+/// it only for what still arrives. \returns whether the server has it.
+bool awaitDelivery(int Socket, instant Deadline) {
+  while (takeSocketError(Socket) == 0) {
+    if (!hasUndeliveredBytes(Socket))
+      return true;
+    if (timeLeft(Deadline).count() <= 0)
+      return false;
+    std::this_thread::sleep_for(DeliveryCheckInterval);
+  }
+  return false;
+}
+
 /// Passes on what the reader has of the body.
 /// \returns whether the response may go on.
 bool takeBody(http_reader &Reader, const call_limits &Limits,
@@ -141,7 +157,8 @@
     const ssize_t Length = ::recv(Socket.Descriptor, Bytes, sizeof(Bytes), 0);
     if (Length < 0 && (errno == EAGAIN || errno == EINTR))
       continue;
-    if (Length < 0)
+    if (Length < 0 ||
+        (Length == 0 && !awaitDelivery(Socket.Descriptor, Deadline)))
       return Result;
     if (Length == 0)
       Reader.feedEnd();
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "early_runner.h"
 #include "net/event_parser.h"
 #include "runner/model_client.h"
 #include "runner/service_client.h"
@@ -371,6 +372,27 @@
 }
 
 // Guards against a model's stream that broke off passing for a complete one.
+// Guards against a response passing for complete whose service was killed while
+// the request was still on its way to it (review, case 2).
+TEST_CASE("a service's response is complete only if it received the whole "
+          "request and ended the connection in order") {
+  for (const early_end End : EarlyEnds)
+    for (const std::size_t Length :
+         {std::size_t{400'000}, std::size_t{8'000'000}}) {
+      early_runner Service("HTTP/1.1 200 OK\r\n\r\nfirst", "rest", End);
+      placed_attempt Placed = makeAttempt(Service.port(), 0);
+      Placed.Attempt.Call.Body = std::string(Length, 'x');
+      const attempt_result Result = runServiceAttempt(Placed);
+      INFO("end " << static_cast<int>(End) << ", " << Length << " bytes");
+      if (isSound(End)) {
+        CHECK(Result.Run == run_state::Ran);
+        CHECK(Result.Response == "firstrest");
+      } else {
+        CHECK(Result.Run == run_state::OutcomeUnknown);
+      }
+    }
+}
+
 TEST_CASE("a model's stream is complete only with its last event, however it "
           "ends") {
   const std::string Token =
