Believe a refusal only where it belongs to this send

What callers saw, as operators of similar systems report: 503, not run, for a request that its runner ran or was running, or the request ran at a second runner. A faulty runner had written an earlier refusal once more on a kept connection.

Cause, two forms: a refusal that names no request was believed on a connection that had carried other requests; and a refusal of an earlier try of the same request names it, so the second copy was taken for the refusal of the next try on that connection.

Change: on a kept connection only a response that names the request is its response, whatever its status; others make the outcome unknown. A connection remembers which requests were refused on it, and none of them is sent on it again.

Evidence: "a refusal on a kept connection counts only if it names the request" failed for each of 7 of its 14 forms, and "a request is not sent again on a connection on which it was refused" failed before; both pass.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -451,7 +451,8 @@
   RunnerEnd = "open";
   EventStream = false;
   ResponseBody.clear();
-  Stream = Context.Pool.acquire(RunnerAddress, !Relay.empty(), Now);
+  Stream =
+      Context.Pool.acquire(RunnerAddress, !Relay.empty(), Traits.Attempt, Now);
   ReusedConnection = Stream != nullptr;
   if (!ReusedConnection)
     Stream = Context.Pool.createUnconnected(
@@ -545,10 +546,11 @@
   runner_view *View = currentRunner();
   if (View && RunnerResponse.Load)
     recordLoad(Context.Runners, *View, *RunnerResponse.Load, Now);
-  // A late copy of an earlier response may precede the one that is awaited.
+  // A late copy of an earlier response, also of a refusal, may precede the one
+  // that is awaited; on a kept connection only the ID tells them apart.
   const bool Named = !RunnerResponse.Attempt.empty();
-  const bool OtherRequest = Named ? RunnerResponse.Attempt != Traits.Attempt
-                                  : ReusedConnection && RunnerResponse.Sealed;
+  const bool OtherRequest =
+      Named ? RunnerResponse.Attempt != Traits.Attempt : ReusedConnection;
   if (OtherRequest) {
     onSendFailed(send_outcome::Unknown, "answer_of_another_request");
     return;
@@ -780,6 +782,8 @@
   if (runner_view *View = currentRunner();
       View && RunnerFailed && Outcome != send_outcome::Refused)
     recordFailure(*View, Now);
+  if (Outcome == send_outcome::Refused && Stream)
+    Stream->recordRefusal(Traits.Attempt);
   // A second copy of a refusal that names no request could be taken for the
   // refusal of the connection's next request.
   releaseRunner(Outcome == send_outcome::Refused && Reader.complete() &&
--- a/src/forward/runner_connection_pool.cpp
+++ b/src/forward/runner_connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "forward/runner_connection_pool.h"
 
+#include <algorithm>
+
 namespace lentilhoist {
 
 namespace {
@@ -12,23 +14,25 @@
 
 std::shared_ptr<runner_connection>
 runner_connection_pool::acquire(const std::string &Address, bool Relayed,
-                                instant Now) {
+                                std::string_view Attempt, instant Now) {
   idle_map &Way = Idle[Relayed ? 1 : 0];
   const auto Found = Way.find(Address);
   if (Found == Way.end())
     return nullptr;
   auto &Connections = Found->second;
-  while (!Connections.empty()) {
-    // The most recently used connection is the least likely to be closing.
-    auto &Last = Connections.back();
-    std::shared_ptr<runner_connection> Connection;
-    if (Last.Connection->reusable() && Last.Expiry.Steady > Now.Steady)
-      Connection = std::exchange(Last.Connection, nullptr);
-    Connections.pop_back();
-    if (Connection)
-      return Connection;
-  }
-  return nullptr;
+  Connections.remove_if([&](const idle_connection &Item) {
+    return !Item.Connection->reusable() || Item.Expiry.Steady <= Now.Steady;
+  });
+  // The most recently used connection is the least likely to be closing.
+  const auto Last = std::find_if(Connections.rbegin(), Connections.rend(),
+                                 [&](const idle_connection &Item) {
+                                   return !Item.Connection->hasRefused(Attempt);
+                                 });
+  if (Last == Connections.rend())
+    return nullptr;
+  auto Connection = std::exchange(Last->Connection, nullptr);
+  Connections.erase(std::next(Last).base());
+  return Connection;
 }
 
 std::shared_ptr<runner_connection>
--- a/src/forward/runner_connection_pool.h
+++ b/src/forward/runner_connection_pool.h
@@ -24,11 +24,15 @@
   /// Takes an idle connection out of the pool.
   /// \param Address the runner as IP:PORT.
   /// \param Relayed whether the connection goes through a relay.
+  /// \param Attempt the request to send; connections on which it was refused
+  /// before are left in the pool.
   /// \param Now the present time.
   /// \returns an open connection, now owned by the caller, or null if there is
   /// none.
   std::shared_ptr<runner_connection> acquire(const std::string &Address,
-                                             bool Relayed, instant Now);
+                                             bool Relayed,
+                                             std::string_view Attempt,
+                                             instant Now);
 
   /// \param Target the runner.
   /// \returns a new connection that is not connected yet.
--- a/src/tunnel/runner_connection.cpp
+++ b/src/tunnel/runner_connection.cpp
@@ -1,8 +1,10 @@
 #include "tunnel/runner_connection.h"
 
+#include "core/hash.h"
 #include "log/log.h"
 #include "net/address.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace lentilhoist {
@@ -83,6 +85,15 @@
   Stream->close();
 }
 
+void runner_connection::recordRefusal(std::string_view Attempt) {
+  RefusedAttempts.push_back(stableHash(Attempt));
+}
+
+bool runner_connection::hasRefused(std::string_view Attempt) const {
+  return std::find(RefusedAttempts.begin(), RefusedAttempts.end(),
+                   stableHash(Attempt)) != RefusedAttempts.end();
+}
+
 void runner_connection::end(stream_end How) {
   const auto Keep = Handlers;
   close();
--- a/src/tunnel/runner_connection.h
+++ b/src/tunnel/runner_connection.h
@@ -9,6 +9,8 @@
 #include <asio/steady_timer.hpp>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace lentilhoist {
 
@@ -56,7 +58,19 @@
   const runner_target &target() const { return Target; }
   bool relayed() const { return !Target.Relay.empty(); }
   /// \returns whether another request may be sent on it.
-  bool reusable() const { return !Stream->closed() && !RelayClosing; }
+  bool reusable() const {
+    return !Stream->closed() && !RelayClosing &&
+           RefusedAttempts.size() < MaxRefusedAttempts;
+  }
+
+  /// Notes that a request was refused on this connection. A second copy of that
+  /// refusal could not be told from the refusal of a later try.
+  /// \param Attempt the request's ID.
+  void recordRefusal(std::string_view Attempt);
+  /// \param Attempt a request's ID.
+  /// \returns whether the request was refused on this connection.
+  bool hasRefused(std::string_view Attempt) const;
+
   /// \returns why the relay opened no tunnel; None if it gave no reason.
   tunnel_refusal refusal() const { return Refusal; }
   /// \returns whether an established connection ended because of the relay, not
@@ -64,6 +78,9 @@
   bool relayBroke() const { return RelayBroke; }
 
 private:
+  /// Refusals that one connection may carry.
+  static constexpr std::size_t MaxRefusedAttempts = 256;
+
   void onRelayBytes(std::string_view Bytes);
   void onMessage(const tunnel_message &Message);
   void onRelayBroke();
@@ -82,6 +99,7 @@
   bool RelayClosing = false; ///< The relay stops.
   bool RelayBroke = false;
   tunnel_refusal Refusal = tunnel_refusal::None;
+  std::vector<std::uint64_t> RefusedAttempts; ///< Hashes of their IDs.
 };
 
 } // namespace lentilhoist
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -89,6 +89,11 @@
   }
   bool ended() const { return !Acceptor.is_open(); }
 
+  /// Sends bytes on the connection that was opened first.
+  void writeOnFirst(const std::string &Bytes) {
+    Open.front()->Stream->write(Bytes);
+  }
+
   /// Sends bytes on all open connections.
   void write(const std::string &Bytes) {
     for (const auto &Connection : Open)
@@ -1628,3 +1633,87 @@
         }
       }
 }
+
+namespace {
+
+/// A refusal with the given fields besides its framing.
+std::string refusal(int Status, const std::string &Fields) {
+  return "HTTP/1.1 " + std::to_string(Status) + " x\r\n" + Fields +
+         "Keep-Alive: timeout=5\r\nContent-Length: 0\r\n\r\n";
+}
+
+const std::string Stated = "X-Not-Executed: 1\r\n";
+
+const std::string Event = "data: done\n\n";
+
+std::string named(const std::string &Attempt) {
+  return "X-Attempt-Id: " + Attempt + "\r\n";
+}
+
+} // namespace
+
+// Guards against "not run" for a request that runs, where a runner writes an
+// earlier refusal once more on a connection that is in use again.
+TEST_CASE(
+    "a refusal on a kept connection counts only if it names the request") {
+  const struct {
+    std::string Response;
+    bool Believed;
+  } Cases[] = {
+      {refusal(503, Stated + named("2")), true},
+      {refusal(429, Stated + named("2")), true},
+      {refusal(421, named("2")), true},
+      {refusal(503, Stated + named("1")), false},
+      {refusal(429, Stated + named("1")), false},
+      {refusal(421, named("1")), false},
+      {refusal(503, Stated), false},
+      {refusal(429, Stated), false},
+      {refusal(400, Stated), false},
+      {refusal(421, Stated), false},
+      {refusal(421, ""), false},
+      {refusal(503, Stated + "X-Server-Seal: s\r\n"), false},
+      {refusal(500, ""), false},
+      {refusal(503, Stated + named("")), false},
+  };
+  for (const route_kind Kind :
+       {route_kind::NonIdempotent, route_kind::Streaming})
+    for (const auto &Case : Cases) {
+      INFO(Case.Response);
+      int Calls = 0;
+      fixture Fixture([&](const http_request_head &Head, const std::string &) {
+        return ++Calls == 2
+                   ? scripted_response{Case.Response}
+                   : scripted_response{sealedResponse(attemptOf(Head), Event)};
+      });
+      Fixture.setRoutes(Kind, false);
+      removeRunner(Fixture.Context.Runners, "second");
+      CHECK(looksWhole(Fixture.call("1")));
+      Fixture.addRunner("second", Fixture.Second.address());
+      Fixture.Context.Runners.Runners["second"].Outstanding = 3;
+      const std::string Response = Fixture.call("2");
+      CHECK(Fixture.First.Connections == 1);
+      CHECK(Fixture.arrivals() == (Case.Believed ? 3 : 2));
+      CHECK(Response.starts_with(Case.Believed ? "HTTP/1.1 200"
+                                               : "HTTP/1.1 502"));
+    }
+}
+
+// Guards against the same where the refusal is that of an earlier try of the
+// very request, which names it.
+TEST_CASE(
+    "a request is not sent again on a connection on which it was refused") {
+  fixture *Current = nullptr;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    const std::string Refusal = refusal(503, Stated + named(attemptOf(Head)));
+    if (Current->First.Bodies.size() == 1)
+      return scripted_response{Refusal};
+    Current->First.writeOnFirst(Refusal);
+    return scripted_response{sealedResponse(attemptOf(Head), Event)};
+  });
+  Current = &Fixture;
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  removeRunner(Fixture.Context.Runners, "second");
+  CHECK(bodyOf(Fixture.call("1")) == Event);
+  CHECK(Fixture.arrivals() == 2);
+  CHECK(Fixture.First.Connections == 2);
+}
