Read each entry of the store's lists and changes by itself

Cause: the whole response was parsed at once. A lone surrogate, a number that can't be represented or bytes that are no JSON made all of it unreadable, which counted as a failure of the store; a value of 100,000 nested lists was written back to text recursively and ended the process.

Entries left out are logged.

--- a/src/store/store_item.h
+++ b/src/store/store_item.h
@@ -23,14 +23,16 @@
 /// One page of a list of objects.
 struct store_page {
   std::vector<store_item> Items;
-  bool Truncated = false;    ///< More objects follow the last item.
-  std::int64_t Revision = 0; ///< Store revision to start a watch at.
+  bool Truncated = false;     ///< More objects follow the last item.
+  std::size_t Unreadable = 0; ///< Items left out.
+  std::int64_t Revision = 0;  ///< Store revision to start a watch at.
 };
 
 /// Changes after a given revision.
 struct store_events {
   std::vector<store_event> Events;
-  std::int64_t Revision = 0; ///< Store revision to continue the watch at.
+  std::size_t Unreadable = 0; ///< Changes left out.
+  std::int64_t Revision = 0;  ///< Store revision to continue the watch at.
 };
 
 /// Result of a call to the store.
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -57,6 +57,7 @@
                    Self->onFailure(Answer.Status);
                    return;
                  }
+                 Self->reportUnreadable(Page->Unreadable);
                  if (After.empty())
                    Self->FirstPageRevision = Page->Revision;
                  Self->Pages.insert(Self->Pages.end(), Page->Items.begin(),
@@ -99,6 +100,7 @@
           Self->onFailure(Answer.Status);
           return;
         }
+        Self->reportUnreadable(Events->Unreadable);
         Self->Revision = std::max(Self->Revision, Events->Revision);
         Self->onSuccess();
         for (const store_event &Event : Events->Events)
@@ -108,6 +110,12 @@
       });
 }
 
+void store_watch::reportUnreadable(std::size_t Count) const {
+  if (Count > 0)
+    logEvent(log_level::Warning, "store_objects_unreadable",
+             {{"kind", Kind}, {"count", std::to_string(Count)}});
+}
+
 void store_watch::onSuccess() {
   RetryDelay = Settings.MinRetryDelay;
   Failures = 0;
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -62,6 +62,7 @@
   void list(const std::string &After);
   void watch();
   void onFailure(store_status Status);
+  void reportUnreadable(std::size_t Count) const;
   void onSuccess();
   void scheduleNext(milliseconds Delay);
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -228,6 +228,169 @@
   CHECK_FALSE(decodeEvents(R"({"events":[]})"));
 }
 
+namespace {
+
+const std::string SoundSpec =
+    R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+    R"("slots":4,"state":"ready","cold-left-ms":0,"sequence":1,"born":7})";
+
+std::string nestedLists(std::size_t Depth) {
+  return std::string(Depth, '[') + std::string(Depth, ']');
+}
+
+/// Values that another writer may leave in a field, or in place of an entry.
+std::vector<std::string> oddValues() {
+  return {"null",
+          "true",
+          "-1",
+          "0",
+          "1.5",
+          "1e999",
+          "-1e999",
+          "99999999999999999999",
+          "9223372036854775808",
+          "4294967297",
+          "NaN",
+          "\"\"",
+          "\"\\udcff\"",
+          "\"\xff\xfe\"",
+          "\"\x01\"",
+          "\"a\\u0000b\"",
+          "\"10.0.0.1:70000\"",
+          "\"10.0.0.1:-1\"",
+          "\"10.0.0.1:0\"",
+          "\"10.0.0.1\"",
+          "{}",
+          "[]",
+          "{\"a\":{\"a\":[1,{}]}}",
+          "[{\"metadata\":{\"name\":\"inner\",\"revision\":9}}]",
+          nestedLists(65),
+          nestedLists(100'000)};
+}
+
+/// Texts that are no JSON value.
+std::vector<std::string> brokenTexts() {
+  return {"",
+          "xyz",
+          "\xff\xfe",
+          "{",
+          "}",
+          "[",
+          "]",
+          "{]",
+          "\"",
+          "{\"service\":\"s\"",
+          "{\"service\":\"s",
+          "{\"service\":\"s\"}}",
+          "[1,2",
+          "{\"a\":[{\"b\":",
+          std::string(100'000, '['),
+          std::string(1'000, '{')};
+}
+
+std::string itemText(const std::string &Name, const std::string &Spec) {
+  return "{\"metadata\":{\"name\":\"" + Name +
+         "\",\"revision\":5,\"finalizers\":[]},\"spec\":" + Spec +
+         ",\"status\":null}";
+}
+
+std::string joinTexts(const std::vector<std::string> &Texts) {
+  std::string Joined;
+  for (const std::string &Text : Texts)
+    Joined += (Joined.empty() ? "" : ", ") + Text;
+  return Joined;
+}
+
+/// \returns the sound runners of a list and of a watch's changes, which must be
+/// the same ones, by name. An odd entry is at the given place.
+std::vector<std::string> soundRunners(const std::string &OddSpec,
+                                      std::size_t Place) {
+  std::vector<std::string> Items{itemText("a", SoundSpec),
+                                 itemText("b", SoundSpec)};
+  Items.insert(Items.begin() + static_cast<std::ptrdiff_t>(Place),
+               itemText("odd", OddSpec));
+  const auto Page = decodePage("{\"items\":[" + joinTexts(Items) +
+                               "],\"truncated\":false,\"store-revision\":12}");
+  std::vector<std::string> Changes;
+  for (const std::string &Item : Items)
+    Changes.push_back("{\"removed\":false,\"object\":" + Item + "}");
+  const auto Events = decodeEvents("{\"store-revision\":12,\"events\":[" +
+                                   joinTexts(Changes) + "]}");
+  REQUIRE(Page);
+  REQUIRE(Events);
+  CHECK(Page->Revision == 12);
+  CHECK(Events->Revision == 12);
+  std::vector<std::string> Names;
+  for (const store_item &Item : Page->Items)
+    if (decodeRunner(Item))
+      Names.push_back(Item.Name);
+  std::vector<std::string> Changed;
+  for (const store_event &Event : Events->Events)
+    if (!Event.Removed && decodeRunner(Event.Item))
+      Changed.push_back(Event.Item.Name);
+  CHECK(Names == Changed);
+  return Names;
+}
+
+} // namespace
+
+// Guards against an entry of another writer that makes the lists and watches of
+// all runners unreadable.
+TEST_CASE("an entry of another writer, whatever its form, leaves the others in "
+          "force") {
+  const std::vector<std::string> Others{"a", "b"};
+  std::vector<std::string> Specs = brokenTexts();
+  for (const std::string &Value : oddValues())
+    if (Value.size() < 1'000)
+      Specs.push_back(Value);
+  for (const std::string &Spec : Specs)
+    for (std::size_t Place = 0; Place < 3; ++Place) {
+      INFO("at " << Place << ": " << Spec.substr(0, 80));
+      CHECK(soundRunners(Spec, Place) == Others);
+    }
+}
+
+// Guards against a process that ends because a deeply nested value is copied or
+// written recursively.
+TEST_CASE("no value of a field of an entry ends the process or names a runner "
+          "that its type doesn't allow") {
+  const auto Sound = nlohmann::ordered_json::parse(SoundSpec);
+  CHECK(decodeRunner(makeRegistryItem(SoundSpec)));
+  for (const auto &[Field, Former] : Sound.items())
+    for (const std::string &Value : oddValues()) {
+      const std::string Member = "\"" + Field + "\":";
+      std::string Spec = SoundSpec;
+      const std::size_t Begin = Spec.find(Member) + Member.size();
+      Spec.replace(Begin, Former.dump().size(), Value);
+      INFO(Field << ": " << Value.substr(0, 80));
+      const auto Runner = decodeRunner(makeRegistryItem(Spec));
+      if (Field == "address" || Field == "state" || Field == "slots")
+        CHECK_FALSE(Runner);
+      if (Field == "born")
+        CHECK(Runner.has_value() == (Value == "0" || Value == "4294967297"));
+      // The odd entry may be a runner if only a field that isn't read is odd.
+      auto Names = soundRunners(Spec, 1);
+      std::erase(Names, "odd");
+      CHECK(Names == std::vector<std::string>{"a", "b"});
+    }
+}
+
+TEST_CASE("a list of which nothing can be read is not an empty one") {
+  const std::string Odd = "{\"metadata\":7,\"spec\":{}}";
+  CHECK_FALSE(decodePage("{\"items\":[" + Odd +
+                         "],\"truncated\":true,\"store-revision\":3}"));
+  CHECK_FALSE(decodePage("{\"items\":[" + itemText("a", SoundSpec)));
+  CHECK_FALSE(decodePage("{\"items\":7,\"store-revision\":3}"));
+  CHECK_FALSE(decodePage("{\"truncated\":false,\"store-revision\":3}"));
+}
+
+TEST_CASE("names of objects are encoded in calls to the store") {
+  CHECK(listRequest("servers", "a&watch=1 b/\r\n%", false).Head.Target ==
+        "/objects/servers?after=a%26watch%3D1%20b%2F%0D%0A%25");
+  CHECK(readRequest("servers", "i-7f.~_").Head.Target ==
+        "/objects/servers/i-7f.~_");
+}
+
 TEST_CASE("store and retirement statuses map to their outcome") {
   CHECK(decodeStoreStatus(201) == store_status::Done);
   CHECK(decodeStoreStatus(409) == store_status::Conflict);
