Take a relay's messages only in their order, and test where heads stop

A tunnel that was opened twice wrote its request twice, and one that was refused when it was open counted as not sent, so the request was sent another way. No relay of ours does either; a message out of order now breaks the tunnel, whose outcome is unknown.

The store's client also has the test for calls that were not received whole.

--- a/src/tunnel/runner_connection.cpp
+++ b/src/tunnel/runner_connection.cpp
@@ -127,6 +127,13 @@
 
 void runner_connection::onMessage(const tunnel_message &Message) {
   const auto Keep = Handlers;
+  // After it is open nothing says any more that nothing was sent.
+  const bool Opening = Message.Kind == tunnel_kind::Opened ||
+                       Message.Kind == tunnel_kind::Refused;
+  const bool FromRunner =
+      Message.Kind == tunnel_kind::Data || Message.Kind == tunnel_kind::End;
+  if ((Opening && Opened) || (FromRunner && !Opened))
+    throw std::runtime_error("a message out of order");
   switch (Message.Kind) {
   case tunnel_kind::Opened:
     Opened = true;
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1753,3 +1753,58 @@
                                                : "HTTP/1.1 502"));
     }
 }
+
+namespace {
+
+/// Fields of a response that would be complete with what its framing asks for.
+std::string wholeResponse(const std::string &Attempt, body_framing Framing) {
+  return streamResponse(Attempt, Framing, Event);
+}
+
+} // namespace
+
+// Guards against a response whose head stops halfway reaching the caller as a
+// success with an empty or short body.
+TEST_CASE(
+    "a response that stops anywhere in its head is no success, on new and "
+    "kept connections") {
+  for (const route_kind Kind :
+       {route_kind::NonIdempotent, route_kind::Streaming})
+    for (const bool Informational : {false, true})
+      for (const body_framing Framing :
+           {body_framing::Length, body_framing::Chunked,
+            body_framing::Connection})
+        for (const bool Kept : {false, true})
+          for (const bool Reset : {false, true}) {
+            // An informational response precedes each framing alike.
+            if (Informational && Framing != body_framing::Length)
+              continue;
+            const std::string Before =
+                Informational ? "HTTP/1.1 103 Hints\r\nX-A: 1\r\n\r\n" : "";
+            const std::string Whole = Before + wholeResponse("2", Framing);
+            const std::size_t HeadEnd = Whole.find("\r\n\r\n", Before.size());
+            std::size_t Stop = 0;
+            fixture Fixture([&](const http_request_head &Head,
+                                const std::string &) {
+              if (attemptOf(Head) == "1")
+                return scripted_response{sealedResponse("1", Event)};
+              return scripted_response{Whole.substr(0, Stop), !Reset, Reset};
+            });
+            Fixture.setRoutes(Kind, false);
+            removeRunner(Fixture.Context.Runners, "second");
+            // The last one lacks only the line feed that ends the head.
+            for (Stop = 0; Stop < HeadEnd + 4; ++Stop) {
+              Fixture.Context.Runners.Runners["first"].FailedUntil = {};
+              if (Kept)
+                CHECK(looksWhole(Fixture.call("1")));
+              const std::size_t Arrivals = Fixture.arrivals();
+              const std::string Response = Fixture.call("2");
+              INFO("kind " << static_cast<int>(Kind) << ", framing "
+                           << bodyFramingName(Framing) << ", kept " << Kept
+                           << ", reset " << Reset << ": "
+                           << Whole.substr(0, Stop));
+              CHECK(Response.starts_with("HTTP/1.1 502"));
+              CHECK(Fixture.arrivals() == Arrivals + 1);
+            }
+          }
+}
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -371,6 +371,20 @@
   }
 }
 
+// Guards against a response whose head stops halfway passing for a success.
+TEST_CASE("a service's response that stops anywhere in its head has an unknown "
+          "outcome") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t Stop = 0; Stop < Head.size(); ++Stop)
+    for (const bool Reset : {false, true}) {
+      INFO(Head.substr(0, Stop), Reset);
+      closing_server Server(Head.substr(0, Stop), Reset);
+      const attempt_result Result =
+          runServiceAttempt(makeAttempt(Server.port(), 0));
+      CHECK(Result.Run == run_state::OutcomeUnknown);
+    }
+}
+
 // Guards against a model's stream that broke off passing for a complete one.
 // Guards against a response passing for complete whose service was killed while
 // the request was still on its way to it (review, case 2).
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "early_runner.h"
 #include "net/address.h"
 #include "net/http_reader.h"
 #include "store/store_watch.h"
@@ -289,6 +290,55 @@
   Client->close();
 }
 
+// Guards against a response whose head stops halfway passing for an answer.
+TEST_CASE("store_client takes no response that stops anywhere in its head") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t Stop = 0; Stop <= Head.size(); ++Stop) {
+    asio::io_context Loop;
+    scripted_store Store(
+        Loop, [&](const std::string &) { return Head.substr(0, Stop); });
+    Store.FinishAfterResponse = true;
+    const auto Client = std::make_shared<store_client>(Loop, Store.address());
+    std::optional<store_status> Status;
+    Client->call(platform::readRequest("kind", "one"), milliseconds(500),
+                 [&](const store_answer &Answer) { Status = Answer.Status; });
+    for (int Round = 0; Round < 300 && !Status; ++Round)
+      Loop.run_for(milliseconds(2));
+    INFO(Head.substr(0, Stop));
+    CHECK(Status ==
+          (Stop == Head.size() ? store_status::Done : store_status::Unknown));
+    Client->close();
+  }
+}
+
+// Guards against a write that counts as done although the store ended, or was
+// cut off, while the call was still on its way (review, case 2).
+TEST_CASE("store_client takes an end of the connection for that of a response "
+          "only if the store received the whole call") {
+  for (const early_end End : EarlyEnds)
+    for (const std::size_t Length :
+         {std::size_t{400'000}, std::size_t{8'000'000}}) {
+      early_runner Store("HTTP/1.1 200 OK\r\n\r\n{\"a\":", "1}", End);
+      asio::io_context Loop;
+      const auto Client = std::make_shared<store_client>(
+          Loop, "127.0.0.1:" + std::to_string(Store.port()));
+      std::optional<store_answer> Answer;
+      Client->call(platform::createRequest(
+                       "kind", "one", '"' + std::string(Length, 'x') + '"'),
+                   seconds(5),
+                   [&](const store_answer &Given) { Answer = Given; });
+      for (int Round = 0; Round < 2'500 && !Answer; ++Round)
+        Loop.run_for(milliseconds(2));
+      INFO("end " << static_cast<int>(End) << ", " << Length << " bytes");
+      REQUIRE(Answer);
+      CHECK(Answer->Status ==
+            (isSound(End) ? store_status::Done : store_status::Unknown));
+      if (isSound(End))
+        CHECK(Answer->Body == "{\"a\":1}");
+      Client->close();
+    }
+}
+
 TEST_CASE("store_client sends calls sequentially on one connection") {
   asio::io_context Loop;
   scripted_store Store(Loop, [](const std::string &Target) {
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -156,6 +156,63 @@
   CHECK(Fixture.Ends.front() == Expected);
 }
 
+// Guards against a request that is written twice, or counts as not sent,
+// because a relay opens or refuses a tunnel that is open.
+TEST_CASE("a tunnel takes messages only in their order") {
+  asio::io_context Loop;
+  const auto MessageOf = [](tunnel_kind Kind) {
+    tunnel_message Message;
+    Message.Kind = Kind;
+    Message.End = stream_end::Finished;
+    Message.Refusal = tunnel_refusal::Busy;
+    Message.Data = "x";
+    return encodeMessage(Message);
+  };
+  std::string Sent;
+  int ExpectedConnects = 1;
+  stream_end Expected = stream_end::Reset;
+  SUBCASE("opened twice") {
+    Sent = MessageOf(tunnel_kind::Opened) + MessageOf(tunnel_kind::Opened);
+  }
+  SUBCASE("refused when it is open") {
+    Sent = MessageOf(tunnel_kind::Opened) + MessageOf(tunnel_kind::Refused);
+  }
+  SUBCASE("bytes before it is open") {
+    Sent = MessageOf(tunnel_kind::Data);
+    ExpectedConnects = 0;
+    Expected = stream_end::ConnectFailed;
+  }
+  SUBCASE("an end before it is open") {
+    Sent = MessageOf(tunnel_kind::End);
+    ExpectedConnects = 0;
+    Expected = stream_end::ConnectFailed;
+  }
+  std::shared_ptr<tcp_stream> Origin;
+  listener Relay(Loop, AnyPort, "test", [&](asio::ip::tcp::socket Socket) {
+    Origin = std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+    Origin->setHandlers({});
+    Origin->start();
+    Origin->write(Sent);
+  });
+  const auto Connection = std::make_shared<runner_connection>(
+      Loop, runner_target{"127.0.0.1:1", addressOf(Relay.port()), "r", 7});
+  int Connects = 0;
+  std::string Received;
+  std::vector<stream_end> Ends;
+  tcp_stream::handlers Handlers;
+  Handlers.OnConnected = [&] { ++Connects; };
+  Handlers.OnBytes = [&](std::string_view Bytes) { Received += Bytes; };
+  Handlers.OnEnd = [&](stream_end End) { Ends.push_back(End); };
+  Connection->setHandlers(std::move(Handlers));
+  Connection->connect();
+  for (int Round = 0; Round < 500 && Ends.empty(); ++Round)
+    Loop.run_for(milliseconds(2));
+  CHECK(Connects == ExpectedConnects);
+  CHECK(Received.empty());
+  CHECK(Ends == std::vector{Expected});
+  Origin->close();
+}
+
 TEST_CASE("an end from a relay of an older version is read") {
   msgpack::sbuffer Older;
   msgpack::packer Packer(Older);
