--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -284,6 +284,10 @@
           "{\"service\":\"s\"}}",
           "[1,2",
           "{\"a\":[{\"b\":",
+          "{\"a\":\"",
+          "\"}",
+          "\":1}",
+          "x\"",
           std::string(100'000, '['),
           std::string(1'000, '{')};
 }
@@ -350,6 +354,26 @@
     }
 }
 
+// Guards against two entries without an end that together look like one entry,
+// which hides what is between them.
+TEST_CASE("two entries without an end leave the one between them in force") {
+  for (const std::string &First : brokenTexts())
+    for (const std::string &Second : brokenTexts()) {
+      const auto Page = decodePage(
+          "{\"items\":[" +
+          joinTexts({itemText("x", First), itemText("a", SoundSpec),
+                     itemText("y", Second), itemText("b", SoundSpec)}) +
+          "],\"truncated\":false,\"store-revision\":12}");
+      INFO(First.substr(0, 40), " and ", Second.substr(0, 40));
+      REQUIRE(Page);
+      std::vector<std::string> Names;
+      for (const store_item &Item : Page->Items)
+        if (decodeRunner(Item))
+          Names.push_back(Item.Name);
+      CHECK(Names == std::vector<std::string>{"a", "b"});
+    }
+}
+
 // Guards against a process that ends because a deeply nested value is copied or
 // written recursively.
 TEST_CASE("no value of a field of an entry ends the process or names a runner "
