Keep no connection to a runner that has ended its side

Found by reading: with ConfirmDelivery a connection whose peer has ended stays open until all is delivered, and the pool could take it for one that carries another request. Only connections on which neither side has ended are reused. net, tunnel, forward, store and runner tests pass.

--- a/src/http/bounded_call.cpp
+++ b/src/http/bounded_call.cpp
@@ -72,9 +72,9 @@
   return true;
 }
 
-/// Waits after the server's orderly end until it has received the whole
-/// request. One that is killed may end its connection in order, too, and resets
-/// it only for what still arrives. \returns whether the server has it.
+/// Waits after the server's orderly end until it has received the request. One
+/// that is killed may end its connection in order, too, and resets it later.
+/// \returns whether the server has received the whole request.
 bool awaitDelivery(int Socket, instant Deadline) {
   while (takeSocketError(Socket) == 0) {
     if (!hasUndeliveredBytes(Socket))
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -78,6 +78,8 @@
 
   bool connected() const { return Connected; }
   bool closed() const { return Closed; }
+  /// \returns whether neither side has ended, as far as is known.
+  bool open() const { return !Closed && !PeerEnded && !WriteFailed; }
   /// \returns bytes that the system has not accepted yet, or never will.
   std::size_t pendingBytes() const { return Pending; }
 
--- a/src/tunnel/runner_connection.h
+++ b/src/tunnel/runner_connection.h
@@ -59,7 +59,7 @@
   bool relayed() const { return !Target.Relay.empty(); }
   /// \returns whether another request may be sent on it.
   bool reusable() const {
-    return !Stream->closed() && !RelayClosing &&
+    return Stream->open() && !RelayClosing &&
            RefusedAttempts.size() < MaxRefusedAttempts;
   }
 
