Give the test of an edge daemon ports that no other test can take

The test asked the system for a port, gave it back and bound it and the next two later; meanwhile another test, or a connection of one, could be given one of them. It now takes six free ports below those that the system gives out by itself. All its checks are unchanged.

--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -6,7 +6,9 @@
 #include <asio/io_context.hpp>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <system_error>
 #include <thread>
+#include <unistd.h>
 
 using namespace lentilhoist;
 
@@ -18,11 +20,31 @@
 
 instant after(milliseconds Time) { return later(StoppedAt, Time); }
 
-std::uint16_t freePort() {
-  asio::io_context Loop;
-  return listenOn(Loop, {asio::ip::address_v4::loopback(), 0})
-      .local_endpoint()
-      .port();
+bool isFree(std::uint16_t Port) {
+  try {
+    asio::io_context Loop;
+    listenOn(Loop, {asio::ip::address_v4::loopback(), Port});
+    return true;
+  } catch (const std::system_error &) {
+    return false;
+  }
+}
+
+/// \param Count how many ports follow each other.
+/// \returns the first of some free ports below those that the system gives out
+/// by itself (32768 by default), so that no other test takes one meanwhile.
+std::uint16_t freePorts(int Count) {
+  constexpr int FirstPort = 24'000;
+  constexpr int PortsEach = 8;
+  constexpr int Choices = 1'000;
+  for (int Try = ::getpid();; ++Try) {
+    const int First = FirstPort + Try % Choices * PortsEach;
+    int Free = 0;
+    while (Free < Count && isFree(static_cast<std::uint16_t>(First + Free)))
+      ++Free;
+    if (Free == Count)
+      return static_cast<std::uint16_t>(First);
+  }
 }
 
 } // namespace
@@ -92,13 +114,15 @@
   Settings.Name = "edge";
   Settings.Domain = "here";
   Settings.Address = "127.0.0.1";
-  Settings.CallerAddress = "127.0.0.1:" + std::to_string(freePort());
-  Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(freePort());
-  Settings.StoreAddress = "127.0.0.1:" + std::to_string(freePort());
+  const int Port = freePorts(6);
+  const auto AddressOf = [](int Number) {
+    return "127.0.0.1:" + std::to_string(Number);
+  };
+  Settings.CallerAddress = AddressOf(Port);
+  Settings.ReadinessAddress = AddressOf(Port + 1);
+  Settings.StoreAddress = AddressOf(Port + 2); // Nothing listens there.
   // The history relay and the tunnels take the next two ports.
-  do
-    Settings.FirstPort = freePort();
-  while (Settings.FirstPort >= 65'534);
+  Settings.FirstPort = static_cast<std::uint16_t>(Port + 3);
   Settings.MemoryBytes = 100'000'000;
   instant Stopped{};
   // The signal goes to the thread of the event loop, as in a daemon: raised in
