Let the tests' early runner wait for a slow sender

What the test printed was not kept. On one core with two others like it, the test "a response through a relay is complete only if ..." failed in 1 of 3 runs (6 of 6 with five others), with one check: an instance got 502 for a sound response to 8 MB.

Cause, from the log of that run: tunnel_opened, then tunnel_closed 1,028 ms later with to_runner 0. Encoding 8 MB took a second there; the stand-in gave up its first read after 1,000 ms and closed, and so was not sound any more. It also took 100 ms without bytes for the end of a request, with the same result.

The stand-in now waits as long as it exists and knows the end of a request by its length. What the tests check is unchanged; a response that counts as sound is now sent only after the whole request in every run.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -324,7 +324,7 @@
 /// Writes to a runner that responds early, until the connection ends.
 told_end writeToEarlyRunner(early_end End, std::size_t Length,
                             const socket_settings &Settings) {
-  early_runner Runner("first", "rest", End);
+  early_runner Runner("first", "rest", End, Length);
   asio::io_context Loop;
   const auto Stream =
       std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop), Settings);
