Test that a connection whose runner has ended its side is not used again

A runner answers with a length before it has taken the whole request and ends its side; the connection goes back to the pool and waits there for the delivery of the rest.

--- a/tests/early_runner.h
+++ b/tests/early_runner.h
@@ -24,6 +24,7 @@
   Stalled, ///< Ends its side in order, reads no more and closes after a while.
 };
 
+/// The ends of a response that its connection delimits.
 inline constexpr early_end EarlyEnds[] = {early_end::Reset, early_end::Killed,
                                           early_end::HalfClosed,
                                           early_end::ReadOn};
@@ -74,10 +75,14 @@
   early_runner &operator=(const early_runner &) = delete;
 
   std::uint16_t port() const { return Port; }
+  /// \returns whether a connection has been ended as early_end::Stalled does.
+  bool stalled() const { return HasStalled; }
 
 private:
   /// Time between two steps, in which the other side sees the former one.
   static constexpr std::chrono::milliseconds Step{60};
+  /// Time for which early_end::Stalled keeps the connection.
+  static constexpr std::chrono::milliseconds StallTime{500};
   static constexpr int StopCheckMs = 50; ///< Longest read without bytes.
 
   /// A connection and what of its request has been read.
@@ -98,7 +103,7 @@
     }
   }
 
-  void serve(int Socket) const {
+  void serve(int Socket) {
     const timeval Time{0, StopCheckMs * 1000};
     ::setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &Time, sizeof(Time));
     request_state Request{.Socket = Socket, .Length = RequestLength};
@@ -126,6 +131,11 @@
       readRest(Request);
       sendAll(Socket, Rest);
       return;
+    case early_end::Stalled:
+      ::shutdown(Socket, SHUT_WR);
+      HasStalled = true;
+      std::this_thread::sleep_for(StallTime);
+      return;
     }
   }
 
@@ -182,6 +192,7 @@
   int Listener;
   std::uint16_t Port = 0;
   std::atomic<bool> Stopping = false;
+  std::atomic<bool> HasStalled = false;
   std::thread Thread;
 };
 
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1634,6 +1634,23 @@
       }
 }
 
+// Guards against a request that breaks off because it is sent on a connection
+// that its runner has ended, where the end waits for the delivery of the
+// request before.
+TEST_CASE("a connection whose runner has ended its side is not used again") {
+  early_runner Runner(sealedResponse("1", "whole"), "", early_end::Stalled);
+  fixture Fixture(nullptr);
+  Fixture.setRoutes(route_kind::NonIdempotent, false, seconds(4));
+  removeRunner(Fixture.Context.Runners, "second");
+  Fixture.Context.Runners.Runners["first"].Entry.Address =
+      "127.0.0.1:" + std::to_string(Runner.port());
+  CHECK(bodyOf(Fixture.call("1", {}, std::string(400'000, 'x'))) == "whole");
+  while (!Runner.stalled())
+    Fixture.runFor(milliseconds(5));
+  Fixture.runFor(milliseconds(20)); // The instance sees the end.
+  CHECK(bodyOf(Fixture.call("1", {}, std::string(60'000, 'x'))) == "whole");
+}
+
 namespace {
 
 /// A refusal with the given fields besides its framing.
