Know how an answer of the platform's objects ended, and to which call it belongs

What callers could have seen: the daemon of our own interface took an update of an object for done although the platform ended while the object was on its way; and the second copy of an answer, on a kept connection, was read as the answer to the next call, one object in place of another.

Cause: object_store called through an HTTP library, which knows the end of a connection from the read side alone and looks only whether a kept connection is still open.

Change: callBounded's connection is a class of its own, bounded_connection. It may be kept if the answer ended by its framing, the request was received whole and nothing has come since. object_store keeps such connections in a pool, which takes the place of http_client_pool (its only other content, makeHttpClient, is now in http/http_client.h).

Heads that stop at each place and answers that end early were sound before.

--- a/bin/lentilhoistctl.cpp
+++ b/bin/lentilhoistctl.cpp
@@ -1,5 +1,5 @@
 #include "ctl/command_table.h"
-#include "http/http_client_pool.h"
+#include "http/http_client.h"
 #include "operator/rpc_dispatcher.h"
 #include "settings/daemon_settings.h"
 
--- a/src/http/bounded_call.cpp
+++ b/src/http/bounded_call.cpp
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 namespace lentilhoist {
 
@@ -19,18 +20,6 @@
 constexpr std::size_t ReadSize = 16UL * 1024UL;
 constexpr int StatusOk = 200;
 
-/// A socket that is closed at the end of its scope.
-struct owned_socket {
-  explicit owned_socket(int GivenDescriptor) : Descriptor(GivenDescriptor) {}
-  ~owned_socket() {
-    if (Descriptor >= 0)
-      ::close(Descriptor);
-  }
-  owned_socket(const owned_socket &) = delete;
-  owned_socket &operator=(const owned_socket &) = delete;
-  int Descriptor;
-};
-
 bool waitFor(int Socket, short Events, milliseconds Time) {
   pollfd Poll{Socket, Events, 0};
   return Time.count() > 0 &&
@@ -129,55 +118,95 @@
   return "unknown";
 }
 
-call_result callBounded(const endpoint &Target, const http_request_head &Head,
-                        std::string_view Body, const call_limits &Limits,
-                        const body_receiver &OnBody) {
+bounded_connection::bounded_connection(endpoint GivenTarget)
+    : Target(std::move(GivenTarget)) {}
+
+bounded_connection::~bounded_connection() { close(); }
+
+void bounded_connection::close() {
+  if (Socket >= 0)
+    ::close(std::exchange(Socket, -1));
+}
+
+bool bounded_connection::reusable() const {
+  char Byte = 0;
+  return Socket >= 0 &&
+         ::recv(Socket, &Byte, sizeof(Byte), MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+bool bounded_connection::connect(const call_limits &Limits) {
+  Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (Socket < 0)
+    return false;
+  setSocketOptions(Socket);
+  return connectWithin(Socket, Target, std::min(Limits.Connect, Limits.Total));
+}
+
+call_result bounded_connection::call(const http_request_head &Head,
+                                     std::string_view Body,
+                                     const call_limits &Limits,
+                                     const body_receiver &OnBody) {
   const instant Deadline = later(readClock(), Limits.Total);
   call_result Result;
-  const owned_socket Socket(
-      ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (Socket.Descriptor < 0)
-    return Result;
-  setSocketOptions(Socket.Descriptor);
-  if (!connectWithin(Socket.Descriptor, Target,
-                     std::min(Limits.Connect, Limits.Total)))
-    return Result;
+  const bool Connected = Socket >= 0 || connect(Limits);
+  if (!Connected || !exchange(Head, Body, Limits, OnBody, Deadline, Result))
+    close();
+  return Result;
+}
+
+/// \returns whether the connection may be kept.
+bool bounded_connection::exchange(const http_request_head &Head,
+                                  std::string_view Body,
+                                  const call_limits &Limits,
+                                  const body_receiver &OnBody, instant Deadline,
+                                  call_result &Result) {
   Result.End = call_end::Broken;
-  if (!sendAll(Socket.Descriptor, encodeRequest(Head, Body), Deadline))
-    return Result;
+  if (!sendAll(Socket, encodeRequest(Head, Body), Deadline))
+    return false;
   http_reader Reader(http_message::Response, Limits.MaxHeadBytes);
+  bool TrailingBytes = false;
   while (!Reader.complete()) {
     const milliseconds Left = timeLeft(Deadline);
-    if (!waitFor(Socket.Descriptor, POLLIN, std::min(Left, Limits.Silence))) {
+    if (!waitFor(Socket, POLLIN, std::min(Left, Limits.Silence))) {
       Result.End =
           Left <= Limits.Silence ? call_end::TimedOut : call_end::Silent;
-      return Result;
+      return false;
     }
     char Bytes[ReadSize];
-    const ssize_t Length = ::recv(Socket.Descriptor, Bytes, sizeof(Bytes), 0);
+    const ssize_t Length = ::recv(Socket, Bytes, sizeof(Bytes), 0);
     if (Length < 0 && (errno == EAGAIN || errno == EINTR))
       continue;
-    if (Length < 0 ||
-        (Length == 0 && !awaitDelivery(Socket.Descriptor, Deadline)))
-      return Result;
-    if (Length == 0)
+    if (Length < 0 || (Length == 0 && !awaitDelivery(Socket, Deadline)))
+      return false;
+    if (Length == 0) {
       Reader.feedEnd();
-    else
-      Reader.feed({Bytes, static_cast<std::size_t>(Length)});
+    } else {
+      const auto Received = static_cast<std::size_t>(Length);
+      TrailingBytes = Reader.feed({Bytes, Received}) < Received;
+    }
     Result.Head = Reader.response();
     if (Reader.error() != http_read_error::None) {
       Result.End = Reader.error() == http_read_error::HeadTooLarge
                        ? call_end::TooLarge
                        : call_end::Malformed;
-      return Result;
+      return false;
     }
     if (Reader.headComplete() && !takeBody(Reader, Limits, OnBody, Result))
-      return Result;
+      return false;
     if (Length == 0 && !Reader.complete())
-      return Result;
+      return false;
   }
   Result.End = call_end::Complete;
-  return Result;
+  // A server that responds early may not have received the whole request.
+  return Reader.keepAlive() && !Reader.endsWithConnection() && !TrailingBytes &&
+         !hasUndeliveredBytes(Socket);
+}
+
+call_result callBounded(const endpoint &Target, const http_request_head &Head,
+                        std::string_view Body, const call_limits &Limits,
+                        const body_receiver &OnBody) {
+  return bounded_connection(Target).call(Head, Body, Limits, OnBody);
 }
 
 } // namespace lentilhoist
--- a/src/http/http_client_pool.cpp
+++ b/src/http/http_client.cpp
@@ -1,4 +1,4 @@
-#include "http/http_client_pool.h"
+#include "http/http_client.h"
 
 #include "http/http_server.h"
 
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::size_t MaxIdlePerServer = 64;
 constexpr int MaxPort = 65'535;
 
 } // namespace
@@ -27,30 +26,6 @@
   return Client;
 }
 
-http_client_pool::http_client_pool(http_timeouts Given) : Timeouts(Given) {}
-
-std::unique_ptr<httplib::Client>
-http_client_pool::acquire(const endpoint &Target) {
-  {
-    const std::lock_guard Lock(Mutex);
-    auto &Clients = Idle[Target];
-    if (!Clients.empty()) {
-      auto Client = std::move(Clients.back());
-      Clients.pop_back();
-      return Client;
-    }
-  }
-  return makeHttpClient(Target, Timeouts);
-}
-
-void http_client_pool::release(const endpoint &Target,
-                               std::unique_ptr<httplib::Client> Client) {
-  const std::lock_guard Lock(Mutex);
-  auto &Clients = Idle[Target];
-  if (Clients.size() < MaxIdlePerServer)
-    Clients.push_back(std::move(Client));
-}
-
 endpoint parseEndpoint(const std::string &Text) {
   const auto Colon = Text.rfind(':');
   if (Colon == std::string::npos || Colon == 0)
--- a/src/http/http_client_pool.h
+++ b/src/http/http_client.h
@@ -2,12 +2,9 @@
 
 #include <chrono>
 #include <httplib.h>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <tuple>
-#include <vector>
 
 namespace lentilhoist {
 
@@ -35,27 +32,6 @@
 std::unique_ptr<httplib::Client> makeHttpClient(const endpoint &Target,
                                                 const http_timeouts &Timeouts);
 
-/// Idle connections by server, for requests that may be sent again.
-class http_client_pool {
-public:
-  /// \param Timeouts the limits of the waits of all clients.
-  explicit http_client_pool(http_timeouts Timeouts);
-
-  /// \param Target the server.
-  /// \returns an idle client of the server, or a new one.
-  std::unique_ptr<httplib::Client> acquire(const endpoint &Target);
-
-  /// Takes back a client whose last request was answered whole.
-  /// \param Target the server.
-  /// \param Client the client.
-  void release(const endpoint &Target, std::unique_ptr<httplib::Client> Client);
-
-private:
-  http_timeouts Timeouts;
-  std::mutex Mutex;
-  std::map<endpoint, std::vector<std::unique_ptr<httplib::Client>>> Idle;
-};
-
 /// Parses `127.0.0.1:8080`.
 /// \param Text the text.
 /// \returns the endpoint.
--- a/src/load/overhead_probe.h
+++ b/src/load/overhead_probe.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/http_client_pool.h"
+#include "http/http_client.h"
 
 #include <string>
 
--- a/src/objects/object_store.cpp
+++ b/src/objects/object_store.cpp
@@ -9,6 +9,8 @@
 
 constexpr int StatusConflict = 412;
 constexpr int StatusNotFound = 404;
+/// Far above the size of any object: a response without end is given up.
+constexpr std::size_t MaxObjectBytes = std::size_t{1} << 30U;
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
@@ -43,63 +45,70 @@
 } // namespace
 
 object_store::object_store(endpoint Given, http_timeouts Timeouts)
-    : Target(std::move(Given)), Clients(Timeouts) {}
+    : Target(std::move(Given)), Connections(Target) {
+  Limits.Connect = Timeouts.Connect;
+  Limits.Silence = Timeouts.Read;
+  Limits.Total = Timeouts.Connect + Timeouts.Write + Timeouts.Read;
+  Limits.MaxBodyBytes = MaxObjectBytes;
+}
 
-httplib::Result object_store::get(const std::string &Path) {
-  auto Client = Clients.acquire(Target);
-  auto Answer = Client->Get(Path);
-  if (!Answer)
-    throw platform_error(
-        fmt::format("GET {}: {}", Path, httplib::to_string(Answer.error())));
-  Clients.release(Target, std::move(Client));
+call_result object_store::call(http_request_head Head,
+                               const std::string &Body) {
+  Head.Fields.push_back(
+      {"Host", fmt::format("{}:{}", Target.Address, Target.Port)});
+  auto Connection = Connections.acquire();
+  call_result Answer = Connection->call(Head, Body, Limits);
+  Connections.release(std::move(Connection));
+  if (Answer.End != call_end::Complete)
+    throw platform_error(fmt::format("{} {}: {}", Head.Method, Head.Target,
+                                     callEndName(Answer.End)));
   return Answer;
 }
 
+call_result object_store::get(const std::string &Path) {
+  return call({"GET", Path, {}});
+}
+
 update_status object_store::put(const std::string &Key,
                                 const std::string &Value,
-                                const httplib::Headers &Condition) {
-  auto Client = Clients.acquire(Target);
-  const auto Answer = Client->Put("/objects/" + Key, Condition, Value,
-                                  "application/octet-stream");
-  if (!Answer)
-    throw platform_error(
-        fmt::format("PUT {}: {}", Key, httplib::to_string(Answer.error())));
-  Clients.release(Target, std::move(Client));
-  if (Answer->status == StatusConflict)
+                                http_field Condition) {
+  const call_result Answer = call(
+      {"PUT",
+       "/objects/" + Key,
+       {{"Content-Type", "application/octet-stream"}, std::move(Condition)}},
+      Value);
+  if (Answer.Head.Status == StatusConflict)
     return update_status::Conflict;
-  if (!isSuccess(Answer->status))
-    failStatus("PUT " + Key, Answer->status);
+  if (!isSuccess(Answer.Head.Status))
+    failStatus("PUT " + Key, Answer.Head.Status);
   return update_status::Done;
 }
 
 update_status object_store::create(const std::string &Key,
                                    const std::string &Value) {
-  return put(Key, Value, {{"If-None-Match", "*"}});
+  return put(Key, Value, {"If-None-Match", "*"});
 }
 
 update_status object_store::update(const std::string &Key,
                                    const std::string &Value,
                                    const std::string &Version) {
-  return put(Key, Value, {{"If-Match", Version}});
+  return put(Key, Value, {"If-Match", Version});
 }
 
 std::optional<stored_object> object_store::read(const std::string &Key) {
-  const auto Answer = get("/objects/" + Key);
-  if (Answer->status == StatusNotFound)
+  call_result Answer = get("/objects/" + Key);
+  if (Answer.Head.Status == StatusNotFound)
     return std::nullopt;
-  if (!isSuccess(Answer->status))
-    failStatus("GET " + Key, Answer->status);
-  return stored_object{Answer->body, Answer->get_header_value("ETag")};
+  if (!isSuccess(Answer.Head.Status))
+    failStatus("GET " + Key, Answer.Head.Status);
+  return stored_object{std::move(Answer.Body),
+                       std::string(fieldValue(Answer.Head.Fields, "ETag"))};
 }
 
 void object_store::remove(const std::string &Key) {
-  auto Client = Clients.acquire(Target);
-  const auto Answer = Client->Delete("/objects/" + Key);
-  if (!Answer)
-    throw platform_error("DELETE " + Key + " was not answered");
-  Clients.release(Target, std::move(Client));
-  if (!isSuccess(Answer->status) && Answer->status != StatusNotFound)
-    failStatus("DELETE " + Key, Answer->status);
+  const int Status = call({"DELETE", "/objects/" + Key, {}}).Head.Status;
+  if (!isSuccess(Status) && Status != StatusNotFound)
+    failStatus("DELETE " + Key, Status);
 }
 
 std::vector<std::string> object_store::listKeys(const std::string &Prefix,
@@ -107,11 +116,11 @@
   std::vector<std::string> Keys;
   std::string Last = After;
   for (bool More = true; More;) {
-    const auto Answer =
+    const call_result Answer =
         get(fmt::format("/objects?prefix={}&after={}", Prefix, Last));
-    if (!isSuccess(Answer->status))
-      failStatus("list " + Prefix, Answer->status);
-    const auto Json = parseList(Answer->body, "keys");
+    if (!isSuccess(Answer.Head.Status))
+      failStatus("list " + Prefix, Answer.Head.Status);
+    const auto Json = parseList(Answer.Body, "keys");
     for (const auto &Item : Json["keys"])
       Keys.push_back(requireText(Item, "key"));
     More = Json.value("more", false) && !Keys.empty();
@@ -122,11 +131,11 @@
 }
 
 std::vector<listed_instance> object_store::listInstances() {
-  const auto Answer = get("/instances");
-  if (!isSuccess(Answer->status))
-    failStatus("list instances", Answer->status);
+  const call_result Answer = get("/instances");
+  if (!isSuccess(Answer.Head.Status))
+    failStatus("list instances", Answer.Head.Status);
   std::vector<listed_instance> Instances;
-  const auto Json = parseList(Answer->body, "instances");
+  const auto Json = parseList(Answer.Body, "instances");
   for (const auto &Item : Json["instances"]) {
     listed_instance Instance;
     Instance.Id = requireText(Item, "id");
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/http_client_pool.h"
+#include "http/bounded_connection_pool.h"
 
 #include <cstdint>
 #include <optional>
@@ -82,12 +82,15 @@
   std::vector<listed_instance> listInstances();
 
 private:
-  httplib::Result get(const std::string &Path);
+  /// \throws platform_error if there is no whole response.
+  call_result call(http_request_head Head, const std::string &Body = {});
+  call_result get(const std::string &Path);
   update_status put(const std::string &Key, const std::string &Value,
-                    const httplib::Headers &Condition);
+                    http_field Condition);
 
   endpoint Target;
-  http_client_pool Clients;
+  call_limits Limits;
+  bounded_connection_pool Connections;
 };
 
 } // namespace lentilhoist
--- a/src/runner/service_client.h
+++ b/src/runner/service_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "decision/runner_table.h"
-#include "http/http_client_pool.h"
+#include "http/http_client.h"
 
 #include <optional>
 #include <string>
--- a/src/settings/daemon_settings.h
+++ b/src/settings/daemon_settings.h
@@ -2,7 +2,7 @@
 
 #include "decision/owner_settings.h"
 #include "decision/runner_table.h"
-#include "http/http_client_pool.h"
+#include "http/http_client.h"
 #include "membership/membership.h"
 #include "runner/model_client.h"
 #include "settings/settings_error.h"
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,5 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
-#include "http/http_client_pool.h"
+#include "http/http_client.h"
 #include "http/http_server.h"
 
 #include <arpa/inet.h>
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "early_runner.h"
 #include "objects/journal_store.h"
 #include "standin/platform_standin.h"
 
@@ -98,6 +99,187 @@
   CHECK_THROWS_AS(readShard(0, Store), platform_error);
 }
 
+namespace {
+
+/// A server on loopback that answers each request of a connection by the next
+/// of its scripts, and ends the connection after the last one.
+class scripted_server {
+public:
+  /// \param GivenAnswers the bytes of each answer.
+  /// \param GivenReset whether the end is a reset.
+  /// \param GivenCopyDelay after this time the last answer is sent once more,
+  /// and the connection is kept until the client ends it.
+  scripted_server(std::vector<std::string> GivenAnswers, bool GivenReset,
+                  std::optional<milliseconds> GivenCopyDelay = std::nullopt)
+      : Answers(std::move(GivenAnswers)), Reset(GivenReset),
+        CopyDelay(GivenCopyDelay), Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Length = sizeof(Address);
+    ::bind(Listener, reinterpret_cast<sockaddr *>(&Address), Length);
+    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+    Port = ntohs(Address.sin_port);
+    ::listen(Listener, 16);
+    Thread = std::thread([this] { run(); });
+  }
+  ~scripted_server() {
+    ::shutdown(Listener, SHUT_RDWR);
+    Thread.join();
+    ::close(Listener);
+  }
+  scripted_server(const scripted_server &) = delete;
+  scripted_server &operator=(const scripted_server &) = delete;
+
+  int port() const { return Port; }
+  int connections() const { return Connections; }
+  int secondCopies() const { return Copies; }
+
+private:
+  void run() {
+    for (;;) {
+      const int Socket = ::accept(Listener, nullptr, nullptr);
+      if (Socket < 0)
+        return;
+      ++Connections;
+      serve(Socket);
+      ::close(Socket);
+    }
+  }
+
+  void serve(int Socket) {
+    for (const std::string &Answer : Answers) {
+      char Request[4'096];
+      if (::recv(Socket, Request, sizeof(Request), 0) <= 0)
+        return;
+      (void)::send(Socket, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+    }
+    if (CopyDelay) {
+      std::this_thread::sleep_for(*CopyDelay);
+      (void)::send(Socket, Answers.back().data(), Answers.back().size(),
+                   MSG_NOSIGNAL);
+      ++Copies;
+      char Request[4'096];
+      while (::recv(Socket, Request, sizeof(Request), 0) > 0) {
+      }
+      return;
+    }
+    if (!Reset)
+      return;
+    // Lets the answer arrive before a reset.
+    std::this_thread::sleep_for(milliseconds(20));
+    const linger Now{1, 0};
+    ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Now, sizeof(Now));
+  }
+
+  std::vector<std::string> Answers;
+  bool Reset;
+  std::optional<milliseconds> CopyDelay;
+  int Listener;
+  int Port = 0;
+  std::atomic<int> Connections = 0;
+  std::atomic<int> Copies = 0;
+  std::thread Thread;
+};
+
+object_store connectTo(int Port) {
+  return {{"127.0.0.1", Port}, http_timeouts{}};
+}
+
+const std::string WholeAnswer = "HTTP/1.1 200 OK\r\nETag: \"1\"\r\n"
+                                "Content-Length: 5\r\n\r\nvalue";
+
+} // namespace
+
+// Guards against an update that counts as done although the platform ended, or
+// was cut off, while the object was still on its way.
+TEST_CASE(
+    "an update is done only if the platform received the whole object and "
+    "ended its answer in order") {
+  for (const early_end End : EarlyEnds)
+    for (const std::size_t Length :
+         {std::size_t{400'000}, std::size_t{8'000'000}}) {
+      early_runner Platform("HTTP/1.1 200 OK\r\n\r\nfirst", "rest", End);
+      object_store Store = connectTo(Platform.port());
+      INFO("end " << static_cast<int>(End) << ", " << Length << " bytes");
+      const std::string Value(Length, 'x');
+      if (isSound(End))
+        CHECK(Store.create("k", Value) == update_status::Done);
+      else
+        CHECK_THROWS_AS(Store.create("k", Value), platform_error);
+    }
+}
+
+// Guards against a part of an object being read as the whole one.
+TEST_CASE("an object is read only from an answer that ends as it is framed") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nETag: \"1\"\r\n";
+  const struct {
+    std::string Answer;
+    bool Reset;
+    bool Whole;
+  } Cases[] = {
+      {WholeAnswer, false, true},
+      {WholeAnswer, true, true},
+      {Head + "Content-Length: 6\r\n\r\nvalue", false, false},
+      {Head + "Content-Length: 6\r\n\r\nvalue", true, false},
+      {Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n0\r\n\r\n",
+       false, true},
+      {Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n", false, false},
+      {Head + "Transfer-Encoding: chunked\r\n\r\n5\r\nvalue\r\n", true, false},
+      {Head + "\r\nvalue", false, true},
+      {Head + "\r\nvalue", true, false},
+  };
+  for (const auto &Case : Cases) {
+    INFO(Case.Answer << (Case.Reset ? " reset" : " ended"));
+    const scripted_server Platform({Case.Answer}, Case.Reset);
+    object_store Store = connectTo(Platform.port());
+    if (Case.Whole)
+      CHECK(Store.read("k")->Value == "value");
+    else
+      CHECK_THROWS_AS(Store.read("k"), platform_error);
+  }
+}
+
+// Guards against an answer whose head stops halfway being taken for an empty or
+// short object, or for the success of an update.
+TEST_CASE("an answer that stops anywhere in its head is an error, on new and "
+          "kept connections") {
+  const std::size_t HeadEnd = WholeAnswer.find("\r\n\r\n") + 4;
+  for (const bool Kept : {false, true})
+    for (const bool Reset : {false, true})
+      for (std::size_t Stop = 0; Stop < HeadEnd; ++Stop) {
+        INFO("kept " << Kept << ", reset " << Reset << ": "
+                     << WholeAnswer.substr(0, Stop));
+        std::vector<std::string> Answers{WholeAnswer.substr(0, Stop)};
+        if (Kept)
+          Answers.insert(Answers.begin(), WholeAnswer);
+        const scripted_server Platform(Answers, Reset);
+        object_store Store = connectTo(Platform.port());
+        if (Kept)
+          CHECK(Store.read("k")->Value == "value");
+        if (Stop % 2 == 0)
+          CHECK_THROWS_AS(Store.read("k"), platform_error);
+        else
+          CHECK_THROWS_AS(Store.create("k", "v"), platform_error);
+      }
+}
+
+// Guards against the second copy of an answer, which comes late, being taken
+// for the answer to the next call.
+TEST_CASE("an answer that no call awaits is not taken for that of the next") {
+  for (const bool AtOnce : {false, true}) {
+    INFO("at once: " << AtOnce);
+    const scripted_server Platform({WholeAnswer}, false,
+                                   AtOnce ? milliseconds(0) : milliseconds(20));
+    object_store Store = connectTo(Platform.port());
+    CHECK(Store.read("k")->Value == "value");
+    while (Platform.secondCopies() == 0)
+      std::this_thread::sleep_for(milliseconds(5));
+    CHECK(Store.read("l")->Value == "value");
+    CHECK(Platform.connections() == 2);
+  }
+}
+
 TEST_CASE("calls beyond the platform's rate are errors, and are not applied") {
   platform_standin_settings Settings;
   // So little that the second write is refused however slow the test runs.
