Read a runner's reports of load and sessions field by field

What could be seen: a runner of our own interface that answers /load or /v1/cache with a field of another type ended the daemon: the exception of the JSON library left the thread that polls the runners, which catches nothing (by reading; the tests show the exception, no process was run).

Cause: the library throws where a field has another type, also for a field with a default.

Change: a report that can't be read names no load and is logged, an item of the list of sessions that can't be read names no session.

--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -5,6 +5,7 @@
 #include "net/event_parser.h"
 
 #include <fmt/format.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace lentilhoist {
@@ -179,6 +180,20 @@
   return Result;
 }
 
+/// \returns a count of a report, 0 if it is absent; nothing if it is no count.
+std::optional<std::uint32_t> readCount(const nlohmann::json &Report,
+                                       const char *Field) {
+  if (!Report.is_object())
+    return std::nullopt;
+  const auto Found = Report.find(Field);
+  if (Found == Report.end())
+    return 0;
+  if (!Found->is_number_unsigned() ||
+      Found->get<std::uint64_t>() > std::numeric_limits<std::uint32_t>::max())
+    return std::nullopt;
+  return Found->get<std::uint32_t>();
+}
+
 attempt_result success(const stream_progress &Progress,
                        const runner_settings &Runner) {
   attempt_result Result;
@@ -260,23 +275,34 @@
     return std::nullopt;
   std::vector<program_id> Sessions;
   for (const auto &Item : Json) {
-    const auto Program = parseProgramId(Item.value("session", std::string()));
-    if (Program)
+    if (!Item.is_object() || !Item.contains("session") ||
+        !Item["session"].is_string())
+      continue;
+    if (const auto Program = parseProgramId(Item["session"].get<std::string>()))
       Sessions.push_back(*Program);
   }
   return Sessions;
 }
 
 runner_load readLoad(const endpoint &Runner, instant Now) {
-  runner_load Load;
   const auto Answer = controlCall(Runner, "GET", "/load");
   if (!Answer || Answer->Head.Status != StatusOk)
-    return Load;
+    return {};
   const auto Json = nlohmann::json::parse(Answer->Body, nullptr, false);
-  if (Json.is_discarded())
-    return Load;
-  Load.Running = Json.value("running", 0U);
-  Load.Waiting = Json.value("waiting", 0U);
+  const auto Running = readCount(Json, "running");
+  const auto Waiting = readCount(Json, "waiting");
+  const bool Readable =
+      Running && Waiting &&
+      (!Json.contains("draining") || Json["draining"].is_boolean());
+  if (!Readable) {
+    logEvent(
+        log_level::Warning, "load_report_unreadable",
+        {{"address", Runner.Address}, {"port", std::to_string(Runner.Port)}});
+    return {};
+  }
+  runner_load Load;
+  Load.Running = *Running;
+  Load.Waiting = *Waiting;
   Load.Draining = Json.value("draining", false);
   Load.Reachable = true;
   Load.ReportedAt = Now.Steady;
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -407,6 +407,50 @@
     }
 }
 
+// Guards against an odd report of a runner ending the process that polls it.
+TEST_CASE("a report that can't be read names no load, and an odd session hides "
+          "no other") {
+  const auto Serve = [](const std::string &Body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body.size()) +
+           "\r\n\r\n" + Body;
+  };
+  const std::string Deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  for (const std::string &Report :
+       {std::string("7"), std::string("[]"), std::string("{"),
+        std::string(R"({"running":"1"})"), std::string(R"({"running":-1})"),
+        std::string(R"({"running":5000000000})"),
+        std::string(R"({"running":1e999})"), std::string(R"({"running":0.5})"),
+        std::string(R"({"waiting":[]})"), std::string(R"({"waiting":null})"),
+        std::string(R"({"draining":1})"), R"({"running":)" + Deep + "}"}) {
+    INFO(Report.substr(0, 40));
+    closing_server Server(Serve(Report), false);
+    runner_load Load;
+    CHECK_NOTHROW(Load = readLoad({"127.0.0.1", Server.port()}, readClock()));
+    CHECK_FALSE(Load.Reachable);
+  }
+  closing_server Sound(Serve(R"({"running":3,"draining":true})"), false);
+  const runner_load Load = readLoad({"127.0.0.1", Sound.port()}, readClock());
+  CHECK(Load.Reachable);
+  CHECK(Load.Running == 3);
+  CHECK(Load.Draining);
+
+  const std::string Session = formatProgramId({1, 2});
+  for (const std::string &Odd :
+       {std::string("7"), std::string("null"), std::string("{}"),
+        std::string(R"({"session":7})"), std::string(R"({"session":{}})"),
+        std::string(R"({"session":"no program"})"),
+        std::string(1'000, '[') + std::string(1'000, ']')}) {
+    INFO(Odd.substr(0, 40));
+    closing_server Server(
+        Serve("[" + Odd + R"(,{"session":")" + Session + R"("}])"), false);
+    std::optional<std::vector<program_id>> Sessions;
+    CHECK_NOTHROW(Sessions = listSessions({"127.0.0.1", Server.port()}));
+    REQUIRE(Sessions);
+    CHECK(*Sessions == std::vector<program_id>{{1, 2}});
+  }
+}
+
 TEST_CASE("a model's stream is complete only with its last event, however it "
           "ends") {
   const std::string Token =
