Read each entry of the platform's list of instances by itself

What could be seen: one odd entry in the list hid all other instances from the daemons of our own interface, at the start and for as long as it was there; a port above 65535 was cut to another one.

Change: an entry that can't be read names no instance and is logged with the number of such entries. A list with entries of which none can be read is an error as before.

--- a/src/objects/object_store.cpp
+++ b/src/objects/object_store.cpp
@@ -1,6 +1,9 @@
 #include "objects/object_store.h"
 
+#include "log/log.h"
+
 #include <fmt/format.h>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 namespace lentilhoist {
@@ -38,6 +41,27 @@
   return Item[Field].get<std::string>();
 }
 
+/// \returns what an item says; nothing if a field is missing or of another
+/// type.
+std::optional<listed_instance> readInstance(const nlohmann::json &Item) {
+  try {
+    listed_instance Instance;
+    Instance.Id = Item.at("id").get<std::string>();
+    Instance.Address = Item.at("address").get<std::string>();
+    Instance.Domain = Item.value("domain", std::string());
+    Instance.Region = Item.value("region", std::string());
+    Instance.Leaving = Item.value("state", std::string()) == "leaving";
+    const auto Port = Item.value("link_port", nlohmann::json(0U));
+    if (!Port.is_number_unsigned() ||
+        Port.get<std::uint64_t>() > std::numeric_limits<std::uint16_t>::max())
+      return std::nullopt;
+    Instance.LinkPort = Port.get<int>();
+    return Instance;
+  } catch (const nlohmann::json::exception &) {
+    return std::nullopt;
+  }
+}
+
 [[noreturn]] void failStatus(const std::string &What, int Status) {
   throw platform_error(fmt::format("{}: status {}", What, Status));
 }
@@ -136,16 +160,17 @@
     failStatus("list instances", Answer.Head.Status);
   std::vector<listed_instance> Instances;
   const auto Json = parseList(Answer.Body, "instances");
-  for (const auto &Item : Json["instances"]) {
-    listed_instance Instance;
-    Instance.Id = requireText(Item, "id");
-    Instance.Domain = Item.value("domain", std::string());
-    Instance.Region = Item.value("region", std::string());
-    Instance.Address = requireText(Item, "address");
-    Instance.LinkPort = Item.value("link_port", 0);
-    Instance.Leaving = Item.value("state", std::string()) == "leaving";
-    Instances.push_back(std::move(Instance));
-  }
+  std::size_t Unreadable = 0;
+  for (const auto &Item : Json["instances"])
+    if (auto Instance = readInstance(Item))
+      Instances.push_back(std::move(*Instance));
+    else
+      ++Unreadable;
+  if (Unreadable > 0)
+    logEvent(log_level::Warning, "instance_entries_unreadable",
+             {{"count", std::to_string(Unreadable)}});
+  if (Unreadable > 0 && Instances.empty())
+    throw platform_error("no item of the platform's list can be read");
   return Instances;
 }
 
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -191,6 +191,37 @@
 
 } // namespace
 
+// Guards against one odd entry of the platform's list hiding all others.
+TEST_CASE("an instance whose entry can't be read hides no other") {
+  for (const char *Odd :
+       {"7", "null", "[]", "{}", R"({"id":7,"address":"127.0.0.1"})",
+        R"({"id":"a"})", R"({"id":"a","address":[]})",
+        R"({"id":"a","address":"127.0.0.1","link_port":70000})",
+        R"({"id":"a","address":"127.0.0.1","link_port":-1})",
+        R"({"id":"a","address":"127.0.0.1","link_port":1e18})",
+        R"({"id":"a","address":"127.0.0.1","link_port":"1"})",
+        R"({"id":"a","address":"127.0.0.1","domain":{}})",
+        R"({"id":"a","address":"127.0.0.1","region":1})",
+        R"({"id":"a","address":"127.0.0.1","state":[[[[]]]]})"}) {
+    INFO(Odd);
+    http_server Platform{http_server_settings()};
+    Platform.routes().Get("/instances", [&](const auto &, auto &Response) {
+      const std::string Sound =
+          R"({"id":"b","address":"127.0.0.1","link_port":4000})";
+      Response.set_content(R"({"instances":[)" + std::string(Odd) + "," +
+                               Sound + "]}",
+                           "application/json");
+    });
+    Platform.start();
+    object_store Store({"127.0.0.1", Platform.port()}, {});
+    std::vector<listed_instance> Listed;
+    CHECK_NOTHROW(Listed = Store.listInstances());
+    REQUIRE(Listed.size() == 1);
+    CHECK(Listed.front().Id == "b");
+    CHECK(Listed.front().LinkPort == 4000);
+  }
+}
+
 // Guards against an update that counts as done although the platform ended, or
 // was cut off, while the object was still on its way.
 TEST_CASE(
