--- a/src/http/bounded_connection_pool.h
+++ b/src/http/bounded_connection_pool.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "http/bounded_call.h"
+#include "http/bounded_connection.h"
 
 #include <memory>
 #include <mutex>
--- a/src/objects/object_store.h
+++ b/src/objects/object_store.h
@@ -41,7 +41,7 @@
 class object_store {
 public:
   /// \param Target the platform.
-  /// \param Timeouts limits of each wait.
+  /// \param Timeouts limits of each wait; their sum is that of a call.
   object_store(endpoint Target, http_timeouts Timeouts);
 
   /// Creates an object if it is absent.
