Log how long a store's answer has been missing, and how old the registry is

Change: call_ms and confirmed_ms in store_lost, lost_ms in store_regained, registry_age_ms in request_placed; the registry's age now counts from the last answer of the store, also one without a change, instead of the last change. No logic changes. Measured: store_test passes.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -251,7 +251,7 @@
     Json["config_age_ms"] =
         Context.Routes ? ageMs(Context.ConfigUpdatedAt) : -1;
     Json["registry_age_ms"] =
-        RunnerListReceived ? ageMs(Context.RegistryUpdatedAt) : -1;
+        RunnerListReceived ? ageMs(Context.RegistryConfirmedAt) : -1;
     Json["registry_away"] = RegistryUnreachable;
     Json["history_answers"] = History.available(readClock());
     Json["replica_set_version"] = History.replicas().Version;
@@ -386,6 +386,9 @@
         RegistryReconnectTime = readClock();
       RegistryUnreachable = !Contact;
     };
+    Handlers.OnConfirmed = [this] {
+      Context.RegistryConfirmedAt = readClock();
+    };
     RunnerWatch->start(std::move(Handlers));
   }
 
@@ -413,7 +416,6 @@
                  {{"entry", Item.Name}});
     replaceRunners(Context.Runners, Entries, removalTime(Now), Now);
     RunnerListReceived = true;
-    Context.RegistryUpdatedAt = Now;
     logEvent(log_level::Info, "runners_listed",
              {{"entries", std::to_string(Items.size())},
               {"source", Source},
@@ -433,7 +435,6 @@
 
   void applyRunnerEvent(const store_event &Event) {
     const instant Now = readClock();
-    Context.RegistryUpdatedAt = Now;
     const std::string Revision = std::to_string(Event.Item.Revision);
     if (Event.Removed) {
       if (!Context.Runners.Runners.contains(Event.Item.Name))
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -290,6 +290,12 @@
        {"route", Route->Name},
        {"relay", Relay.empty() ? "none" : Relay},
        {"config_version", std::to_string(Routes->config().Version)},
+       {"registry_age_ms",
+        Context.RegistryConfirmedAt.Steady.count() == 0
+            ? "-1"
+            : std::to_string(
+                  (Now.Steady - Context.RegistryConfirmedAt.Steady).count() /
+                  1000)},
        {"runner", Placement.Runner},
        {"candidates", std::to_string(Placement.Candidates)},
        {"cost_ms", formatTruncated(Placement.CostMs)},
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -48,11 +48,12 @@
   std::set<std::pair<std::string, std::int64_t>> RunnerRefusals{};
   /// Exchanges that wait for a runner without a relay.
   std::set<std::weak_ptr<exchange>, std::owner_less<>> DirectExchanges{};
-  route_table_ptr Routes{};    ///< Null before the first configuration.
-  instant ConfigUpdatedAt{};   ///< When Routes was last replaced.
-  instant RegistryUpdatedAt{}; ///< When the runner registry last reported.
-  bool Draining = false;       ///< The process is shutting down.
-  std::size_t BodyBytes = 0;   ///< Total body size of requests in progress.
+  route_table_ptr Routes{};  ///< Null before the first configuration.
+  instant ConfigUpdatedAt{}; ///< When Routes was last replaced.
+  /// When the runner registry was last known to be current; zero if never.
+  instant RegistryConfirmedAt{};
+  bool Draining = false;     ///< The process is shutting down.
+  std::size_t BodyBytes = 0; ///< Total body size of requests in progress.
   std::size_t MaxBodyBytes = 0;
   std::size_t ActiveRequests = 0;
   /// Requests whose caller has disconnected and that must not be cancelled on
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -7,6 +7,17 @@
 
 namespace lentilhoist {
 
+namespace {
+
+/// \returns the milliseconds between two times, "-1" if the first is unset.
+std::string formatElapsed(instant Then, instant Now) {
+  if (Then.Steady.count() == 0)
+    return "-1";
+  return std::to_string((Now.Steady - Then.Steady).count() / 1000);
+}
+
+} // namespace
+
 store_watch::store_watch(asio::io_context &Loop, const std::string &Address,
                          std::string GivenKind, watch_settings GivenSettings)
     : Client(std::make_shared<store_client>(Loop, Address)),
@@ -43,71 +54,76 @@
   list("");
 }
 
+void store_watch::send(const platform::store_request &Call,
+                       milliseconds Timeout, store_client::on_answer OnAnswer) {
+  CallSentAt = readClock();
+  Client->call(Call, Timeout, std::move(OnAnswer));
+}
+
 void store_watch::list(const std::string &After) {
-  Client->call(platform::listRequest(Kind, After, Settings.AllowStale),
-               Settings.ListTimeout,
-               [Weak = weak_from_this(), After](const store_answer &Answer) {
-                 const auto Self = Weak.lock();
-                 if (!Self || Self->Stopped)
-                   return;
-                 const auto Page = Answer.Status == store_status::Done
-                                       ? platform::decodePage(Answer.Body)
-                                       : std::nullopt;
-                 if (!Page) {
-                   Self->onFailure(Answer.Status);
-                   return;
-                 }
-                 Self->reportUnreadable(Page->Unreadable);
-                 if (After.empty())
-                   Self->FirstPageRevision = Page->Revision;
-                 Self->Pages.insert(Self->Pages.end(), Page->Items.begin(),
-                                    Page->Items.end());
-                 if (Page->Truncated && !Page->Items.empty()) {
-                   Self->list(Page->Items.back().Name);
-                   return;
-                 }
-                 // Start the watch at the first page's revision, so that it
-                 // covers changes made while the later pages were read.
-                 Self->Revision = Self->FirstPageRevision;
-                 Self->Listed = true;
-                 Self->onSuccess();
-                 Self->Handlers.OnList(Self->Pages);
-                 Self->Pages.clear();
-                 Self->scheduleNext(milliseconds(0));
-               });
+  send(platform::listRequest(Kind, After, Settings.AllowStale),
+       Settings.ListTimeout,
+       [Weak = weak_from_this(), After](const store_answer &Answer) {
+         const auto Self = Weak.lock();
+         if (!Self || Self->Stopped)
+           return;
+         const auto Page = Answer.Status == store_status::Done
+                               ? platform::decodePage(Answer.Body)
+                               : std::nullopt;
+         if (!Page) {
+           Self->onFailure(Answer.Status);
+           return;
+         }
+         Self->reportUnreadable(Page->Unreadable);
+         if (After.empty())
+           Self->FirstPageRevision = Page->Revision;
+         Self->Pages.insert(Self->Pages.end(), Page->Items.begin(),
+                            Page->Items.end());
+         if (Page->Truncated && !Page->Items.empty()) {
+           Self->list(Page->Items.back().Name);
+           return;
+         }
+         // Start the watch at the first page's revision, so that it
+         // covers changes made while the later pages were read.
+         Self->Revision = Self->FirstPageRevision;
+         Self->Listed = true;
+         Self->onSuccess();
+         Self->Handlers.OnList(Self->Pages);
+         Self->Pages.clear();
+         Self->scheduleNext(milliseconds(0));
+       });
 }
 
 void store_watch::watch() {
   const milliseconds Wait =
       Available ? Settings.Wait
                 : std::min(Settings.Wait, Settings.RecoveryWait);
-  Client->call(
-      platform::watchRequest(Kind, Revision, Wait, Settings.AllowStale),
-      Wait + Settings.AnswerSlack,
-      [Weak = weak_from_this()](const store_answer &Answer) {
-        const auto Self = Weak.lock();
-        if (!Self || Self->Stopped)
-          return;
-        if (Answer.Status == store_status::HistoryGone) {
-          Self->Listed = false;
-          Self->listOrWatch();
-          return;
-        }
-        const auto Events = Answer.Status == store_status::Done
-                                ? platform::decodeEvents(Answer.Body)
-                                : std::nullopt;
-        if (!Events) {
-          Self->onFailure(Answer.Status);
-          return;
-        }
-        Self->reportUnreadable(Events->Unreadable);
-        Self->Revision = std::max(Self->Revision, Events->Revision);
-        Self->onSuccess();
-        for (const store_event &Event : Events->Events)
-          Self->Handlers.OnEvent(Event);
-        Self->scheduleNext(Events->Events.empty() ? milliseconds(0)
-                                                  : Self->Settings.BatchDelay);
-      });
+  send(platform::watchRequest(Kind, Revision, Wait, Settings.AllowStale),
+       Wait + Settings.AnswerSlack,
+       [Weak = weak_from_this()](const store_answer &Answer) {
+         const auto Self = Weak.lock();
+         if (!Self || Self->Stopped)
+           return;
+         if (Answer.Status == store_status::HistoryGone) {
+           Self->Listed = false;
+           Self->listOrWatch();
+           return;
+         }
+         const auto Events = Answer.Status == store_status::Done
+                                 ? platform::decodeEvents(Answer.Body)
+                                 : std::nullopt;
+         if (!Events) {
+           Self->onFailure(Answer.Status);
+           return;
+         }
+         Self->reportUnreadable(Events->Unreadable);
+         Self->Revision = std::max(Self->Revision, Events->Revision);
+         Self->onSuccess();
+         for (const store_event &Event : Events->Events)
+           Self->Handlers.OnEvent(Event);
+         Self->scheduleNext(Events->Events.empty() ? milliseconds(0)
+                                                   : Self->Settings.BatchDelay);
+       });
 }
 
 void store_watch::reportUnreadable(std::size_t Count) const {
@@ -117,21 +133,31 @@
 }
 
 void store_watch::onSuccess() {
+  const instant Now = readClock();
   RetryDelay = Settings.MinRetryDelay;
   Failures = 0;
+  ConfirmedAt = Now;
+  if (Handlers.OnConfirmed)
+    Handlers.OnConfirmed();
   if (Available)
     return;
   Available = true;
-  logEvent(log_level::Info, "store_regained", {{"kind", Kind}});
+  logEvent(log_level::Info, "store_regained",
+           {{"kind", Kind}, {"lost_ms", formatElapsed(LostAt, Now)}});
   Handlers.OnAvailability(true);
 }
 
 void store_watch::onFailure(store_status Status) {
   ++Failures;
   if (Available) {
+    const instant Now = readClock();
     Available = false;
+    LostAt = Now;
     logEvent(log_level::Warning, "store_lost",
-             {{"kind", Kind}, {"status", storeStatusName(Status)}});
+             {{"kind", Kind},
+              {"status", storeStatusName(Status)},
+              {"call_ms", formatElapsed(CallSentAt, Now)},
+              {"confirmed_ms", formatElapsed(ConfirmedAt, Now)}});
     Handlers.OnAvailability(false);
   }
   // Jitter between half and the full delay keeps instances from retrying
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -38,6 +38,9 @@
     std::function<void(const store_event &)> OnEvent;
     /// Called when the store becomes available (true) or unavailable (false).
     std::function<void(bool)> OnAvailability;
+    /// Called after each successful response, also one without a change. May
+    /// be empty.
+    std::function<void()> OnConfirmed;
   };
 
   /// \param Loop the event loop.
@@ -65,6 +68,8 @@
   void reportUnreadable(std::size_t Count) const;
   void onSuccess();
   void scheduleNext(milliseconds Delay);
+  void send(const platform::store_request &Call, milliseconds Timeout,
+            store_client::on_answer OnAnswer);
 
   std::shared_ptr<store_client> Client;
   std::string Kind;
@@ -79,6 +84,9 @@
   bool Available = true;
   bool Stopped = false;
   std::uint64_t Failures = 0; ///< Consecutive; seeds the retry jitter.
+  instant CallSentAt{};       ///< Of the last call.
+  instant ConfirmedAt{};      ///< Last successful response; zero if none.
+  instant LostAt{};           ///< When Available last became false.
 };
 
 } // namespace lentilhoist
