Notice a silent store behind long polls, in both daemons

Cause: a long poll can't tell a store without changes from one that will never answer. A call that arrived just as the store fell silent was waited for until its own time was over, 10.6 s, also long after the store's return. Change: store_pulse, one short stale read each 0.5 s for all watches of a process, at a tenth of the price. If it fails, each watch replaces the long poll that it sent before by a short one, whose failure is a lost store and whose success changes nothing. If it shows a change that its watch should have reported, that watch does the same. Beliefs change through current reads alone. Silence is noticed within 1.85 s, the return within 1.05 s. Why it works: whether the store answers is asked by a call that must be answered at once, so the time of a long poll bounds nothing any more. Evidence: the new test of the entry daemon failed on the code before, 9 of 18 checks (8.1 s and 17.7 s where 1.5 s are allowed; silent, busy and reset, each kind), and passes. The replicas' test was written with the fix and not run on the code before.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -11,7 +11,7 @@
 #include "net/listener.h"
 #include "net/text_server.h"
 #include "platform/config_decoder.h"
-#include "store/store_watch.h"
+#include "store/store_pulse.h"
 #include "tunnel/tunnel_server.h"
 
 #include <algorithm>
@@ -30,9 +30,6 @@
 constexpr std::size_t BodyMemoryDivisor = 4;
 /// The cache of recently used chains may use this fraction of the memory (1/N).
 constexpr std::size_t ChainMemoryDivisor = 10;
-/// Long-poll timeout for the replica set. It is long because the set rarely
-/// changes and replicas report newer sets themselves.
-constexpr milliseconds ReplicaSetPollTimeout{20'000};
 /// Offset of the history relay port from the instance's first port, which
 /// serves metrics.
 constexpr std::uint16_t RelayPortOffset = 1;
@@ -90,6 +87,7 @@
     watchConfig();
     watchRunners();
     watchReplicas();
+    watchStore();
     waitForSignal();
     sweep();
     pingReplicas();
@@ -473,10 +471,9 @@
   }
 
   void watchReplicas() {
-    watch_settings Timing;
-    Timing.Wait = ReplicaSetPollTimeout;
-    ReplicaWatch = std::make_shared<store_watch>(
-        Loop, Settings.StoreAddress, platform::ReplicaSetKind, Timing);
+    ReplicaWatch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
+                                                 platform::ReplicaSetKind,
+                                                 watch_settings{});
     store_watch::handlers Handlers;
     Handlers.OnList = [this](const std::vector<store_item> &Items) {
       for (const store_item &Item : Items)
@@ -502,6 +499,16 @@
     });
   }
 
+  void watchStore() {
+    Pulse = std::make_shared<store_pulse>(Loop, Settings.StoreAddress,
+                                          pulse_settings{});
+    Pulse->follow(RunnerWatch, pulse_scope::Changes);
+    Pulse->follow(ConfigWatch, pulse_scope::Changes);
+    // Replicas report a newer set themselves.
+    Pulse->follow(ReplicaWatch, pulse_scope::Silence);
+    Pulse->start();
+  }
+
   void applyReplicaSet(const store_item &Item) {
     const auto Set = decodeReplicaSet(Item.Spec);
     if (Set)
@@ -608,6 +615,7 @@
   std::shared_ptr<store_watch> ConfigWatch;
   std::shared_ptr<store_watch> RunnerWatch;
   std::shared_ptr<store_watch> ReplicaWatch;
+  std::shared_ptr<store_pulse> Pulse; ///< Of all three watches.
   /// Links to the seed replicas from the settings, open while their backups are
   /// needed.
   std::map<std::string, std::shared_ptr<history_link>> SeedLinks;
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -11,7 +11,7 @@
 #include "net/text_server.h"
 #include "quarantine/suspect_archive.h"
 #include "replica/replica_store.h"
-#include "store/store_watch.h"
+#include "store/store_pulse.h"
 
 #include <algorithm>
 #include <asio/signal_set.hpp>
@@ -43,16 +43,6 @@
 /// share is small because instances that carry traffic keep recent chains too,
 /// so that few are read from a replica.
 constexpr std::size_t TextMemoryDivisor = 16;
-/// Maximum wait of a watch call for the replica set, which changes rarely. The
-/// wait is short so that a change missed on a silent connection is noticed
-/// soon.
-constexpr milliseconds ReplicaSetWatchWait{5'000};
-/// Maximum wait of a watch call for the backup, which may lag by seconds. The
-/// wait only limits how long a silent connection goes undetected.
-constexpr milliseconds BackupWatchWait{10'000};
-/// Maximum wait of a watch call for retirements; carrying one out may take
-/// seconds.
-constexpr milliseconds RetirementWatchWait{2'000};
 constexpr const char *ReplicaSetName = "main";
 /// Kind of the backup that holds evidence against requests; no kind of the
 /// platform's store.
@@ -91,6 +81,7 @@
     watchRetirements();
     ConfigWatch = watchForBackup(platform::ConfigKind);
     RunnerWatch = watchForBackup(platform::RunnerKind);
+    watchStore();
     waitForSignal();
     scheduleMembership();
     scheduleExpiry();
@@ -193,10 +184,9 @@
   }
 
   void watchReplicaSet() {
-    watch_settings Timing;
-    Timing.Wait = ReplicaSetWatchWait;
     SetWatch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
-                                             platform::ReplicaSetKind, Timing);
+                                             platform::ReplicaSetKind,
+                                             watch_settings{});
     store_watch::handlers Handlers;
     Handlers.OnList = [this](const std::vector<store_item> &Items) {
       SetListed = true;
@@ -254,7 +244,6 @@
   /// tenth of current ones; the backup may therefore lag.
   std::shared_ptr<store_watch> watchForBackup(const char *Kind) {
     watch_settings Timing;
-    Timing.Wait = BackupWatchWait;
     Timing.BatchDelay = BackupInterval;
     Timing.AllowStale = true;
     auto Watch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
@@ -277,6 +266,15 @@
     return Watch;
   }
 
+  void watchStore() {
+    Pulse = std::make_shared<store_pulse>(Loop, Settings.StoreAddress,
+                                          pulse_settings{});
+    for (const auto &Watch :
+         {SetWatch, RetirementWatch, ConfigWatch, RunnerWatch})
+      Pulse->follow(Watch, pulse_scope::Changes);
+    Pulse->start();
+  }
+
   void storeBackups() {
     for (const auto &[Kind, Objects] : Backups) {
       replica_change Change;
@@ -318,10 +316,9 @@
   }
 
   void watchRetirements() {
-    watch_settings Timing;
-    Timing.Wait = RetirementWatchWait;
-    RetirementWatch = std::make_shared<store_watch>(
-        Loop, Settings.StoreAddress, platform::RetirementKind, Timing);
+    RetirementWatch = std::make_shared<store_watch>(Loop, Settings.StoreAddress,
+                                                    platform::RetirementKind,
+                                                    watch_settings{});
     store_watch::handlers Handlers;
     Handlers.OnList = [this](const std::vector<store_item> &Items) {
       Retirements.clear();
@@ -616,6 +613,7 @@
   std::shared_ptr<store_watch> RetirementWatch;
   std::shared_ptr<store_watch> ConfigWatch;
   std::shared_ptr<store_watch> RunnerWatch;
+  std::shared_ptr<store_pulse> Pulse; ///< Of all watches.
   /// Specs of objects as last seen in the store, by kind and name.
   std::map<std::string, std::map<std::string, std::string>> Backups;
   std::map<std::string, instant> Relays; ///< Time of the last ping, by address.
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -39,6 +39,7 @@
   if (!Listed || Stopped)
     return;
   Listed = false;
+  LongPolling = false;
   Client->close();
   scheduleNext(Settings.MinRetryDelay);
 }
@@ -94,10 +95,24 @@
        });
 }
 
+void store_watch::check(instant SentBefore, const char *Reason) {
+  if (Stopped || !LongPolling || CallSentAt.Steady >= SentBefore.Steady)
+    return;
+  logEvent(log_level::Info, "store_watch_checked",
+           {{"kind", Kind},
+            {"reason", Reason},
+            {"call_ms", formatElapsed(CallSentAt, readClock())}});
+  Client->close();
+  sendWatch(std::min(Settings.Wait, Settings.RecoveryWait));
+}
+
 void store_watch::watch() {
-  const milliseconds Wait =
-      Available ? Settings.Wait
-                : std::min(Settings.Wait, Settings.RecoveryWait);
+  sendWatch(Available ? Settings.Wait
+                      : std::min(Settings.Wait, Settings.RecoveryWait));
+}
+
+void store_watch::sendWatch(milliseconds Wait) {
+  LongPolling = Wait > Settings.RecoveryWait;
   send(platform::watchRequest(Kind, Revision, Wait, Settings.AllowStale),
        Wait + Settings.AnswerSlack,
        [Weak = weak_from_this()](const store_answer &Answer) {
--- a/src/store/store_watch.h
+++ b/src/store/store_watch.h
@@ -6,15 +6,17 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lentilhoist {
 
 /// Timing of a watch. The platform charges for each call; a long poll counts as
 /// one call. TCP keep-alive probes detect a connection that is lost without a
-/// reset, so long polls may be long.
+/// reset, and a store_pulse a store that never answers, so long polls may be
+/// long.
 struct watch_settings {
-  milliseconds Wait{10'000}; ///< Long-poll time of a watch call.
+  milliseconds Wait{30'000}; ///< Long-poll time of a watch call.
   /// Long-poll time while the store is unavailable. Its recovery is detected by
   /// the response, so a full wait would report it seconds late.
   milliseconds RecoveryWait{50};
@@ -23,7 +25,9 @@
   bool AllowStale = false;    ///< Use cheaper reads that may lag by seconds.
   milliseconds BatchDelay{0}; ///< Pause after changes, to batch further ones.
   milliseconds MinRetryDelay{100}; ///< Retry delay after the first failure.
-  milliseconds MaxRetryDelay{800}; ///< Upper bound of the exponential backoff.
+  /// Upper bound of the exponential backoff. With the timeout of a short call
+  /// it bounds how late the return of the store is noticed.
+  milliseconds MaxRetryDelay{400};
 };
 
 /// Watches all objects of one kind: lists them, then long-polls for changes,
@@ -60,10 +64,25 @@
   /// Cancels the pending call and lists again after the minimum retry delay.
   void refresh();
 
+  /// Replaces a long poll by a short one whose outcome shows at once whether
+  /// the store answers. Does nothing if no long poll waits that was sent
+  /// before.
+  /// \param SentBefore only a call that was sent earlier is replaced.
+  /// \param Reason why, for the log.
+  void check(instant SentBefore, const char *Reason);
+
+  const std::string &kind() const { return Kind; }
+  /// \returns the revision up to which changes are known; none before the
+  /// first list.
+  std::optional<std::int64_t> revision() const {
+    return Listed ? std::optional(Revision) : std::nullopt;
+  }
+
 private:
   void listOrWatch();
   void list(const std::string &After);
   void watch();
+  void sendWatch(milliseconds Wait);
   void onFailure(store_status Status);
   void reportUnreadable(std::size_t Count) const;
   void onSuccess();
@@ -81,6 +100,7 @@
   std::int64_t Revision = 0;
   milliseconds RetryDelay;
   bool Listed = false;
+  bool LongPolling = false; ///< A long poll waits for its response.
   bool Available = true;
   bool Stopped = false;
   std::uint64_t Failures = 0; ///< Consecutive; seeds the retry jitter.
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -1,7 +1,10 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "edge/drain_plan.h"
 #include "edge/edge.h"
+#include "free_ports.h"
 #include "net/address.h"
+#include "platform/store_protocol.h"
+#include "watched_store.h"
 
 #include <asio/io_context.hpp>
 #include <csignal>
@@ -20,34 +23,121 @@
 
 instant after(milliseconds Time) { return later(StoppedAt, Time); }
 
-bool isFree(std::uint16_t Port) {
-  try {
-    asio::io_context Loop;
-    listenOn(Loop, {asio::ip::address_v4::loopback(), Port});
-    return true;
-  } catch (const std::system_error &) {
-    return false;
+/// Settings of an entry instance on loopback.
+instance_settings loopbackSettings(const std::string &StoreAddress) {
+  instance_settings Settings;
+  Settings.Name = "edge";
+  Settings.Domain = "here";
+  Settings.Address = "127.0.0.1";
+  const int Port = freePorts(5);
+  Settings.CallerAddress = "127.0.0.1:" + std::to_string(Port);
+  Settings.ReadinessAddress = "127.0.0.1:" + std::to_string(Port + 1);
+  Settings.StoreAddress = StoreAddress;
+  // The history relay and the tunnels take the next two ports.
+  Settings.FirstPort = static_cast<std::uint16_t>(Port + 2);
+  Settings.MemoryBytes = 100'000'000;
+  Settings.TerminationGracePeriod = seconds(1);
+  return Settings;
+}
+
+/// Waits for a condition.
+/// \returns the time until it held, at most \p Limit.
+milliseconds timeUntil(const std::function<bool()> &Condition,
+                       milliseconds Limit) {
+  const auto Start = std::chrono::steady_clock::now();
+  while (!Condition() && std::chrono::steady_clock::now() - Start < Limit)
+    std::this_thread::sleep_for(milliseconds(5));
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - Start);
+}
+
+/// The kinds that an entry instance watches.
+constexpr const char *WatchedKinds[] = {
+    platform::RunnerKind, platform::ConfigKind, platform::ReplicaSetKind};
+
+/// An entry instance in a thread of its own.
+struct running_edge {
+  explicit running_edge(const std::string &StoreAddress)
+      : Settings(loopbackSettings(StoreAddress)),
+        Thread([this] { runEdge(Settings, [] {}); }) {}
+  ~running_edge() {
+    pthread_kill(Thread.native_handle(), SIGTERM);
+    Thread.join();
+  }
+  instance_settings Settings;
+  std::thread Thread;
+};
+
+} // namespace
+
+// Guards against watches that wait out their long poll behind a store that fell
+// silent as their call arrived, and so miss what it says after its return
+// (incident DRAIN).
+TEST_CASE("an entry instance knows each change soon after the store has "
+          "returned, whatever it watches and however the store failed") {
+  // Well below the two seconds within which a runner that leaves must receive
+  // no more requests.
+  constexpr milliseconds MaxDelay{1'500};
+  for (const store_fault Fault :
+       {store_fault::Silent, store_fault::Busy, store_fault::Reset}) {
+    watched_store Store;
+    const running_edge Edge(Store.address());
+    for (const char *Kind : WatchedKinds)
+      REQUIRE(timeUntil([&] { return Store.isWatched(Kind); }, seconds(5)) <
+              seconds(5));
+    // New calls of all watches arrive just as the store fails.
+    Store.fail(Fault);
+    std::this_thread::sleep_for(seconds(3));
+    Store.fail(store_fault::None);
+    for (const char *Kind : WatchedKinds)
+      Store.change(Kind);
+    const auto Start = std::chrono::steady_clock::now();
+    for (const char *Kind : WatchedKinds) {
+      CAPTURE(static_cast<int>(Fault));
+      CAPTURE(Kind);
+      timeUntil([&] { return Store.knowsLastChange(Kind); }, seconds(15));
+      CHECK(std::chrono::steady_clock::now() - Start < MaxDelay);
+    }
   }
 }
 
-/// \param Count how many ports follow each other.
-/// \returns the first of some free ports below those that the system gives out
-/// by itself (32768 by default), so that no other test takes one meanwhile.
-std::uint16_t freePorts(int Count) {
-  constexpr int FirstPort = 24'000;
-  constexpr int PortsEach = 8;
-  constexpr int Choices = 1'000;
-  for (int Try = ::getpid();; ++Try) {
-    const int First = FirstPort + Try % Choices * PortsEach;
-    int Free = 0;
-    while (Free < Count && isFree(static_cast<std::uint16_t>(First + Free)))
-      ++Free;
-    if (Free == Count)
-      return static_cast<std::uint16_t>(First);
+// Guards against a call whose answer was lost while the store went on (incident
+// DRAIN): no silence shows it.
+TEST_CASE(
+    "an entry instance notices that a watch has missed a change while the "
+    "store answers other calls") {
+  // Two beats, and the stand-in's stale reads don't lag.
+  constexpr milliseconds MaxDelay{1'500};
+  watched_store Store;
+  const running_edge Edge(Store.address());
+  for (const char *Kind : WatchedKinds)
+    REQUIRE(timeUntil([&] { return Store.isWatched(Kind); }, seconds(5)) <
+            seconds(5));
+  Store.fail(store_fault::Swallow);
+  for (const char *Kind : {platform::RunnerKind, platform::ConfigKind}) {
+    CAPTURE(Kind);
+    Store.change(Kind);
+    CHECK(timeUntil([&] { return Store.knowsLastChange(Kind); }, seconds(15)) <
+          MaxDelay);
   }
 }
 
-} // namespace
+// A long poll of 10 s for each of two kinds and one of 20 s made 0.25 current
+// reads a second; a stale read costs a tenth of one.
+TEST_CASE("an entry instance on a quiet day calls the store little more often "
+          "than long polls alone would") {
+  watched_store Store;
+  const running_edge Edge(Store.address());
+  for (const char *Kind : WatchedKinds)
+    REQUIRE(timeUntil([&] { return Store.isWatched(Kind); }, seconds(5)) <
+            seconds(5));
+  const auto Before = Store.calls();
+  std::this_thread::sleep_for(seconds(5));
+  const auto After = Store.calls();
+  CHECK(After.first - Before.first == 0);
+  CHECK(After.second - Before.second <= 10);
+  CHECK(After.second - Before.second >= 5);
+}
 
 TEST_CASE("a stopping instance listens until it is out of rotation, also when "
           "it is idle") {
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -1,5 +1,9 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "free_ports.h"
+#include "platform/store_protocol.h"
+#include "replica/replica_daemon.h"
 #include "replica/replica_store.h"
+#include "watched_store.h"
 
 #include <algorithm>
 #include <csignal>
@@ -472,3 +476,53 @@
   }
   CHECK(*Durable);
 }
+
+// Guards against replicas whose watches wait out their long poll behind a store
+// that fell silent as their call arrived (incident DRAIN); entry instances
+// start from what replicas know.
+TEST_CASE("a replica knows each change soon after the store has returned, "
+          "whatever it watches and however the store failed") {
+  constexpr milliseconds MaxDelay{1'500};
+  constexpr const char *Kinds[] = {platform::ReplicaSetKind,
+                                   platform::RetirementKind,
+                                   platform::ConfigKind, platform::RunnerKind};
+  const auto Await = [](const std::function<bool()> &Condition) {
+    const auto Start = std::chrono::steady_clock::now();
+    while (!Condition() &&
+           std::chrono::steady_clock::now() - Start < seconds(15))
+      std::this_thread::sleep_for(milliseconds(5));
+  };
+  for (const store_fault Fault :
+       {store_fault::Silent, store_fault::Busy, store_fault::Reset}) {
+    const temporary_folder Folder;
+    watched_store Store;
+    instance_settings Settings;
+    Settings.Name = "replica";
+    Settings.Domain = "here";
+    Settings.Address = "127.0.0.1";
+    const int Port = freePorts(2);
+    Settings.ReplicaAddress = "127.0.0.1:" + std::to_string(Port);
+    Settings.FirstPort = static_cast<std::uint16_t>(Port + 1);
+    Settings.StoreAddress = Store.address();
+    Settings.DataFolder = Folder.Path.string();
+    Settings.MemoryBytes = 100'000'000;
+    Settings.DiskBytes = DiskBytes;
+    std::thread Replica([&] { runReplica(Settings, [] {}); });
+    for (const char *Kind : Kinds)
+      Await([&] { return Store.isWatched(Kind); });
+    Store.fail(Fault);
+    std::this_thread::sleep_for(seconds(3));
+    Store.fail(store_fault::None);
+    for (const char *Kind : Kinds)
+      Store.change(Kind);
+    const auto Start = std::chrono::steady_clock::now();
+    for (const char *Kind : Kinds) {
+      CAPTURE(static_cast<int>(Fault));
+      CAPTURE(std::string(Kind));
+      Await([&] { return Store.knowsLastChange(Kind); });
+      CHECK(std::chrono::steady_clock::now() - Start < MaxDelay);
+    }
+    pthread_kill(Replica.native_handle(), SIGTERM);
+    Replica.join();
+  }
+}
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -2,7 +2,7 @@
 #include "early_runner.h"
 #include "net/address.h"
 #include "net/http_reader.h"
-#include "store/store_watch.h"
+#include "store/store_pulse.h"
 
 #include <doctest/doctest.h>
 #include <list>
@@ -244,6 +244,75 @@
   CHECK(Lists == 5);
 }
 
+namespace {
+
+/// A pulse with short times that follows the fixture's watch.
+std::shared_ptr<store_pulse> startPulse(fixture &Fixture) {
+  const auto Pulse = std::make_shared<store_pulse>(
+      Fixture.Loop, Fixture.Store.address(),
+      pulse_settings{milliseconds(20), milliseconds(60)});
+  Pulse->follow(Fixture.Watch, pulse_scope::Changes);
+  Pulse->start();
+  return Pulse;
+}
+
+bool isStale(const std::string &Target) {
+  return Target.find("serializable=1") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("store_pulse has a watch replace a long poll that a silent store "
+          "holds") {
+  bool Silent = false;
+  fixture Fixture(
+      [&](const std::string &Target) -> std::string {
+        if (Silent)
+          return "";
+        if (!isWatch(Target))
+          return emptyList(5);
+        const bool Long = Target.find("wait-ms=60000") != std::string::npos;
+        return Long ? ""
+                    : jsonAnswer(200, R"({"events":[],"store-revision":5})");
+      },
+      milliseconds(60'000));
+  const auto Pulse = startPulse(Fixture);
+  Fixture.runUntil([&] { return Fixture.Store.Calls.size() > 6; });
+  CHECK(Fixture.AvailabilityChanges.empty());
+  Silent = true;
+  Fixture.runUntil([&] { return Fixture.AvailabilityChanges.size() == 1; });
+  Silent = false;
+  Fixture.runUntil([&] { return Fixture.AvailabilityChanges.size() == 2; });
+  CHECK(Fixture.AvailabilityChanges == std::vector<bool>{false, true});
+  CHECK(Fixture.Lists.size() == 1);
+}
+
+TEST_CASE("store_pulse changes no belief by itself: a stale change is reported "
+          "by the watch alone, and an older one not at all") {
+  int Older = 0;
+  fixture Fixture(
+      [&](const std::string &Target) -> std::string {
+        if (!isWatch(Target))
+          return emptyList(5);
+        if (isStale(Target)) {
+          ++Older;
+          return jsonAnswer(200, R"({"events":[{"removed":true,"object":)" +
+                                     itemText("a", 4) +
+                                     R"(}],"store-revision":4})");
+        }
+        return "";
+      },
+      milliseconds(60'000));
+  const auto Pulse = startPulse(Fixture);
+  Fixture.runUntil([&] { return Older > 5; });
+  CHECK(Fixture.Events.empty());
+  CHECK(Fixture.AvailabilityChanges.empty());
+  // The list, and one long poll that was never replaced.
+  CHECK(std::count_if(
+            Fixture.Store.Calls.begin(), Fixture.Store.Calls.end(),
+            [](const std::string &Target) { return !isStale(Target); }) == 2);
+}
+
 TEST_CASE("store_client reports Unknown when a call times out") {
   asio::io_context Loop;
   scripted_store Store(Loop, [](const std::string &) { return ""; });
