Keep what a response's head has promised, and reject what the exit could cut

Cause: whether the connection ends was decided a second time at the end of a body. A response whose head was sent before SIGTERM had left the connection open; its end after SIGTERM closed it, and what the caller sent next was read and dropped until the process ended. By reading: a request that came late, or was held until late, was passed on whatever its deadline and cut at the exit. Change: the decision is made with the head and kept; the caller's next request is answered, with Connection: close. From 2.8 s after SIGTERM a request is passed on, by a first or a further try, only if its deadline leaves time before the exit; others are rejected at once with 503 ("stopping"), which is true as they have not been sent.

--- a/src/edge/drain_plan.cpp
+++ b/src/edge/drain_plan.cpp
@@ -16,6 +16,15 @@
   return "unknown";
 }
 
+instant lastExit(const drain_state &State) {
+  return later(State.StoppedAt,
+               std::max(OutOfRotationTime, State.GracePeriod - ExitMargin));
+}
+
+instant lastDeadline(const drain_state &State) {
+  return later(lastExit(State), -FlushTime);
+}
+
 bool opensTunnels(const drain_state &State, instant Now) {
   return Now.Steady < later(State.StoppedAt, OutOfRotationTime).Steady;
 }
@@ -28,9 +37,7 @@
     State.IdleSince = {};
   else if (State.IdleSince.Steady.count() == 0)
     State.IdleSince = Now;
-  const instant LastExit =
-      later(State.StoppedAt,
-            std::max(OutOfRotationTime, State.GracePeriod - ExitMargin));
+  const instant LastExit = lastExit(State);
   const instant IdleExit = later(State.IdleSince, FlushTime);
   const instant Exit =
       Idle && IdleExit.Steady < LastExit.Steady ? IdleExit : LastExit;
--- a/src/edge/drain_plan.h
+++ b/src/edge/drain_plan.h
@@ -25,6 +25,11 @@
 /// responses reach their callers.
 inline constexpr milliseconds FlushTime{200};
 
+/// Time after the order to stop in which requests are passed on whatever their
+/// deadline. With the usual grace period, over four seconds are left for them
+/// then; later ones must end before the exit.
+inline constexpr milliseconds UnboundedSendTime{2'800};
+
 /// Progress of a planned stop.
 struct drain_state {
   instant StoppedAt{};         ///< When the instance was told to stop.
@@ -38,6 +43,15 @@
   instant NextCheck{};
 };
 
+/// \param State the progress.
+/// \returns when the process exits at the latest.
+instant lastExit(const drain_state &State);
+
+/// \param State the progress.
+/// \returns the latest deadline of a request that surely ends, and is
+/// delivered, before the exit.
+instant lastDeadline(const drain_state &State);
+
 /// Decides whether a stopping instance opens tunnels for others. As long as it
 /// takes requests of callers it can relay too: the others may be stopping as
 /// well, and those that are cut from runners have only them. \param State the
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -549,6 +549,8 @@
       return;
     Context.Draining = true;
     Drain = {readClock(), Settings.TerminationGracePeriod, {}};
+    Context.UnboundedSendsUntil = later(Drain.StoppedAt, UnboundedSendTime);
+    Context.LastDeadline = lastDeadline(Drain);
     logEvent(log_level::Info, "process_stopping",
              {{"signal", std::to_string(Signal)},
               {"active_requests", std::to_string(Context.ActiveRequests)},
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -166,6 +166,8 @@
     Limit = std::min(Limit, *Traits.Deadline);
   Deadline = later(Arrival, Limit);
   const instant Now = readClock();
+  if (rejectIfStopping(Now))
+    return;
   DeadlineTimer.expires_after(timeLeft(Now));
   DeadlineTimer.async_wait(
       [Weak = weak_from_this()](const asio::error_code &Error) {
@@ -249,6 +251,8 @@
 
 void exchange::place() {
   const instant Now = readClock();
+  if (rejectIfStopping(Now))
+    return;
   const quarantine_decision Decision =
       decideQuarantine(Context.Suspects, Signature, Now);
   if (rejectQuarantined(Decision))
@@ -602,9 +606,9 @@
   Buffered = false;
   ResponseStarted = true;
   Stage = stage::Relaying;
-  Sink.Write(encodeResponseHead(
-      platform::encodeCallerResponse(Reader.response()), body_framing::Chunked,
-      0, !KeepAlive || Context.Draining));
+  Sink.Write(
+      encodeResponseHead(platform::encodeCallerResponse(Reader.response()),
+                         body_framing::Chunked, 0, promiseClose()));
 }
 
 bool exchange::isWhole() const {
@@ -698,7 +702,7 @@
   ResponseBytes = ResponseBody.size();
   std::string Bytes = encodeResponseHead(
       platform::encodeCallerResponse(Reader.response()), body_framing::Length,
-      ResponseBody.size(), !KeepAlive || Context.Draining);
+      ResponseBody.size(), promiseClose());
   if (Head.Method != "HEAD")
     Bytes += ResponseBody;
   finishResponse(std::move(Bytes));
@@ -841,12 +845,29 @@
   respondWithError(proxy_error::TimedOut);
 }
 
+/// Decides, for the head of the response, whether the connection ends after it.
+bool exchange::promiseClose() {
+  ClosePromised = !KeepAlive || Context.Draining;
+  return ClosePromised;
+}
+
+/// Rejects a request that the exit of this process could cut.
+bool exchange::rejectIfStopping(instant Now) {
+  const bool Bounded =
+      Context.Draining && Context.LastDeadline.Steady.count() != 0;
+  if (!Bounded || Now.Steady < Context.UnboundedSendsUntil.Steady ||
+      Deadline.Steady <= Context.LastDeadline.Steady)
+    return false;
+  respondWithError(proxy_error::Stopping);
+  return true;
+}
+
 void exchange::respondWithError(proxy_error Reason) {
   const int Status = statusOf(Reason, Sends);
   const std::uint64_t Hash = stableHash(Traits.Attempt, 1);
   const milliseconds RetryDelay =
       Status == 503 ? retryAfter(Reason, Hash) : milliseconds(0);
-  const bool Close = !KeepAlive || Context.Draining;
+  const bool Close = promiseClose();
   const std::string Text =
       std::string("{\"error\":\"") + proxyErrorName(Reason) + "\"}\n";
   http_response_head Response =
@@ -865,12 +886,11 @@
 
 void exchange::finishResponse(std::string Tail) {
   const int Status = Reader.response().Status;
-  const bool Close = !KeepAlive || Context.Draining;
   settleReservation();
   Sink.Write(std::move(Tail));
   const auto Finish = Sink.Finish;
   finalize("answered", Status);
-  Finish(Close);
+  Finish(ClosePromised);
 }
 
 void exchange::abortResponse(const char *Reason) {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -106,6 +106,8 @@
                     bool RunnerFailed = true);
   void respondWithError(proxy_error Reason);
   void onTimeout();
+  bool promiseClose();
+  bool rejectIfStopping(instant Now);
   void finishResponse(std::string Tail);
   void abortResponse(const char *Reason);
   void releaseRunner(bool Reusable);
@@ -166,6 +168,9 @@
   bool CallerLeft = false; ///< Nobody receives the response.
   bool Buffered = true;    ///< The whole response is read before it is relayed.
   bool ResponseStarted = false;
+  /// What the head of the response said of the connection; it holds whatever
+  /// happens until the response ends.
+  bool ClosePromised = false;
   std::size_t ResponseBytes = 0;
   instant SentAt{}; ///< When the runner was selected.
   instant FirstByte{};
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -52,7 +52,11 @@
   instant ConfigUpdatedAt{}; ///< When Routes was last replaced.
   /// When the runner registry was last known to be current; zero if never.
   instant RegistryConfirmedAt{};
-  bool Draining = false;     ///< The process is shutting down.
+  bool Draining = false; ///< The process is shutting down.
+  /// While draining, requests sent later must end by LastDeadline.
+  instant UnboundedSendsUntil{};
+  /// What ends later may be cut by the exit of the process; zero for no bound.
+  instant LastDeadline{};
   std::size_t BodyBytes = 0; ///< Total body size of requests in progress.
   std::size_t MaxBodyBytes = 0;
   std::size_t ActiveRequests = 0;
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -21,6 +21,10 @@
 constexpr milliseconds RateLimitedRetryDelay{300};
 constexpr milliseconds RateLimitedRetrySpread{900};
 
+/// Another instance takes the request at once.
+constexpr milliseconds StoppingRetryDelay{10};
+constexpr milliseconds StoppingRetrySpread{40};
+
 /// A trial may follow as soon as FirstQuarantine is over.
 constexpr milliseconds QuarantineRetryDelay{5'000};
 
@@ -39,6 +43,8 @@
     return {RateLimitedRetryDelay, RateLimitedRetrySpread};
   case proxy_error::Quarantined:
     return {QuarantineRetryDelay, QuarantineRetryDelay};
+  case proxy_error::Stopping:
+    return {StoppingRetryDelay, StoppingRetrySpread};
   default:
     return {ShortRetryDelay, ShortRetryDelay};
   }
@@ -88,6 +94,8 @@
     return "timed_out";
   case proxy_error::Overloaded:
     return "overloaded";
+  case proxy_error::Stopping:
+    return "stopping";
   }
   return "unknown";
 }
--- a/tests/edge_test.cpp
+++ b/tests/edge_test.cpp
@@ -180,6 +180,20 @@
         drain_step::Exit);
 }
 
+TEST_CASE("what ends by the last deadline of a stopping instance has time to "
+          "reach its caller before the exit") {
+  drain_state State = makeState();
+  CHECK(lastExit(State).Steady == after(milliseconds(7'200)).Steady);
+  CHECK(lastDeadline(State).Steady == after(milliseconds(7'000)).Steady);
+  // Callers' requests arrive until the rotation ends; with the usual grace
+  // period those that are passed on without a bound have over four seconds.
+  CHECK(UnboundedSendTime < OutOfRotationTime);
+  CHECK(lastDeadline(State).Steady - after(UnboundedSendTime).Steady >
+        seconds(4));
+  State.GracePeriod = milliseconds(1'000);
+  CHECK(lastExit(State).Steady == after(OutOfRotationTime).Steady);
+}
+
 // Guards against instances without a path to runners that find no relay because
 // all others are stopping, one after the other (incident RECOVER).
 TEST_CASE("a stopping instance opens tunnels for others as long as it takes "
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1044,6 +1044,101 @@
   }
 }
 
+// Guards against requests that a stopping instance reads and drops on a
+// connection that it had promised to keep (second report of incident DRAIN).
+TEST_CASE("a stopping instance answers the next request on a connection whose "
+          "last response, begun before the stop, did not end it") {
+  for (const route_kind Kind :
+       {route_kind::Streaming, route_kind::Idempotent}) {
+    // Above the size up to which a plain response is held back as a whole.
+    const std::string Large(300'000, 'x');
+    caller_fixture Fixture([&](const http_request_head &Head,
+                               const std::string &) {
+      const std::string Attempt = attemptOf(Head);
+      if (Attempt != "1")
+        return scripted_response{Kind == route_kind::Streaming
+                                     ? streamResponse(Attempt,
+                                                      body_framing::Chunked,
+                                                      "data: second\n\n")
+                                     : sealedResponse(Attempt, "second")};
+      if (Kind == route_kind::Streaming)
+        return scripted_response{streamHead(Attempt) +
+                                 encodeChunk("data: first\n\n")};
+      return scripted_response{"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + Attempt +
+                               "\r\nX-Server-Seal: s\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n" +
+                               encodeChunk(Large)};
+    });
+    Fixture.setRoutes(Kind, false);
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(200));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 200"));
+    CHECK(Fixture.Received.find("Connection: close") == std::string::npos);
+    Fixture.Context.Draining = true;
+    Fixture.Context.UnboundedSendsUntil = later(readClock(), seconds(5));
+    Fixture.Context.LastDeadline = later(readClock(), seconds(10));
+    Fixture.First.write(std::string(LastChunk));
+    Fixture.Second.write(std::string(LastChunk));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.Received.ends_with("0\r\n\r\n"));
+    CHECK_FALSE(Fixture.Closed);
+    Fixture.Received.clear();
+    Fixture.Caller->write(requestText("2", "b"));
+    Fixture.runFor(milliseconds(200));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 200"));
+    CHECK(Fixture.Received.find("second") != std::string::npos);
+    CHECK(Fixture.Received.find("Connection: close") != std::string::npos);
+    CHECK(Fixture.Closed);
+    CHECK(Fixture.CallerEnded);
+  }
+}
+
+// Guards against requests that a stopping instance passes on and cuts at its
+// exit (second report of incident DRAIN).
+TEST_CASE(
+    "a request that the exit of a stopping instance could cut is rejected "
+    "as not run, at once and also after it was held") {
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{sealedResponse(attemptOf(Head), "x")};
+      });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  Fixture.Context.Draining = true;
+  Fixture.Context.LastDeadline = later(readClock(), milliseconds(1'500));
+  SUBCASE("late, with a deadline behind the exit") {
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 503"));
+    CHECK(Fixture.Received.find("stopping") != std::string::npos);
+    CHECK(Fixture.Received.find("Connection: close") != std::string::npos);
+    CHECK(Fixture.arrivals() == 0);
+  }
+  SUBCASE("late, with a deadline before the exit") {
+    Fixture.setRoutes(route_kind::NonIdempotent, false, milliseconds(1'000));
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 200"));
+  }
+  SUBCASE("early") {
+    Fixture.Context.UnboundedSendsUntil = later(readClock(), seconds(1));
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 200"));
+  }
+  SUBCASE("early, and held for want of a runner until late") {
+    Fixture.Context.UnboundedSendsUntil = later(readClock(), milliseconds(200));
+    for (auto &[Id, Runner] : Fixture.Context.Runners.Runners)
+      Runner.Entry.Draining = true;
+    Fixture.Caller->write(requestText("1", "a"));
+    Fixture.runFor(milliseconds(100));
+    CHECK(Fixture.Received.empty());
+    Fixture.runFor(milliseconds(250));
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 503"));
+    CHECK(Fixture.Received.find("stopping") != std::string::npos);
+    CHECK(Fixture.arrivals() == 0);
+  }
+}
+
 TEST_CASE("history_client without replica connections uses a relay") {
   asio::io_context Loop;
   const auto runFor = [&](milliseconds Time) {
