Send nothing new to a runner that says in a response that it leaves

Change: decoded in platform/, from any response, also a refusal, one that is not passed on and one of another request on the connection; not from 421, where another runner answers. The statement belongs to the incarnation and outlasts its registration, so an outage of the store, a reload and a lapse change nothing; a new incarnation starts clean. Placement, tests of the path and evidence of crashes ask takesRequests(). Who relays opens no tunnel to such a runner and ends the use of open ones; the instance that reads the response tells its relay, which reads none, in a message that an older relay ignores. Requests in progress go on. Other instances don't learn of it: each has the rule for itself, and its first response tells it; replicas send nothing to runners. Evidence: with the line taken out that takes note of a response, the new test in forward_test fails, 12 statements of the runner where one is allowed.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -5,6 +5,7 @@
 #include "forward/crash_watch.h"
 #include "forward/path_watch.h"
 #include "forward/permit_client.h"
+#include "forward/runner_leaving.h"
 #include "history/relay_server.h"
 #include "log/log.h"
 #include "net/address.h"
@@ -76,6 +77,10 @@
       if (Context.Relays.Relays.empty())
         sendPings();
     };
+    Context.OnRunnerLeaving = [this](const std::string &Id,
+                                     std::int64_t BornMs) {
+      Tunnels.announceLeaving(Id, BornMs);
+    };
     History.onRelays([this](const std::vector<std::string> &Addresses) {
       applyRelays(Addresses);
     });
@@ -129,6 +134,12 @@
         return View->Entry.Address;
       return std::nullopt;
     };
+    Host.IsLeaving = [this](const std::string &Runner, std::int64_t BornMs) {
+      return isLeaving(Context.Runners, Runner, BornMs);
+    };
+    Host.OnLeaving = [this](const std::string &Runner, std::int64_t BornMs) {
+      reportLeaving(Context, Runner, BornMs, "relayed");
+    };
     Host.OnConnect = [this](const std::string &Runner, bool Accepted) {
       const auto Found = Context.Runners.Runners.find(Runner);
       if (Found != Context.Runners.Runners.end())
@@ -283,6 +294,7 @@
            {"address", Runner.Entry.Address},
            {"domain", Runner.Entry.Domain},
            {"draining", Runner.Entry.Draining},
+           {"leaving", Runner.Leaving},
            {"slots", Runner.Entry.Slots},
            {"outstanding", Runner.Outstanding},
            {"load", static_cast<std::int64_t>(
@@ -426,7 +438,7 @@
     const auto Known = Context.Runners.Runners.find(Entry.Id);
     if (Known != Context.Runners.Runners.end() &&
         Known->second.Entry.BornMs < Entry.BornMs &&
-        !Known->second.Entry.Draining)
+        takesRequests(Known->second))
       reportCrash(Context, Entry.Id, Known->second.Entry.BornMs,
                   "new_incarnation");
   }
@@ -526,6 +538,7 @@
       forgetIdleRunners(Context.OwnShare, Now);
       dropUnconfirmed(Context.Broken, Now);
       forgetOldSuspects(Context.Suspects, Now);
+      forgetLeaving(Context.Runners, Now);
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
       sweep();
--- a/src/forward/crash_watch.cpp
+++ b/src/forward/crash_watch.cpp
@@ -15,7 +15,7 @@
                      std::int64_t BornMs, const broken_send &Send) {
   const auto Found = Context.Runners.Runners.find(RunnerId);
   // A runner that drains may end with requests at it.
-  if (Found == Context.Runners.Runners.end() || Found->second.Entry.Draining)
+  if (Found == Context.Runners.Runners.end() || !takesRequests(Found->second))
     return;
   recordBroken(Context.Broken, RunnerId, BornMs, Send);
   const runner_entry &Entry = Found->second.Entry;
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -1,6 +1,7 @@
 #include "forward/exchange.h"
 
 #include "core/hash.h"
+#include "forward/runner_leaving.h"
 #include "log/log.h"
 #include "net/frame.h"
 #include "platform/request_headers.h"
@@ -556,6 +557,12 @@
   runner_view *View = currentRunner();
   if (View && RunnerResponse.Load)
     recordLoad(Context.Runners, *View, *RunnerResponse.Load, Now);
+  // Whichever request it answers, it is this runner's, unless the address has
+  // been taken over.
+  if (RunnerResponse.Leaving && Reader.response().Status != StatusMisdirected) {
+    reportLeaving(Context, RunnerId, RunnerBornMs, "response");
+    Stream->announceLeaving();
+  }
   // A late copy of an earlier response, also of a refusal, may precede the one
   // that is awaited; on a kept connection only the ID tells them apart.
   const bool Named = !RunnerResponse.Attempt.empty();
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -48,6 +48,9 @@
   std::set<std::pair<std::string, std::int64_t>> RunnerRefusals{};
   /// Exchanges that wait for a runner without a relay.
   std::set<std::weak_ptr<exchange>, std::owner_less<>> DirectExchanges{};
+  /// Told that an incarnation of a runner leaves; may be empty.
+  std::function<void(const std::string &Id, std::int64_t BornMs)>
+      OnRunnerLeaving{};
   route_table_ptr Routes{};  ///< Null before the first configuration.
   instant ConfigUpdatedAt{}; ///< When Routes was last replaced.
   /// When the runner registry was last known to be current; zero if never.
--- a/src/forward/request_traits.h
+++ b/src/forward/request_traits.h
@@ -46,6 +46,7 @@
   bool Sealed = false;      ///< Has the seal that proves its origin.
   bool Events = false;      ///< The body is an event stream.
   bool Encoded = false;     ///< A content encoding has been applied.
+  bool Leaving = false;     ///< The runner is about to shut down.
   std::optional<load_report> Load;
   /// Requests a second that the runner accepts from all instances together.
   std::optional<double> RateLimit;
--- a/src/path/runner_path.cpp
+++ b/src/path/runner_path.cpp
@@ -22,7 +22,7 @@
   using ranked = std::pair<std::uint64_t, std::string>;
   std::map<std::string, std::vector<ranked>> Domains;
   for (const auto &[Id, Runner] : Directory.Runners) {
-    if (Runner.Entry.Draining)
+    if (!takesRequests(Runner))
       continue;
     std::vector<ranked> &Best = Domains[Runner.Entry.Domain];
     Best.emplace_back(Rank(Id, Runner), Id);
@@ -164,7 +164,7 @@
   std::string Best;
   std::pair<bool, microseconds> BestRank;
   for (const auto &[Id, Runner] : Directory.Runners) {
-    if (Id == Failed || Runner.Entry.Draining)
+    if (Id == Failed || !takesRequests(Runner))
       continue;
     const std::pair Rank{Runner.Entry.Domain != Domain, Runner.HeardAt.Steady};
     if (!Best.empty() && Rank <= BestRank)
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -154,14 +154,14 @@
                   [&](const auto &Item) {
                     const runner_view &Runner = Item.second;
                     return Runner.Entry.Service == Query.Service &&
-                           !Runner.Entry.Draining &&
+                           takesRequests(Runner) &&
                            isRecent(Runner.Permits.Limit, Now);
                   });
   permit_candidate Needed;
   permit_candidate Spare;
   std::size_t Full = 0;
   for (const auto &[Id, Runner] : Directory.Runners) {
-    if (Runner.Entry.Service != Query.Service || Runner.Entry.Draining ||
+    if (Runner.Entry.Service != Query.Service || !takesRequests(Runner) ||
         Query.Excluded.contains(Id))
       continue;
     ++Best.Candidates;
--- a/src/placement/runner_directory.cpp
+++ b/src/placement/runner_directory.cpp
@@ -20,6 +20,9 @@
 constexpr double MinReportWeight = 0.1;
 /// Maximum number of recent entries per runner; a runner's cache holds fewer.
 constexpr std::size_t MaxRecentEntries = 600;
+/// Time for which the statement of a runner that is not registered is kept. A
+/// runner that leaves ends within a minute or so, whatever the registry says.
+constexpr std::chrono::minutes LeavingMemory{15};
 
 void pruneRecentContent(runner_view &Runner) {
   if (Runner.RecentContent.size() <= MaxRecentEntries)
@@ -54,9 +57,36 @@
     Runner.Outstanding = Outstanding;
   }
   Runner.Entry = Entry;
+  Runner.Leaving = isLeaving(Directory, Entry.Id, Entry.BornMs);
   return true;
 }
 
+bool recordLeaving(runner_directory &Directory, const std::string &Id,
+                   std::int64_t BornMs, instant Now) {
+  const auto [Found, Added] =
+      Directory.Leaving.try_emplace(Id, leaving_notice{BornMs, Now});
+  // A late response of an earlier incarnation.
+  if (!Added && Found->second.BornMs >= BornMs)
+    return false;
+  Found->second = {BornMs, Now};
+  if (runner_view *View = findIncarnation(Directory, Id, BornMs))
+    View->Leaving = true;
+  return true;
+}
+
+bool isLeaving(const runner_directory &Directory, const std::string &Id,
+               std::int64_t BornMs) {
+  const auto Found = Directory.Leaving.find(Id);
+  return Found != Directory.Leaving.end() && Found->second.BornMs == BornMs;
+}
+
+void forgetLeaving(runner_directory &Directory, instant Now) {
+  std::erase_if(Directory.Leaving, [&](const auto &Item) {
+    return !Directory.Runners.contains(Item.first) &&
+           Now.Steady - Item.second.ReceivedAt.Steady > LeavingMemory;
+  });
+}
+
 runner_view *findIncarnation(runner_directory &Directory, const std::string &Id,
                              std::int64_t BornMs) {
   const auto Found = Directory.Runners.find(Id);
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -26,6 +26,7 @@
   instant FailedUntil{};  ///< End of the backoff after a failure.
   permit_stock Permits;   ///< The runner's limit and permits to send to it.
   int ConsecutiveFailures = 0;
+  bool Leaving = false; ///< It has said in a response that it leaves.
   /// Time of last use of the prompt parts, sessions and affinity keys that this
   /// instance sent to the runner.
   std::unordered_map<std::string, instant> RecentContent;
@@ -39,6 +40,12 @@
   instant Time{};           ///< Time of the latest report included.
 };
 
+/// A runner's statement that it leaves.
+struct leaving_notice {
+  std::int64_t BornMs = 0; ///< The incarnation that leaves.
+  instant ReceivedAt{};
+};
+
 /// The known runners by ID. When a runner restarts or changes its address, the
 /// state of its previous incarnation is discarded except for the number of
 /// outstanding requests.
@@ -48,6 +55,9 @@
   /// Runners absent from the registry that may still register again, with the
   /// time at which they are removed.
   std::map<std::string, instant> Missing;
+  /// Runners that leave, by ID. A statement outlasts the registration: one that
+  /// lapses and comes back is that of the same incarnation.
+  std::map<std::string, leaving_notice> Leaving;
 };
 
 /// Adds or updates a runner.
@@ -56,6 +66,35 @@
 /// \returns true if the runner is new or its registration has changed.
 bool upsertRunner(runner_directory &Directory, const runner_entry &Entry);
 
+/// \param Runner the runner.
+/// \returns whether new requests may be sent to it: neither its registration
+/// nor one of its responses says that it leaves.
+inline bool takesRequests(const runner_view &Runner) {
+  return !Runner.Entry.Draining && !Runner.Leaving;
+}
+
+/// Records that an incarnation of a runner leaves. It gets no new request, also
+/// while it is registered as ready.
+/// \param Directory the directory.
+/// \param Id the runner's ID.
+/// \param BornMs start time of the incarnation, Unix time in milliseconds.
+/// \param Now the current time.
+/// \returns true if that was not known.
+bool recordLeaving(runner_directory &Directory, const std::string &Id,
+                   std::int64_t BornMs, instant Now);
+
+/// \param Directory the directory.
+/// \param Id a runner's ID.
+/// \param BornMs start time of the incarnation.
+/// \returns whether this incarnation has said that it leaves.
+bool isLeaving(const runner_directory &Directory, const std::string &Id,
+               std::int64_t BornMs);
+
+/// Forgets statements of runners that are long gone.
+/// \param Directory the directory.
+/// \param Now the current time.
+void forgetLeaving(runner_directory &Directory, instant Now);
+
 /// Finds a specific incarnation of a runner.
 /// \param Directory the directory.
 /// \param Id the runner's ID.
--- a/src/tunnel/runner_connection.cpp
+++ b/src/tunnel/runner_connection.cpp
@@ -79,6 +79,15 @@
   Stream->write(relayed() ? encodeTunnelData(Bytes) : std::move(Bytes));
 }
 
+void runner_connection::announceLeaving() {
+  if (!relayed() || !Opened)
+    return;
+  tunnel_message Message;
+  Message.Runner = Target.Runner;
+  Message.BornMs = Target.BornMs;
+  Stream->write(encodeMessage(Message));
+}
+
 void runner_connection::close() {
   OpenTimer.cancel();
   Handlers = std::make_shared<tcp_stream::handlers>();
--- a/src/tunnel/runner_connection.h
+++ b/src/tunnel/runner_connection.h
@@ -50,6 +50,10 @@
   /// \param Paused whether to stop.
   void pauseReading(bool Paused) { Stream->pauseReading(Paused); }
 
+  /// Tells the relay, if there is one, that the runner leaves: a relay doesn't
+  /// read the responses that it passes on.
+  void announceLeaving();
+
   /// Ends the connection at once; the handlers are not called any more.
   void close();
 
--- a/src/tunnel/tunnel_message.h
+++ b/src/tunnel/tunnel_message.h
@@ -42,8 +42,10 @@
 struct tunnel_message {
   tunnel_kind Kind = tunnel_kind::Data;
   /// Open: ID of the runner; empty to ask whether the relay can open tunnels.
+  /// Data without bytes, to the relay: ID of the runner, which has said that it
+  /// leaves. A relay of an older version passes on no bytes.
   std::string Runner;
-  std::int64_t BornMs = 0; ///< Open: the runner's incarnation.
+  std::int64_t BornMs = 0;                       ///< The incarnation of Runner.
   tunnel_refusal Refusal = tunnel_refusal::None; ///< Refused.
   stream_end End = stream_end::Reset;            ///< End.
   std::string Data;                              ///< Data.
--- a/src/tunnel/tunnel_server.cpp
+++ b/src/tunnel/tunnel_server.cpp
@@ -13,6 +13,7 @@
   std::shared_ptr<tcp_stream> Origin;
   std::shared_ptr<tcp_stream> Runner; ///< Null before an Open message.
   std::string RunnerId;
+  std::int64_t RunnerBornMs = 0;
   frame_reader Frames{MaxTunnelMessageBytes};
   bool Opened = false;
   std::size_t ToRunner = 0;   ///< Bytes passed on so far.
@@ -119,6 +120,11 @@
   }
   if (Message.Kind != tunnel_kind::Data || !Tunnel->Opened)
     throw std::runtime_error("a message out of order");
+  if (!Message.Runner.empty()) {
+    if (Host.OnLeaving)
+      Host.OnLeaving(Message.Runner, Message.BornMs);
+    return;
+  }
   Tunnel->ToRunner += Message.Data.size();
   Tunnel->Runner->write(Message.Data);
   if (Tunnel->Runner->pendingBytes() > MaxTunnelBacklogBytes)
@@ -128,6 +134,7 @@
 void tunnel_server::open(const tunnel_ptr &Tunnel,
                          const tunnel_message &Message) {
   Tunnel->RunnerId = Message.Runner;
+  Tunnel->RunnerBornMs = Message.BornMs;
   tunnel_refusal Refusal = Host.CheckOpen();
   if (Refusal == tunnel_refusal::None && WithRunner >= Host.TunnelLimit)
     Refusal = tunnel_refusal::Busy;
@@ -141,6 +148,11 @@
     finish(Tunnel, Reply);
     return;
   }
+  // As a runner that accepts no connection: the instance tries another one.
+  if (Host.IsLeaving && Host.IsLeaving(Message.Runner, Message.BornMs)) {
+    refuse(Tunnel, tunnel_refusal::RunnerUnreachable);
+    return;
+  }
   const auto Address = Host.FindRunner(Message.Runner, Message.BornMs);
   if (Address)
     connectRunner(Tunnel, *Address);
@@ -203,6 +215,16 @@
   finish(Tunnel, Message);
 }
 
+void tunnel_server::announceLeaving(const std::string &Runner,
+                                    std::int64_t BornMs) {
+  tunnel_message Message;
+  Message.Kind = tunnel_kind::Closing;
+  const std::string Bytes = encodeMessage(Message);
+  for (const tunnel_ptr &Tunnel : Tunnels)
+    if (Tunnel->RunnerId == Runner && Tunnel->RunnerBornMs == BornMs)
+      Tunnel->Origin->write(Bytes);
+}
+
 void tunnel_server::announceStop() {
   if (std::exchange(StopAnnounced, true))
     return;
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -29,6 +29,12 @@
   std::function<std::optional<std::string>(const std::string &Runner,
                                            std::int64_t BornMs)>
       FindRunner;
+  /// \returns whether an incarnation of a runner has said that it leaves; may
+  /// be empty.
+  std::function<bool(const std::string &Runner, std::int64_t BornMs)> IsLeaving;
+  /// Told that an incarnation of a runner has said so to another instance; may
+  /// be empty.
+  std::function<void(const std::string &Runner, std::int64_t BornMs)> OnLeaving;
   /// Told whether a runner accepted a connection.
   std::function<void(const std::string &Runner, bool Accepted)> OnConnect;
   std::function<void()> OnClosed;       ///< Told when a tunnel has ended.
@@ -52,6 +58,12 @@
   /// no further request is sent on the others.
   void announceStop();
 
+  /// Tells the other instances to send no further request on their tunnels to a
+  /// runner that leaves; requests in progress end.
+  /// \param Runner ID of the runner.
+  /// \param BornMs its incarnation.
+  void announceLeaving(const std::string &Runner, std::int64_t BornMs);
+
   std::size_t tunnels() const { return Tunnels.size(); }
   std::uint16_t port() const { return Listener.port(); }
 
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1414,6 +1414,71 @@
   Second.History.close();
 }
 
+// Guards against requests to a runner that has said in any of its responses
+// that it leaves, while the registry still says that it is ready.
+TEST_CASE("a runner that says in a response that it leaves gets no further "
+          "request") {
+  enum class statement { Success, Refusal, NotPassedOn, OtherRequest };
+  for (const statement Kind :
+       {statement::Success, statement::Refusal, statement::NotPassedOn,
+        statement::OtherRequest}) {
+    CAPTURE(static_cast<int>(Kind));
+    fixture *Leaver = nullptr;
+    int Statements = 0;
+    const auto Script = [&](const http_request_head &Head,
+                            const std::string &) {
+      const std::string Attempt = attemptOf(Head);
+      const bool First =
+          fieldValue(Head.Fields, "X-Expect-Instance") == "first";
+      if (!First || Leaver == nullptr)
+        return scripted_response{sealedResponse(Attempt, "x")};
+      ++Statements;
+      std::string Status = Kind == statement::Refusal
+                               ? "503 Full\r\nX-Not-Executed: 1"
+                               : "200 OK";
+      if (Kind != statement::NotPassedOn)
+        Status += "\r\nX-Server-Seal: s";
+      return scripted_response{
+          "HTTP/1.1 " + Status + "\r\nX-Attempt-Id: " +
+          (Kind == statement::OtherRequest ? "another" : Attempt) +
+          "\r\nServer-Leaving: 1\r\nKeep-Alive: timeout=5\r\n"
+          "Content-Length: 1\r\n\r\nx"};
+    };
+    fixture Fixture(Script);
+    const http_fields Affinity{{"X-Affinity-Key", "object"}};
+    // Pooled connections to both.
+    for (const char *Id : {"first", "second"}) {
+      Fixture.Context.Runners.Runners.at(Id).Entry.Draining = true;
+      CHECK(Fixture.call("w", Affinity).starts_with("HTTP/1.1 200"));
+      Fixture.Context.Runners.Runners.at(Id).Entry.Draining = false;
+    }
+    Leaver = &Fixture;
+    for (int Count = 0; Count < 12; ++Count) {
+      const std::string Response =
+          Fixture.call(std::to_string(Count), Affinity);
+      CHECK(Response.starts_with("HTTP/1.1 200"));
+      CHECK(Response.find("Server-Leaving") == std::string::npos);
+      // So that affinity and load draw requests to the first one.
+      Fixture.Context.Runners.Runners.at("second").RecentContent.clear();
+      Fixture.Context.Runners.Runners.at("second").Outstanding = 2;
+    }
+    CHECK(Statements == 1);
+    CHECK(Fixture.Context.Runners.Runners.at("first").Leaving);
+    CHECK_FALSE(Fixture.Context.Runners.Runners.at("second").Leaving);
+  }
+}
+
+TEST_CASE(
+    "a statement of another runner at the address doesn't concern the one "
+    "that was meant") {
+  fixture Fixture([](const http_request_head &, const std::string &) {
+    return scripted_response{"HTTP/1.1 421 Other\r\nServer-Leaving: 1\r\n"
+                             "Content-Length: 0\r\n\r\n"};
+  });
+  Fixture.call("1");
+  CHECK(Fixture.Context.Runners.Leaving.empty());
+}
+
 // Guards against evidence from connections that break while the runner lives.
 TEST_CASE("a broken connection to a runner that lives is no evidence") {
   fixture Fixture([](const http_request_head &Head, const std::string &) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -207,6 +207,59 @@
   CHECK(Fixture.place().empty());
 }
 
+// Guards against requests to a runner that has said in a response that it
+// leaves while the registry says otherwise, or nothing.
+TEST_CASE("an incarnation that leaves is never selected again, whatever the "
+          "registry says, and a new one is") {
+  fixture Fixture;
+  Fixture.Query.Excluded = {"far"};
+  CHECK(recordLeaving(Fixture.Directory, "a", 1, Start));
+  CHECK_FALSE(recordLeaving(Fixture.Directory, "a", 1, Start));
+  CHECK(Fixture.place() == "b");
+  // Affinity doesn't draw a request there either.
+  Fixture.Request.Session = "session";
+  recordContent(Fixture.at("a"), Fixture.Request, Start);
+  CHECK(Fixture.place() == "b");
+  removeRunner(Fixture.Directory, "b");
+  CHECK(Fixture.place().empty());
+  SUBCASE("registered as ready once more") {
+    runner_entry Entry = makeEntry("a", "here");
+    Entry.Slots = 5;
+    upsertRunner(Fixture.Directory, Entry);
+    CHECK(Fixture.place().empty());
+  }
+  SUBCASE("lapsed and back") {
+    removeRunner(Fixture.Directory, "a");
+    forgetLeaving(Fixture.Directory, later(Start, seconds(60)));
+    upsertRunner(Fixture.Directory, makeEntry("a", "here"));
+    CHECK(Fixture.place().empty());
+  }
+  SUBCASE("listed anew after an outage of the registry") {
+    replaceRunners(Fixture.Directory, {makeEntry("a", "here")}, Start, Start);
+    CHECK(Fixture.place().empty());
+  }
+  SUBCASE("a new incarnation, also with a late response of the former one") {
+    runner_entry Entry = makeEntry("a", "here");
+    Entry.BornMs = 2;
+    upsertRunner(Fixture.Directory, Entry);
+    CHECK(Fixture.place() == "a");
+    CHECK_FALSE(recordLeaving(Fixture.Directory, "a", 1, Start));
+    CHECK(Fixture.place() == "a");
+    CHECK(recordLeaving(Fixture.Directory, "a", 2, Start));
+    CHECK_FALSE(recordLeaving(Fixture.Directory, "a", 1, Start));
+    CHECK(Fixture.place().empty());
+  }
+  SUBCASE("another runner at its address") {
+    upsertRunner(Fixture.Directory, makeEntry("c", "here"));
+    CHECK(Fixture.place() == "c");
+  }
+  SUBCASE("long gone") {
+    removeRunner(Fixture.Directory, "a");
+    forgetLeaving(Fixture.Directory, later(Start, std::chrono::hours(1)));
+    CHECK(Fixture.Directory.Leaving.empty());
+  }
+}
+
 TEST_CASE("a runner in backoff after a refusal is selected last") {
   fixture Fixture;
   recordRefusal(Fixture.at("a"), Start);
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -199,6 +199,19 @@
   CHECK_FALSE(findField(Passed.Fields, "Server-Limit"));
 }
 
+TEST_CASE(
+    "decodeRunnerResponse reads that the runner leaves, which is for this "
+    "instance alone") {
+  const http_response_head Head{200, {{"server-leaving", "1"}}};
+  CHECK(decodeRunnerResponse(Head).Leaving);
+  CHECK(decodeRunnerResponse({503, Head.Fields}).Leaving);
+  for (const char *Text : {"", "0", "yes", "1.5"})
+    CHECK_FALSE(
+        decodeRunnerResponse({200, {{"Server-Leaving", Text}}}).Leaving);
+  CHECK_FALSE(decodeRunnerResponse({200, {}}).Leaving);
+  CHECK_FALSE(findField(encodeCallerResponse(Head).Fields, "Server-Leaving"));
+}
+
 TEST_CASE(
     "encodeErrorResponse sets Retry-After in seconds if a time is given") {
   const auto Head = encodeErrorResponse(503, "a", milliseconds(250));
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -6,6 +6,7 @@
 
 #include <doctest/doctest.h>
 #include <list>
+#include <set>
 
 using namespace lentilhoist;
 
@@ -55,13 +56,19 @@
     tunnel_host Host;
     Host.CheckOpen = [this] { return Refusal; };
     Host.FindRunner = [this](const std::string &Id, std::int64_t BornMs) {
-      return Id == "r" && BornMs == 7 ? std::optional(RunnerAddress)
-                                      : std::nullopt;
+      return Id == "r" && Lives.contains(BornMs) ? std::optional(RunnerAddress)
+                                                 : std::nullopt;
     };
     Host.OnConnect = [this](const std::string &, bool Accepted) {
       ++(Accepted ? Accepts : Failures);
     };
     Host.OnClosed = [this] { ++Closed; };
+    Host.IsLeaving = [this](const std::string &Id, std::int64_t BornMs) {
+      return Leaving.contains({Id, BornMs});
+    };
+    Host.OnLeaving = [this](const std::string &Id, std::int64_t BornMs) {
+      Leaving.insert({Id, BornMs});
+    };
     Host.TunnelLimit = TunnelLimit;
     RunnerAddress = Runner.address();
     Relay.emplace(Loop, AnyPort, std::move(Host));
@@ -97,6 +104,8 @@
   std::string RunnerAddress;
   std::optional<tunnel_server> Relay;
   tunnel_refusal Refusal = tunnel_refusal::None;
+  std::set<std::int64_t> Lives{7}; ///< Known incarnations of "r".
+  std::set<std::pair<std::string, std::int64_t>> Leaving;
   int Accepts = 0;
   int Failures = 0;
   int Closed = 0;
@@ -371,6 +380,35 @@
   Fixture.runUntil([&] { return Fixture.Received == "b"; });
 }
 
+// Guards against requests that a relay carries to a runner that leaves.
+TEST_CASE(
+    "a relay opens no tunnel to a runner that leaves, and ends the use of "
+    "open ones") {
+  fixture Fixture;
+  Fixture.Lives.insert(8);
+  const auto Connection = Fixture.connect();
+  const auto Other = Fixture.connect("r", 8);
+  Fixture.runUntil([&] { return Fixture.Connected == 2; });
+  // The relay learns it from the instance that reads the response.
+  Connection->announceLeaving();
+  Fixture.runUntil([&] { return !Fixture.Leaving.empty(); });
+  CHECK(Fixture.Leaving ==
+        std::set<std::pair<std::string, std::int64_t>>{{"r", 7}});
+  CHECK(Fixture.Runner.Received.empty());
+  Fixture.Relay->announceLeaving("r", 7);
+  Fixture.runUntil([&] { return !Connection->reusable(); });
+  CHECK(Other->reusable());
+  // What is in progress goes on.
+  Connection->write("a");
+  Fixture.runUntil([&] { return Fixture.Runner.Received == "a"; });
+  const auto Late = Fixture.connect();
+  Fixture.runUntil([&] { return Fixture.Ends.size() == 1; });
+  CHECK(Late->refusal() == tunnel_refusal::RunnerUnreachable);
+  // A new incarnation starts clean.
+  const auto Next = Fixture.connect("r", 8);
+  Fixture.runUntil([&] { return Fixture.Connected == 3; });
+}
+
 // Guards against messages of a damaged or foreign peer that end the process or
 // reach a runner.
 TEST_CASE("damaged tunnel messages are refused and end only their tunnel") {
