Let the pulse go on where its last read ended

Cause: the pulse asked from the revision of the long poll, which rises only when that poll ends, after up to 30 s; the store keeps 20 s of history, by reading. Change: the pulse keeps the revision up to which stale reads have shown no unknown change. The watch's own revision is untouched.

--- a/src/store/store_pulse.cpp
+++ b/src/store/store_pulse.cpp
@@ -21,7 +21,7 @@
 void store_pulse::follow(std::shared_ptr<store_watch> Watch,
                          pulse_scope Scope) {
   if (Scope == pulse_scope::Changes)
-    Compared.push_back(Watch);
+    ComparedWatches.push_back({Watch});
   Watches.push_back(std::move(Watch));
 }
 
@@ -38,38 +38,41 @@
 
 /// \returns the next watch that has listed its objects; null if none has. One
 /// that has not is asking the store already.
-std::shared_ptr<store_watch> store_pulse::nextWatch() {
-  for (std::size_t Tried = 0; Tried < Compared.size(); ++Tried) {
-    const auto &Watch = Compared[Turn++ % Compared.size()];
-    if (Watch->revision())
-      return Watch;
+store_pulse::compared_watch *store_pulse::nextWatch() {
+  for (std::size_t Tried = 0; Tried < ComparedWatches.size(); ++Tried) {
+    compared_watch &Next = ComparedWatches[Turn++ % ComparedWatches.size()];
+    if (Next.Watch->revision())
+      return &Next;
   }
   return nullptr;
 }
 
 void store_pulse::beat() {
-  const auto Watch = nextWatch();
-  if (!Watch) {
+  compared_watch *Next = nextWatch();
+  if (Next == nullptr) {
     schedule();
     return;
   }
   const instant SentAt = readClock();
+  Next->Seen = std::max(Next->Seen, *Next->Watch->revision());
   Client->call(
-      platform::watchRequest(Watch->kind(), *Watch->revision(), NoWait, true),
+      platform::watchRequest(Next->Watch->kind(), Next->Seen, NoWait, true),
       Settings.Timeout,
-      [Weak = weak_from_this(), Watch, SentAt](const store_answer &Answer) {
+      [Weak = weak_from_this(), Next, SentAt](const store_answer &Answer) {
         if (const auto Self = Weak.lock())
-          Self->onAnswer(Watch, SentAt, Answer);
+          Self->onAnswer(*Next, SentAt, Answer);
       });
 }
 
-void store_pulse::onAnswer(const std::shared_ptr<store_watch> &Watch,
-                           instant SentAt, const store_answer &Answer) {
+void store_pulse::onAnswer(compared_watch &Compared, instant SentAt,
+                           const store_answer &Answer) {
   schedule();
+  const std::shared_ptr<store_watch> &Watch = Compared.Watch;
   const auto Events = Answer.Status == store_status::Done
                           ? platform::decodeEvents(Answer.Body)
                           : std::nullopt;
   if (Answer.Status == store_status::HistoryGone) {
+    Compared.Seen = 0;
     Watch->check(SentAt, "history_gone");
     return;
   }
@@ -85,6 +88,8 @@
                   });
   if (Missed)
     Watch->check(SentAt, "missed_change");
+  else
+    Compared.Seen = std::max(Compared.Seen, Events->Revision);
 }
 
 } // namespace lentilhoist
--- a/src/store/store_pulse.h
+++ b/src/store/store_pulse.h
@@ -52,16 +52,25 @@
 private:
   void schedule();
   void beat();
-  void onAnswer(const std::shared_ptr<store_watch> &Watch, instant SentAt,
+  /// A watch whose changes are compared.
+  struct compared_watch {
+    std::shared_ptr<store_watch> Watch;
+    /// No change up to here is unknown to the watch, as stale reads show it. A
+    /// long poll may hold its own revision for longer than the store keeps its
+    /// history.
+    std::int64_t Seen = 0;
+  };
+
+  void onAnswer(compared_watch &Compared, instant SentAt,
                 const store_answer &Answer);
-  std::shared_ptr<store_watch> nextWatch();
+  compared_watch *nextWatch();
 
   std::shared_ptr<store_client> Client;
   pulse_settings Settings;
   asio::steady_timer Timer;
   std::vector<std::shared_ptr<store_watch>> Watches;
-  std::vector<std::shared_ptr<store_watch>> Compared;
-  std::size_t Turn = 0; ///< Index into Compared of the next call.
+  std::vector<compared_watch> ComparedWatches; ///< Fixed after start().
+  std::size_t Turn = 0; ///< Index into ComparedWatches of the next call.
 };
 
 } // namespace lentilhoist
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -313,6 +313,32 @@
             [](const std::string &Target) { return !isStale(Target); }) == 2);
 }
 
+// Guards against a list of all objects each time that the revision of a long
+// poll is older than what the store keeps.
+TEST_CASE("store_pulse goes on where its last read ended, while the long poll "
+          "waits") {
+  int Stale = 0;
+  fixture Fixture(
+      [&](const std::string &Target) -> std::string {
+        if (!isWatch(Target))
+          return emptyList(5);
+        if (!isStale(Target))
+          return "";
+        // What is older than the last two reads has been dropped.
+        ++Stale;
+        const auto From = std::stoi(Target.substr(Target.find("watch=") + 6));
+        return From + 2 < Stale
+                   ? jsonAnswer(410, "{}")
+                   : jsonAnswer(200, R"({"events":[],"store-revision":)" +
+                                         std::to_string(Stale + 5) + "}");
+      },
+      milliseconds(60'000));
+  const auto Pulse = startPulse(Fixture);
+  Fixture.runUntil([&] { return Stale > 20; });
+  CHECK(Fixture.Lists.size() == 1);
+  CHECK(Fixture.AvailabilityChanges.empty());
+}
+
 TEST_CASE("store_client reports Unknown when a call times out") {
   asio::io_context Loop;
   scripted_store Store(Loop, [](const std::string &) { return ""; });
