Relay nothing new to a runner that is registered as leaving

Cause, by reading: a relay opened a tunnel to each runner that it knew, also to one whose registration says that it leaves. An instance that is cut from runners may know less of the registry than its relay. Change: the relay asks takesRequests(), as for its own requests, and refuses as for a runner that accepts no connection; the instance tries another one.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -135,7 +135,10 @@
       return std::nullopt;
     };
     Host.IsLeaving = [this](const std::string &Runner, std::int64_t BornMs) {
-      return isLeaving(Context.Runners, Runner, BornMs);
+      const runner_view *View =
+          findIncarnation(Context.Runners, Runner, BornMs);
+      return View ? !takesRequests(*View)
+                  : isLeaving(Context.Runners, Runner, BornMs);
     };
     Host.OnLeaving = [this](const std::string &Runner, std::int64_t BornMs) {
       reportLeaving(Context, Runner, BornMs, "relayed");
--- a/src/tunnel/tunnel_server.h
+++ b/src/tunnel/tunnel_server.h
@@ -29,8 +29,8 @@
   std::function<std::optional<std::string>(const std::string &Runner,
                                            std::int64_t BornMs)>
       FindRunner;
-  /// \returns whether an incarnation of a runner has said that it leaves; may
-  /// be empty.
+  /// \returns whether an incarnation of a runner leaves, by its registration or
+  /// its responses; may be empty.
   std::function<bool(const std::string &Runner, std::int64_t BornMs)> IsLeaving;
   /// Told that an incarnation of a runner has said so to another instance; may
   /// be empty.
