--- a/src/store/store_pulse.h
+++ b/src/store/store_pulse.h
@@ -13,7 +13,8 @@
 /// are checked, then RecoveryWait + AnswerSlack.
 struct pulse_settings {
   milliseconds Interval{500}; ///< Pause between two calls.
-  /// Timeout of a call. A slow store takes 200 ms for an answer.
+  /// Timeout of a call. A store that is only slow should stay below it: each
+  /// timeout costs every watch a call.
   milliseconds Timeout{700};
 };
 
