--- a/src/forward/request_traits.h
+++ b/src/forward/request_traits.h
@@ -37,6 +37,9 @@
   int Running = 0;
   int Waiting = 0;
   int Slots = 0;
+  /// How long work takes at the runner at the moment, as a multiple of the
+  /// usual time; nothing if it does not say.
+  std::optional<double> Slowdown = std::nullopt;
 };
 
 /// Properties of a response, decoded from the headers that a runner sends.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -183,6 +183,34 @@
   CHECK_FALSE(decodeRunnerResponse({503, {}}).NotExecuted);
 }
 
+// Guards against a report that is dropped because it says more than expected:
+// every placement was then made without one.
+TEST_CASE("decodeRunnerResponse reads load reports with further figures") {
+  const auto reportOf = [](const char *Text) {
+    return decodeRunnerResponse({200, {{"X-Server-Load", Text}}}).Load;
+  };
+  for (const char *Text : {"3,1,8", "3,1,8,250", "3, 1, 8, 250, 7, later"}) {
+    CAPTURE(Text);
+    const auto Report = reportOf(Text);
+    REQUIRE(Report);
+    CHECK(Report->Running == 3);
+    CHECK(Report->Waiting == 1);
+    CHECK(Report->Slots == 8);
+  }
+  CHECK_FALSE(reportOf("3,1,8")->Slowdown);
+  CHECK(reportOf("3,1,8,250")->Slowdown == 2.5);
+  for (const char *Text :
+       {"3,1,8,", "3,1,8,0", "3,1,8,-1", "3,1,8,nan", "3,1,8,1e9", "3,1,8,x"}) {
+    CAPTURE(Text);
+    REQUIRE(reportOf(Text));
+    CHECK_FALSE(reportOf(Text)->Slowdown);
+  }
+  for (const char *Text : {"", "3", "3,1", "3,,8", "a,1,8,100", "3,1,8x,100"}) {
+    CAPTURE(Text);
+    CHECK_FALSE(reportOf(Text));
+  }
+}
+
 // Guards against a limit that is dropped, or read from a damaged header.
 TEST_CASE("decodeRunnerResponse reads the rate limit and rejects malformed "
           "ones") {
