Enforce token budgets on streaming routes that keep no history

Change: a streaming request with a budget reserves and settles whether its route keeps turns or not, and its program's ledger is the same on both kinds of route. Ledgers are kept 60 s at least. The rank of a request for a permit uses what the reservation says of the program. A request without a budget on such a route still needs no replica.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -42,6 +42,10 @@
 /// Largest output of a turn that is kept. A replica holds and sends several
 /// turns in one frame.
 constexpr std::size_t MaxOutputBytes = MaxFrameBytes / 8;
+/// What a program has drawn from its budget is kept at least this long after
+/// its last turn: routes that keep no turns may state no retention, and a
+/// program whose ledger has expired starts with its whole budget again.
+constexpr milliseconds MinLedgerRetention{60'000};
 /// Time limit of a request if neither the caller nor the route sets one.
 constexpr milliseconds DefaultTimeout{30'000};
 /// The address now belongs to another runner.
@@ -176,12 +180,19 @@
         if (Self && !Error)
           Self->onTimeout();
       });
-  if (Route->KeepsHistory)
+  if (needsReservation())
     reserve();
   else
     place();
 }
 
+/// \returns whether the history has to know of the request before it is sent:
+/// it builds on earlier turns, or draws tokens from its program's budget.
+bool exchange::needsReservation() const {
+  return Route->KeepsHistory ||
+         (Route->Kind == route_kind::Streaming && Traits.TokenBudget);
+}
+
 milliseconds exchange::timeLeft(instant Now) const {
   return std::max(milliseconds(0),
                   duration_cast<milliseconds>(Deadline.Steady - Now.Steady));
@@ -192,12 +203,12 @@
   turn_reservation Reservation;
   Reservation.Program = Traits.Program;
   Reservation.Attempt = Traits.Attempt;
-  Reservation.Previous = Traits.PreviousTurn;
+  if (Route->KeepsHistory)
+    Reservation.Previous = Traits.PreviousTurn;
   Reservation.MaxTokens = Traits.MaxOutputTokens;
   Reservation.Budget =
       Traits.TokenBudget.value_or(std::numeric_limits<std::uint64_t>::max());
-  Reservation.RetentionMs =
-      static_cast<std::uint64_t>(Route->Retention.count());
+  Reservation.RetentionMs = ledgerRetentionMs();
   Reservation.Signature = Signature;
   Reserved = true;
   const milliseconds Limit = std::min(ReserveTimeout, timeLeft(readClock()));
@@ -352,7 +363,7 @@
 permit_rank exchange::permitRank() const {
   if (Traits.ProgramTimeLeft && Traits.ProgramTimeLeft->count() <= 0)
     return permit_rank::Late;
-  const bool Begun = !Route->KeepsHistory || !Traits.PreviousTurn.empty() ||
+  const bool Begun = !needsReservation() || !Traits.PreviousTurn.empty() ||
                      OtherAttemptTokens > 0;
   return Begun ? permit_rank::UnderWay : permit_rank::New;
 }
@@ -954,7 +965,12 @@
   const std::uint64_t Tokens =
       EventCount * (Engine ? Engine->TokensPerEvent : 1);
   Context.History.settle(Traits.Program, {Traits.Attempt, Tokens, true},
-                         static_cast<std::uint64_t>(Route->Retention.count()));
+                         ledgerRetentionMs());
+}
+
+std::uint64_t exchange::ledgerRetentionMs() const {
+  return static_cast<std::uint64_t>(
+      std::max(Route->Retention, MinLedgerRetention).count());
 }
 
 const char *exchange::responseFraming() const {
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -75,6 +75,8 @@
   void awaitConfiguration();
   void scheduleRetry(void (exchange::*Step)());
   void chooseRoute();
+  bool needsReservation() const;
+  std::uint64_t ledgerRetentionMs() const;
   void reserve();
   void onReserved(reserve_result Result);
   bool rejectQuarantined(const quarantine_decision &Decision);
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -595,6 +595,53 @@
   }
 }
 
+// Guards against a budget that is enforced only on routes that keep turns: a
+// program got several times its budget through a route that keeps none.
+TEST_CASE("a token budget holds on streaming routes that keep no history, and "
+          "over both kinds of route") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{streamHead(attemptOf(Head)) +
+                             encodeChunk("id: 1\ndata: x\n\n") +
+                             std::string(LastChunk)};
+  });
+  Fixture.startHistory();
+  Fixture.setRoutes(route_kind::Streaming, false);
+  const http_fields Usage{{"X-Program-Id", "p"},
+                          {"X-Token-Usage", "10,20"},
+                          {"X-Token-Budget", "45"}};
+  // Each turn uses ten tokens of the 45 and may use 20.
+  CHECK(Fixture.call("t1", Usage).ends_with(LastChunk));
+  CHECK(Fixture.call("t2", Usage).ends_with(LastChunk));
+  Fixture.runFor(milliseconds(50)); // Settles the second turn.
+  const auto &Ledgers = Fixture.Replicas.front().State.Ledgers;
+  REQUIRE(Ledgers.contains("p"));
+  CHECK(Ledgers.at("p").Entries.at("t2").Entry.Settled);
+  CHECK(Ledgers.at("p").Entries.at("t2").Entry.Tokens == 10);
+  SUBCASE("the same route") {
+    CHECK(Fixture.call("t3", Usage).ends_with(LastChunk));
+    Fixture.runFor(milliseconds(50));
+    CHECK(Fixture.call("t4", Usage).starts_with("HTTP/1.1 402"));
+    CHECK(Fixture.arrivals() == 3);
+  }
+  SUBCASE("a route that keeps turns") {
+    Fixture.setRoutes(route_kind::Streaming, true);
+    CHECK(Fixture.call("t3", Usage).ends_with(LastChunk));
+    CHECK(Fixture.call("t4", Usage).starts_with("HTTP/1.1 402"));
+    CHECK(Fixture.Replicas.front().State.Turns.size() == 1);
+  }
+  SUBCASE("no replica answers: not run") {
+    for (memory_replica &Replica : Fixture.Replicas)
+      Replica.stop();
+    CHECK(Fixture.call("t3", Usage).starts_with("HTTP/1.1 503"));
+    CHECK(Fixture.arrivals() == 2);
+  }
+  SUBCASE("a request without a budget needs no replica") {
+    for (memory_replica &Replica : Fixture.Replicas)
+      Replica.stop();
+    CHECK(Fixture.call("t3").ends_with(LastChunk));
+  }
+}
+
 TEST_CASE(
     "route timeout sends 504 to the caller and closes the runner connection") {
   fixture Fixture([](const http_request_head &, const std::string &) {
