--- a/src/config/route.h
+++ b/src/config/route.h
@@ -39,6 +39,7 @@
   bool KeepsHistory = false; ///< Conversation turns build on earlier turns.
   std::chrono::milliseconds Retention{0}; ///< Retention time of turns.
   bool Sticky = false; ///< Runners process recently used objects faster.
+  bool Public = false; ///< Needs no key where workspaces are configured.
 };
 
 /// Operator's description of a model engine.
@@ -64,12 +65,23 @@
   std::chrono::milliseconds IdleTimeout{15'000};
 };
 
+/// A customer whose callers share a quota and own their turns.
+struct workspace {
+  std::string Name;
+  std::optional<int>
+      Priority;             ///< Replaces that of the route; 0 is the highest.
+  double RatePerSecond = 0; ///< Requests a second; 0: no limit.
+  double Burst = 0;         ///< Requests beyond the rate at a time.
+};
+
 /// One version of the operator's configuration.
 struct configuration {
   std::int64_t Version = 0;
   std::vector<route> Routes;
   std::vector<service> Services;
   caller_limits Limits;
+  /// Nothing if the deployment has no workspaces, so that requests need no key.
+  std::optional<std::vector<workspace>> Workspaces;
 };
 
 } // namespace lentilhoist
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -130,6 +130,8 @@
   request_traits Traits;
   route_table_ptr Routes; ///< Configuration at the start of the request.
   const route *Route = nullptr;
+  /// The caller's workspace, part of Routes; null without one.
+  const workspace *Workspace = nullptr;
   std::string Service;
   std::optional<engine_traits> Engine;
   request_signature Signature = 0;
