Require the key of a workspace where workspaces are configured

Cause: the configuration's list of workspaces and the keys of requests were not read: any request was served, and its key and the workspace's header were passed to runners as the caller had sent them.

Change: decodeConfig reads the workspaces and which routes are public, and keeps keys as digests only (libsodium, keyed with random bytes of the process). route_table owns a table that finds workspaces by key. An exchange looks up its workspace after the route, answers 401 without a known key, and checks the key again before each send if the configuration has changed. Runners get the workspace's name and never the key. A list of workspaces that is no list makes the configuration unusable as a whole; faulty entries are omitted and logged, and their keys are valid for no other workspace. A key that has moved to another workspace while its request waited gives 503, since the request may have reserved tokens of the former one.

--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -5,7 +5,7 @@
   libasio-dev libjsonrpccpp-dev libjsoncpp-dev libcpp-httplib-dev libssl-dev
   zlib1g-dev libbrotli-dev libtomlplusplus-dev libgflags-dev libfmt-dev
   doctest-dev libboost-dev nlohmann-json3-dev libmsgpack-cxx-dev libxxhash-dev
-  libhttp-parser-dev"
+  libhttp-parser-dev libsodium-dev"
 missing=
 for package in $packages; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null |
--- a/src/config/route.h
+++ b/src/config/route.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "config/api_key.h"
+
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -72,6 +74,20 @@
       Priority;             ///< Replaces that of the route; 0 is the highest.
   double RatePerSecond = 0; ///< Requests a second; 0: no limit.
   double Burst = 0;         ///< Requests beyond the rate at a time.
+  std::vector<key_digest> Keys{}; ///< See digestOfKey().
+};
+
+/// Most workspaces that a log line about faults of a configuration names.
+inline constexpr std::size_t MaxNamedWorkspaces = 8;
+
+/// What was left out of the list of workspaces, for the log.
+struct workspace_faults {
+  std::size_t Entries = 0;  ///< Entries without a usable name, or malformed.
+  std::size_t Keys = 0;     ///< Keys that are empty or no text.
+  std::size_t Fields = 0;   ///< Other fields that are malformed.
+  std::size_t Repeated = 0; ///< Entries that name a workspace once more.
+  /// Names of workspaces with faults, at most MaxNamedWorkspaces.
+  std::vector<std::string> Workspaces{};
 };
 
 /// One version of the operator's configuration.
@@ -82,6 +98,10 @@
   caller_limits Limits;
   /// Nothing if the deployment has no workspaces, so that requests need no key.
   std::optional<std::vector<workspace>> Workspaces;
+  /// Keys of entries that were left out. They are valid for no workspace, also
+  /// if another entry lists them.
+  std::vector<key_digest> ClaimedKeys;
+  workspace_faults WorkspaceFaults;
 };
 
 } // namespace lentilhoist
--- a/src/config/route_table.cpp
+++ b/src/config/route_table.cpp
@@ -31,7 +31,8 @@
   return "unknown";
 }
 
-route_table::route_table(configuration Given) : Config(std::move(Given)) {
+route_table::route_table(configuration Given)
+    : Config(std::move(Given)), Keys(Config) {
   for (const route &Route : Config.Routes)
     ByHost[lowerHost(Route.Host)].push_back(&Route);
   for (auto &[Host, Routes] : ByHost)
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "config/key_table.h"
 #include "config/route.h"
 
 #include <map>
@@ -15,6 +16,8 @@
 public:
   /// \param Config the configuration to index.
   explicit route_table(configuration Config);
+  route_table(const route_table &) = delete;
+  route_table &operator=(const route_table &) = delete;
 
   /// \param Host the request host, with or without a port; case-insensitive.
   /// \param Path the path without a query.
@@ -26,12 +29,14 @@
   const service *findService(std::string_view Name) const;
 
   const configuration &config() const { return Config; }
+  const key_table &keys() const { return Keys; }
 
 private:
   configuration Config;
   /// Routes by lower-case host, longest prefix first.
   std::map<std::string, std::vector<const route *>, std::less<>> ByHost;
   std::map<std::string, const service *, std::less<>> ByService;
+  key_table Keys;
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -377,9 +378,35 @@
              {{"version", std::to_string(Config->Version)},
               {"revision", std::to_string(Item.Revision)},
               {"source", Source},
-              {"routes", std::to_string(Config->Routes.size())}});
+              {"routes", std::to_string(Config->Routes.size())},
+              {"workspaces", Config->Workspaces
+                                 ? std::to_string(Config->Workspaces->size())
+                                 : "none"}});
     Context.Routes = std::make_shared<const route_table>(std::move(*Config));
     Context.ConfigUpdatedAt = readClock();
+    logWorkspaceFaults(*Context.Routes);
+  }
+
+  /// Logs what the configuration's list of workspaces says that is not in
+  /// force, without any key.
+  static void logWorkspaceFaults(const route_table &Table) {
+    const workspace_faults &Faults = Table.config().WorkspaceFaults;
+    const key_conflicts &Conflicts = Table.keys().conflicts();
+    if (Faults.Entries + Faults.Keys + Faults.Fields + Faults.Repeated +
+            Conflicts.Keys ==
+        0)
+      return;
+    logEvent(
+        log_level::Warning, "workspaces_faulty",
+        {{"version", std::to_string(Table.config().Version)},
+         {"entries_omitted", std::to_string(Faults.Entries)},
+         {"keys_omitted", std::to_string(Faults.Keys)},
+         {"fields_omitted", std::to_string(Faults.Fields)},
+         {"repeated_entries", std::to_string(Faults.Repeated)},
+         {"workspaces", fmt::format("{}", fmt::join(Faults.Workspaces, ", "))},
+         {"shared_keys", std::to_string(Conflicts.Keys)},
+         {"workspaces_sharing_keys",
+          fmt::format("{}", fmt::join(Conflicts.Workspaces, ", "))}});
   }
 
   void watchRunners() {
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -160,6 +160,8 @@
     respondWithError(proxy_error::NoRoute);
     return;
   }
+  if (!checkKey())
+    return;
   Service = chooseTarget(*Route, stableHash(Traits.Attempt));
   Signature = signatureOf(Head.Method, fieldValue(Head.Fields, "Host"),
                           Head.Target, Body);
@@ -186,6 +188,54 @@
     place();
 }
 
+/// Checks the caller's key against the newest configuration. The request is
+/// answered if the key is not valid.
+/// \returns whether the request may be served.
+bool exchange::checkKey() {
+  if (KeyRoutes == Context.Routes)
+    return true;
+  const configuration &Config = Context.Routes->config();
+  // A request that began with workspaces keeps its own if there are none now.
+  if (!Config.Workspaces)
+    return true;
+  const bool FirstCheck = !Key;
+  if (FirstCheck)
+    Key = platform::takeKey(Head);
+  const route *Newest = Context.Routes->find(fieldValue(Head.Fields, "Host"),
+                                             pathOf(Head.Target));
+  access_decision Decision =
+      decideAccess(Config, Context.Routes->keys(),
+                   Newest ? Newest->Public : Route->Public, *Key);
+  const std::string Former = Workspace ? Workspace->Name : "";
+  const std::string Name = Decision.Workspace ? Decision.Workspace->Name : "";
+  // What it has reserved belongs to the former workspace.
+  if (Decision.Verdict == access_verdict::Granted && !FirstCheck &&
+      Name != Former)
+    Decision.Verdict = access_verdict::ChangedOwner;
+  if (Decision.Verdict == access_verdict::Granted) {
+    KeyRoutes = Context.Routes;
+    Workspace = Decision.Workspace;
+    return true;
+  }
+  const char *Reason = accessVerdictName(Decision.Verdict);
+  Context.Metrics.count(
+      std::string("lentilhoist_refused_keys_total{reason=\"") + Reason + "\"}");
+  const auto ConfigAge = duration_cast<milliseconds>(
+      readClock().Steady - Context.ConfigUpdatedAt.Steady);
+  logEvent(log_level::Info, "key_refused",
+           {{"request", Traits.Attempt},
+            {"route", Route->Name},
+            {"reason", Reason},
+            {"stage", stageName(Stage)},
+            {"config_version", std::to_string(Config.Version)},
+            {"config_age_ms", std::to_string(ConfigAge.count())}});
+  releaseRunner(false);
+  respondWithError(Decision.Verdict == access_verdict::ChangedOwner
+                       ? proxy_error::WorkspaceChanged
+                       : proxy_error::Unauthorized);
+  return false;
+}
+
 /// \returns whether the history has to know of the request before it is sent:
 /// it builds on earlier turns, or draws tokens from its program's budget.
 bool exchange::needsReservation() const {
@@ -263,7 +313,7 @@
 
 void exchange::place() {
   const instant Now = readClock();
-  if (rejectIfStopping(Now))
+  if (rejectIfStopping(Now) || !checkKey())
     return;
   const quarantine_decision Decision =
       decideQuarantine(Context.Suspects, Signature, Now);
@@ -519,12 +569,19 @@
 }
 
 void exchange::writeRequest() {
+  // The configuration may have changed while the connection was opened.
+  if (!checkKey())
+    return;
   Stage = stage::Awaiting;
   if (Relay.empty()) {
     Context.DirectExchanges.insert(weak_from_this());
     reportPathSent(Context);
   }
-  const platform::runner_request_options Order{RunnerId, timeLeft(readClock())};
+  platform::runner_request_options Order;
+  Order.RunnerId = RunnerId;
+  Order.TimeLeft = timeLeft(readClock());
+  if (Key)
+    Order.Workspace = Workspace ? Workspace->Name : std::string();
   Stream->write(
       encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body));
 }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -75,6 +75,7 @@
   void awaitConfiguration();
   void scheduleRetry(void (exchange::*Step)());
   void chooseRoute();
+  bool checkKey();
   bool needsReservation() const;
   std::uint64_t ledgerRetentionMs() const;
   void reserve();
@@ -130,7 +131,11 @@
   request_traits Traits;
   route_table_ptr Routes; ///< Configuration at the start of the request.
   const route *Route = nullptr;
-  /// The caller's workspace, part of Routes; null without one.
+  /// Configuration by which the key was last checked.
+  route_table_ptr KeyRoutes;
+  /// The caller's key, taken out of Head once workspaces are configured.
+  std::optional<sent_key> Key;
+  /// The caller's workspace, part of KeyRoutes; null without one.
   const workspace *Workspace = nullptr;
   std::string Service;
   std::optional<engine_traits> Engine;
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -70,6 +70,10 @@
     return "no_configuration";
   case proxy_error::NoRoute:
     return "no_route";
+  case proxy_error::Unauthorized:
+    return "unauthorized";
+  case proxy_error::WorkspaceChanged:
+    return "workspace_changed";
   case proxy_error::BadRequest:
     return "bad_request";
   case proxy_error::NoRunner:
@@ -126,6 +130,8 @@
   case proxy_error::NoRoute:
   case proxy_error::UnknownTurn:
     return 404;
+  case proxy_error::Unauthorized:
+    return 401;
   case proxy_error::BadRequest:
     return 400;
   case proxy_error::BudgetExhausted:
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -47,6 +47,8 @@
 enum class proxy_error {
   NoConfiguration,    ///< This instance has no configuration yet.
   NoRoute,            ///< No route matches.
+  Unauthorized,       ///< Its key is missing or belongs to no workspace.
+  WorkspaceChanged,   ///< Its key has been moved to another workspace.
   BadRequest,         ///< A required header is missing or malformed.
   NoRunner,           ///< No runner is available.
   PathLost,           ///< Neither this instance nor a relay reaches runners.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "config/route_table.h"
 #include "fuzz.h"
 #include "platform/config_decoder.h"
 #include "platform/machine_settings.h"
@@ -505,3 +506,179 @@
            decodeRunnerResponse({200, Fields});
          });
 }
+
+namespace {
+
+std::string withTenants(const std::string &Tenants) {
+  return R"({"version":1,"routes":[{"name":"r","host":"h","path-prefix":"/"}],
+    "services":[],"tenants":)" +
+         Tenants + "}";
+}
+
+} // namespace
+
+TEST_CASE("decodeConfig reads workspaces and public routes") {
+  const auto Config = decodeConfig(R"({"version":1,"routes":[
+    {"name":"r1","host":"h","path-prefix":"/","public":true},
+    {"name":"r2","host":"h","path-prefix":"/a/","public":false},
+    {"name":"r3","host":"h","path-prefix":"/b/"},
+    {"name":"r4","host":"h","path-prefix":"/c/","public":"true"}],
+    "services":[],"tenants":[
+    {"name":"a","api-keys":["k1","k2"],"priority":0,"rate-per-s":2.5,
+     "burst":10,"later":{}},
+    {"name":"b"}]})");
+  REQUIRE(Config);
+  CHECK(Config->Routes[0].Public);
+  CHECK_FALSE(Config->Routes[1].Public);
+  CHECK_FALSE(Config->Routes[2].Public);
+  // What can't be read must not open a route.
+  CHECK_FALSE(Config->Routes[3].Public);
+  REQUIRE(Config->Workspaces);
+  REQUIRE(Config->Workspaces->size() == 2);
+  const workspace &First = Config->Workspaces->front();
+  CHECK(First.Name == "a");
+  CHECK(First.Priority == 0);
+  CHECK(First.RatePerSecond == 2.5);
+  CHECK(First.Burst == 10);
+  CHECK(First.Keys ==
+        std::vector<key_digest>{digestOfKey("k1"), digestOfKey("k2")});
+  CHECK_FALSE(Config->Workspaces->back().Priority);
+  CHECK(Config->Workspaces->back().RatePerSecond == 0);
+  CHECK(Config->WorkspaceFaults.Entries + Config->WorkspaceFaults.Keys +
+            Config->WorkspaceFaults.Fields + Config->WorkspaceFaults.Repeated ==
+        0);
+}
+
+TEST_CASE("an absent list of workspaces, an empty one and an unreadable one "
+          "differ") {
+  CHECK_FALSE(
+      decodeConfig(R"({"version":1,"routes":[],"services":[]})")->Workspaces);
+  CHECK(decodeConfig(withTenants("[]"))->Workspaces->empty());
+  // Taken as absent, it would open all routes.
+  for (const char *Unreadable : {"null", "{}", R"("a")", "0", "true"})
+    CHECK_FALSE(decodeConfig(withTenants(Unreadable)));
+}
+
+TEST_CASE("faulty entries of workspaces are omitted and counted, and their "
+          "keys become valid for no other") {
+  const auto Config = decodeConfig(withTenants(R"([
+    {"name":"","api-keys":["stolen","k0"]},
+    {"api-keys":["k0"]},
+    {"name":7,"api-keys":"k0"},
+    {"name":"a ","api-keys":["k0"]},
+    {"name":"a\r\nX-Evil: 1","api-keys":["k0"]},
+    7,
+    {"name":"a","api-keys":["k1","",3,null,"k1"]},
+    {"name":"b","api-keys":["stolen","k2"],"priority":-1,"rate-per-s":"5",
+     "burst":-3},
+    {"name":"c","api-keys":"k3"},
+    {"name":"a","api-keys":["k4","k1"],"priority":3}])"));
+  REQUIRE(Config);
+  const route_table Table(*Config);
+  const auto Owner = [&](const char *Key) {
+    const workspace *Found = Table.keys().find(digestOfKey(Key));
+    return Found ? Found->Name : std::string("none");
+  };
+  CHECK(Config->Workspaces->size() == 3);
+  CHECK(Owner("stolen") == "none");
+  CHECK(Owner("k0") == "none");
+  CHECK(Owner("") == "none");
+  CHECK(Owner("k1") == "a");
+  CHECK(Owner("k2") == "b");
+  CHECK(Owner("k3") == "c");
+  // Entries of the same name are one workspace; the first sets its limits.
+  CHECK(Owner("k4") == "a");
+  CHECK_FALSE(Config->Workspaces->front().Priority);
+  CHECK_FALSE(Config->Workspaces->at(1).Priority);
+  CHECK(Config->Workspaces->at(1).RatePerSecond == 0);
+  const workspace_faults &Faults = Config->WorkspaceFaults;
+  CHECK(Faults.Entries == 6);
+  CHECK(Faults.Keys == 3);
+  CHECK(Faults.Fields == 3);
+  CHECK(Faults.Repeated == 1);
+  CHECK(Faults.Workspaces == std::vector<std::string>{"a", "b", "a"});
+}
+
+TEST_CASE("a configuration of 4 MB with 30,000 keys is decoded") {
+  nlohmann::json Tenants = nlohmann::json::array();
+  for (int Index = 0; Index < 10'000; ++Index) {
+    nlohmann::json Keys = nlohmann::json::array();
+    for (int Key = 0; Key < 3; ++Key)
+      Keys.push_back(std::string(110, 'k') + std::to_string(Index) + "-" +
+                     std::to_string(Key));
+    Tenants.push_back({{"name", "workspace-" + std::to_string(Index)},
+                       {"api-keys", Keys},
+                       {"priority", Index % 3},
+                       {"rate-per-s", 5},
+                       {"burst", 10}});
+  }
+  const std::string Text = withTenants(Tenants.dump());
+  CHECK(Text.size() > 4'000'000);
+  const auto Config = decodeConfig(Text);
+  REQUIRE(Config);
+  const route_table Table(*Config);
+  CHECK(Table.keys().size() == 30'000);
+  const workspace *Last =
+      Table.keys().find(digestOfKey(std::string(110, 'k') + "9999-2"));
+  REQUIRE(Last);
+  CHECK(Last->Name == "workspace-9999");
+}
+
+TEST_CASE("takeKey removes the key's header and rejects ambiguous ones") {
+  http_request_head Head = makeHead(
+      {{"Host", "h"}, {"authorization", "bEARER  secret"}, {"X-Tenant", "b"}});
+  sent_key Key = takeKey(Head);
+  CHECK(Key.Sent);
+  CHECK(Key.Digest == digestOfKey("secret"));
+  CHECK(Head.Fields.size() == 2);
+  Head = makeHead({{"Host", "h"}});
+  CHECK_FALSE(takeKey(Head).Sent);
+  for (const char *Malformed :
+       {"", "Bearer", "Bearer ", "secret", "Basic c2VjcmV0"}) {
+    Head = makeHead({{"Authorization", Malformed}});
+    Key = takeKey(Head);
+    CHECK(Key.Sent);
+    CHECK_FALSE(Key.Digest);
+    CHECK(Head.Fields.empty());
+  }
+  Head = makeHead(
+      {{"Authorization", "Bearer one"}, {"Authorization", "Bearer two"}});
+  Key = takeKey(Head);
+  CHECK(Key.Sent);
+  CHECK_FALSE(Key.Digest);
+  CHECK(Head.Fields.empty());
+}
+
+TEST_CASE("encodeRunnerRequest states the workspace, whatever the caller sent, "
+          "and passes its headers on where there are no workspaces") {
+  const auto Caller = makeHead({{"Authorization", "Bearer secret"},
+                                {"x-tenant", "other"},
+                                {"X-TENANT", "another"},
+                                {"Connection", "X-Tenant"}});
+  const auto Plain =
+      makeHead({{"Authorization", "Bearer secret"}, {"x-tenant", "other"}});
+  const auto Encode = [](const http_request_head &Head,
+                         std::optional<std::string> Workspace) {
+    return encodeRunnerRequest(Head,
+                               {"i-1", milliseconds(1), std::move(Workspace)})
+        .Fields;
+  };
+  const auto Count = [](const http_fields &Fields, std::string_view Name) {
+    return std::count_if(Fields.begin(), Fields.end(),
+                         [&](const http_field &Field) {
+                           return sameFieldName(Field.Name, Name);
+                         });
+  };
+  for (const auto &Head : {Caller, Plain}) {
+    const http_fields Named = Encode(Head, "a");
+    CHECK(Count(Named, "X-Tenant") == 1);
+    CHECK(fieldValue(Named, "X-Tenant") == "a");
+    CHECK(Count(Named, "Authorization") == 0);
+    const http_fields Nameless = Encode(Head, "");
+    CHECK(Count(Nameless, "X-Tenant") == 0);
+    CHECK(Count(Nameless, "Authorization") == 0);
+  }
+  const http_fields Passed = Encode(Plain, std::nullopt);
+  CHECK(fieldValue(Passed, "Authorization") == "Bearer secret");
+  CHECK(fieldValue(Passed, "X-Tenant") == "other");
+}
