Decode the known part of messages with other content

Cause: an optional field of a wrong type, or one entry of a list, hid a whole configuration; an unreadable failure domain hid a runner; a member that the JSON library can't represent, or that contains the name of the list, hid a list of the store; a "truncated" or "removed" of another type counted as false, so that runners were lost or kept; X-Token-Usage with a third figure and X-Token-Budget with a parameter were dropped, and the budget was not enforced. Numbers out of range were cast without a check.

Change: each is read as far as it is known; decode_notes names what is not, for the caller to log. A route whose services can't be read keeps its host and path and is marked: left out, its requests would get 404, or the services and the access rule of a route with a shorter path. An entry with neither host nor path is no route of this version and is left out; configuration::UnknownRoutes says so. An entry with only one of them may take any requests, so the configuration is rejected as a whole and the last one stays in force.

--- a/src/config/route.h
+++ b/src/config/route.h
@@ -40,6 +40,8 @@
   std::chrono::milliseconds Retention{0}; ///< Retention time of turns.
   bool Sticky = false; ///< Runners process recently used objects faster.
   bool Public = false; ///< Needs no key where workspaces are configured.
+  /// Its services can't be read: its requests are rejected as not run.
+  bool Unreadable = false;
 };
 
 /// Operator's description of a model engine.
@@ -79,6 +81,9 @@
   std::int64_t Version = 0;
   std::vector<route> Routes;
   std::vector<service> Services;
+  /// There are routes of a kind that is not known. Requests that match none of
+  /// the others may be theirs.
+  bool UnknownRoutes = false;
   caller_limits Limits;
   /// Nothing if the deployment has no workspaces, so that requests need no key.
   std::optional<std::vector<workspace>> Workspaces;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -85,6 +85,294 @@
   CHECK_FALSE(decodeConfig(R"({"version":1})"));
 }
 
+namespace {
+
+const char *const SoundConfig = R"({"version":7,"routes":[
+    {"name":"r1","host":"h","path-prefix":"/p/","type":"streaming",
+     "timeout-ms":4000,"goal-ms":250,"priority":1,"max-attempts":2,
+     "split":[{"service":"a","weight":90},{"service":"b","weight":10}],
+     "retained":true,"retention-s":60.0,"sticky":true},
+    {"name":"r2","host":"h","path-prefix":"/q/","type":"idempotent",
+     "service":"b"}],
+    "services":[{"name":"a","max-conns":150,"inference-engine":
+      {"slots":12,"kv-capacity-tokens":107036,"chunk-tokens":10}},
+      {"name":"b"}],
+    "limits":{"max-header-bytes":100,"max-body-bytes":200,
+      "header-timeout-ms":300,"idle-timeout-ms":400}})";
+
+/// \returns the sound configuration with another value at a JSON pointer.
+std::string configWith(const char *Pointer, const nlohmann::json &Value) {
+  auto Json = nlohmann::json::parse(SoundConfig);
+  Json[nlohmann::json::json_pointer(Pointer)] = Value;
+  return Json.dump();
+}
+
+/// Values of every type, and numbers that no integer type holds.
+const std::vector<nlohmann::json> &valuesOfAllTypes() {
+  static const std::vector<nlohmann::json> Values{
+      nullptr,   true,   -1,     1.5,
+      1e300,     -1e300, "text", nlohmann::json::array({1}),
+      {{"a", 1}}};
+  return Values;
+}
+
+} // namespace
+
+// Guards against an optional field of a wrong type that hides the whole
+// configuration: the instance then keeps an old one, or has none.
+TEST_CASE("a wrong type in an optional field of the configuration leaves the "
+          "rest in force") {
+  for (const char *Pointer : {"/routes/0/name",
+                              "/routes/0/type",
+                              "/routes/0/timeout-ms",
+                              "/routes/0/goal-ms",
+                              "/routes/0/priority",
+                              "/routes/0/max-attempts",
+                              "/routes/0/retained",
+                              "/routes/0/retention-s",
+                              "/routes/0/sticky",
+                              "/routes/0/split/0/weight",
+                              "/services/0/max-conns",
+                              "/services/0/inference-engine",
+                              "/services/0/inference-engine/slots",
+                              "/services/0/inference-engine/kv-capacity-tokens",
+                              "/services/0/inference-engine/chunk-tokens",
+                              "/limits",
+                              "/limits/max-header-bytes",
+                              "/limits/max-body-bytes",
+                              "/limits/header-timeout-ms",
+                              "/limits/idle-timeout-ms",
+                              "/services/1/name",
+                              "/services/1"})
+    for (const nlohmann::json &Value : valuesOfAllTypes()) {
+      CAPTURE(Pointer);
+      CAPTURE(Value.dump());
+      const auto Config = decodeConfig(configWith(Pointer, Value));
+      REQUIRE(Config);
+      REQUIRE(Config->Routes.size() == 2);
+      CHECK(Config->Routes[0].PathPrefix == "/p/");
+      CHECK(Config->Routes[0].Targets.size() == 2);
+      CHECK(Config->Routes[1].Kind == route_kind::Idempotent);
+      REQUIRE(!Config->Services.empty());
+      CHECK(Config->Services[0].Name == "a");
+    }
+  const caller_limits Defaults;
+  CHECK(decodeConfig(configWith("/limits/max-body-bytes", "big"))
+            ->Limits.MaxBodyBytes == Defaults.MaxBodyBytes);
+  CHECK(decodeConfig(configWith("/limits/max-body-bytes", "big"))
+            ->Limits.MaxHeadBytes == 100);
+  CHECK(decodeConfig(configWith("/routes/0/max-attempts", "two"))
+            ->Routes[0]
+            .MaxAttempts == 1);
+}
+
+// Guards against a list of routes that is taken for an empty one: every request
+// would get 404, which callers take as final.
+TEST_CASE("a configuration without a readable version, list of routes or list "
+          "of services is rejected") {
+  for (const char *Pointer : {"/version", "/routes", "/services"})
+    for (const nlohmann::json &Value :
+         std::vector<nlohmann::json>{nullptr, true, "text", {{"a", 1}}}) {
+      CAPTURE(Pointer);
+      CAPTURE(Value.dump());
+      CHECK_FALSE(decodeConfig(configWith(Pointer, Value)));
+    }
+}
+
+// Guards against the store's lists being unreadable because of a member that
+// is new or that the JSON library can't represent.
+TEST_CASE("additions to store lists leave the objects in force") {
+  const std::string Item =
+      R"({"metadata":{"name":"a","revision":3},"spec":{"x":1}})";
+  for (const char *Extra :
+       {R"("new":1e999)", R"("new":{"items":7,"events":7})",
+        R"("new":{"items":[],"events":[]})", R"("new":[{"items":[1]}])"}) {
+    CAPTURE(Extra);
+    const auto Page =
+        decodePage(std::string("{") + Extra + R"(,"items":[)" + Item +
+                   R"(],"truncated":false,"store-revision":9})");
+    REQUIRE(Page);
+    CHECK(Page->Items.size() == 1);
+    CHECK(Page->Revision == 9);
+    const auto Events = decodeEvents(
+        std::string("{") + Extra + R"(,"events":[{"removed":false,"object":)" +
+        Item + R"(}],"store-revision":9})");
+    REQUIRE(Events);
+    CHECK(Events->Events.size() == 1);
+  }
+}
+
+// Guards against a list that is taken as whole, and a removal that is taken as
+// a change, because a flag has another type: runners would be lost or kept.
+TEST_CASE("flags of another type in store responses are not taken as false") {
+  const std::string Item =
+      R"({"metadata":{"name":"a","revision":3},"spec":{"x":1}})";
+  const auto Page = decodePage(R"({"items":[)" + Item +
+                               R"(],"truncated":"true","store-revision":9})");
+  REQUIRE(Page);
+  CHECK(Page->Truncated);
+  // The page after the last object is empty and ends the list.
+  const auto Last =
+      decodePage(R"({"items":[],"truncated":"true","store-revision":9})");
+  REQUIRE(Last);
+  CHECK_FALSE(Last->Truncated);
+  const auto Events = decodeEvents(R"({"events":[{"removed":"true","object":)" +
+                                   Item + R"(}],"store-revision":9})");
+  REQUIRE(Events);
+  CHECK(Events->Events.empty());
+  CHECK(Events->Unreadable == 1);
+}
+
+// Guards against a runner that is lost because of its failure domain, which
+// only its rank depends on.
+TEST_CASE("decodeRunner keeps an entry whose failure domain is unreadable") {
+  for (const nlohmann::json &Value : valuesOfAllTypes()) {
+    if (Value.is_string())
+      continue;
+    CAPTURE(Value.dump());
+    const auto Runner = decodeRunner(
+        makeRegistryItem(nlohmann::json({{"service", "s"},
+                                         {"address", "10.0.0.9:80"},
+                                         {"zone", Value},
+                                         {"slots", 12},
+                                         {"state", "ready"}})
+                             .dump()));
+    REQUIRE(Runner);
+    CHECK(Runner->Domain.empty());
+  }
+}
+
+// Guards against a header that is dropped because it says more than expected.
+// A token budget that is dropped is not enforced.
+TEST_CASE("decodeCallerRequest reads the known part of longer headers") {
+  const auto Traits =
+      decodeCallerRequest(makeHead({{"X-Attempt-Id", "a1"},
+                                    {"X-Deadline-Ms", "3999, soft"},
+                                    {"X-Token-Usage", "1840, 290, 17"},
+                                    {"X-Token-Budget", "2320;soft=1"},
+                                    {"X-Length-Hint", "40 ,60"},
+                                    {"X-Prompt-Prefix", "aa:800:k, bb:410;z,"
+                                                        "cc:many, dd:3"}}));
+  REQUIRE(Traits);
+  CHECK(Traits->Deadline == milliseconds(3'999));
+  CHECK(Traits->PromptTokens == 1'840);
+  CHECK(Traits->MaxOutputTokens == 290);
+  CHECK(Traits->TokenBudget == 2'320);
+  CHECK(Traits->OutputHint == 40);
+  // Segments count only as an unbroken prefix.
+  REQUIRE(Traits->Prompt.size() == 2);
+  CHECK(Traits->Prompt[0].Tokens == 800);
+  CHECK(Traits->Prompt[1].Tokens == 410);
+  CHECK(decodeCallerRequest(
+            makeHead({{"X-Attempt-Id", "a"}, {"X-Token-Budget", "2320.9"}}))
+            ->TokenBudget == 2'320);
+  CHECK_FALSE(decodeCallerRequest(
+                  makeHead({{"X-Attempt-Id", "a"}, {"X-Token-Budget", "-1"}}))
+                  ->TokenBudget);
+}
+
+TEST_CASE("decodeRunnerResponse reads load and keep-alive time with spaces and "
+          "parameters") {
+  const auto Traits =
+      decodeRunnerResponse({200,
+                            {{"X-Server-Load", "3 , 1 , 8 "},
+                             {"Keep-Alive", "max=9, timeout=7 ;x=1"}}});
+  REQUIRE(Traits.Load);
+  CHECK(Traits.Load->Slots == 8);
+  CHECK(Traits.KeepAlive == std::chrono::seconds(7));
+}
+
+// Guards against an entry that hides the whole configuration, and against one
+// whose omission sends its requests to a route with a shorter path, with other
+// services and another access rule.
+TEST_CASE("an entry of routes that can't be read keeps its path, or is left "
+          "out if it is no route") {
+  for (const nlohmann::json &Split : std::vector<nlohmann::json>{
+           7, {7}, {{{"weight", 1}}}, {{{"service", 7}}}}) {
+    CAPTURE(Split.dump());
+    const auto Config = decodeConfig(configWith("/routes/0/split", Split));
+    REQUIRE(Config);
+    REQUIRE(Config->Routes.size() == 2);
+    CHECK(Config->Routes[0].Unreadable);
+    CHECK_FALSE(Config->Routes[1].Unreadable);
+    CHECK_FALSE(Config->UnknownRoutes);
+  }
+  // The rest of a split takes the requests of a part that can't be read.
+  const auto Part =
+      decodeConfig(configWith("/routes/0/split/0/service", nullptr));
+  REQUIRE(Part);
+  CHECK_FALSE(Part->Routes[0].Unreadable);
+  CHECK(Part->Routes[0].Targets.size() == 1);
+  for (const nlohmann::json &Entry : std::vector<nlohmann::json>{
+           7, nullptr, {7}, {{"name", "n"}, {"grpc", "x"}}}) {
+    CAPTURE(Entry.dump());
+    const auto Config = decodeConfig(configWith("/routes/0", Entry));
+    REQUIRE(Config);
+    REQUIRE(Config->Routes.size() == 1);
+    CHECK(Config->Routes[0].Name == "r2");
+    CHECK(Config->UnknownRoutes);
+  }
+  for (const char *Pointer : {"/routes/0/host", "/routes/0/path-prefix"})
+    for (const nlohmann::json &Value :
+         std::vector<nlohmann::json>{nullptr, 7, {7}}) {
+      CAPTURE(Pointer);
+      CHECK_FALSE(decodeConfig(configWith(Pointer, Value)));
+    }
+}
+
+// Guards against content that is ignored without a trace, or with a trace that
+// grows with the message.
+TEST_CASE("decoders name what they could not read, and only so much") {
+  const auto namesIn = [](const std::string &Spec) {
+    decode_notes Notes;
+    decodeConfig(Spec, &Notes);
+    return joinNames(Notes);
+  };
+  CHECK(namesIn(SoundConfig).empty());
+  CHECK(namesIn(configWith("/routes/0/priority", "high")) ==
+        "routes[0].priority");
+  CHECK(namesIn(configWith("/routes/0/type", "new")) == "routes[0].type");
+  CHECK(namesIn(configWith("/routes/0/host", 7)) == "routes[0].host,routes[0]");
+  CHECK(namesIn(configWith("/services/0/inference-engine/slots", -1)) ==
+        "services[0].inference-engine.slots");
+  CHECK(namesIn(configWith("/limits/idle-timeout-ms", true)) ==
+        "limits.idle-timeout-ms");
+  CHECK(namesIn(configWith("/routes", nullptr)) == "routes");
+  decode_notes Many;
+  decodeConfig(configWith("/services", nlohmann::json(std::vector(500, 7))),
+               &Many);
+  CHECK(Many.Count == 500);
+  CHECK(Many.Names.size() == MaxUnreadNames);
+
+  decode_notes Entry;
+  decodeRunner(makeRegistryItem(R"({"service":1,"address":"10.0.0.9:80",
+    "zone":"z","slots":0,"state":"ready"})"),
+               &Entry);
+  CHECK(joinNames(Entry) == "service,slots");
+
+  decode_notes Caller;
+  decodeCallerRequest(makeHead({{"X-Attempt-Id", "a"},
+                                {"X-Deadline-Ms", "soon"},
+                                {"X-Token-Usage", "7"},
+                                {"X-Token-Budget", "much"}}),
+                      &Caller);
+  CHECK(joinNames(Caller) == "X-Deadline-Ms,X-Token-Budget,X-Token-Usage");
+
+  decode_notes Runner;
+  decodeRunnerResponse({200,
+                        {{"X-Server-Load", "3,x,8"},
+                         {"Server-Limit", "much"},
+                         {"Keep-Alive", "timeout=long"}}},
+                       &Runner);
+  CHECK(joinNames(Runner) == "X-Server-Load,Server-Limit,Keep-Alive");
+  decode_notes Sound;
+  decodeRunnerResponse(
+      {200, {{"X-Server-Load", "3,1,8,250,new"}, {"Keep-Alive", "max=3, new"}}},
+      &Sound);
+  decodeRunnerResponse({200, {}}, &Sound);
+  CHECK(Sound.Count == 0);
+}
+
 TEST_CASE("decodeRunner rejects malformed entries of other writers") {
   const nlohmann::json ValidEntry = {
       {"service", "s"}, {"address", "10.0.0.9:80"}, {"zone", "z"},
