--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -12,6 +12,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <span>
 #include <thread>
 #include <unistd.h>
 
@@ -80,7 +81,7 @@
 }
 
 std::string formatLine(log_level Level, std::string_view Event,
-                       std::initializer_list<log_field> Fields) {
+                       std::span<const log_field> Fields) {
   nlohmann::ordered_json Line;
   Line["time_ms"] = readClock().Unix.count();
   Line["level"] = LevelNames[static_cast<std::size_t>(Level)];
@@ -113,8 +114,10 @@
                           Dropped));
 }
 
-void logEvent(log_level Level, std::string_view Event,
-              std::initializer_list<log_field> Fields) {
+namespace {
+
+void writeEvent(log_level Level, std::string_view Event,
+                std::span<const log_field> Fields) {
   log_state &State = state();
   if (Level < State.Level)
     return;
@@ -125,4 +128,16 @@
     ++State.Dropped;
 }
 
+} // namespace
+
+void logEvent(log_level Level, std::string_view Event,
+              std::initializer_list<log_field> Fields) {
+  writeEvent(Level, Event, {Fields.begin(), Fields.size()});
+}
+
+void logFields(log_level Level, std::string_view Event,
+               const std::vector<log_field> &Fields) {
+  writeEvent(Level, Event, Fields);
+}
+
 } // namespace lentilhoist
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -35,4 +35,11 @@
 void logEvent(log_level Level, std::string_view Event,
               std::initializer_list<log_field> Fields = {});
 
+/// Logs one event whose fields are collected at run time.
+/// \param Level its weight.
+/// \param Event a stable name.
+/// \param Fields named values.
+void logFields(log_level Level, std::string_view Event,
+               const std::vector<log_field> &Fields);
+
 } // namespace lentilhoist
