Read an engine's stream whatever types its events have

Cause: readChunk and readUsage threw out of the attempt, through the worker, if a delta's content was null or no string, if the choices were no list, or if a count of the usage was no number. A usage without counts passed for one of zero tokens. Items of a list of sessions that can't be read left no trace.

Change: parts without text are skipped. A token whose text can't be read ends the attempt as failed, since the answer would lack it. A usage that can't be read counts as not known. What can't be read is logged at a bounded rate.

--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -2,6 +2,7 @@
 
 #include "http/bounded_call.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/event_parser.h"
 
 #include <fmt/format.h>
@@ -30,6 +31,9 @@
   std::size_t BytesSinceToken = 0;
   bool Done = false;
   bool Endless = false; ///< The engine sends more than it was asked for.
+  /// A token's text can't be read, so that the answer would lack it.
+  bool Unreadable = false;
+  bool UsageKnown = false;
   std::uint64_t PromptTokens = 0;
   std::uint64_t GeneratedTokens = 0;
 };
@@ -61,12 +65,39 @@
   return nlohmann::json::array({Message}).dump();
 }
 
+/// \returns a count; nothing if it is absent or no count.
+std::optional<std::uint64_t> countIn(const nlohmann::json &Object,
+                                     const char *Field) {
+  const auto Found = Object.find(Field);
+  if (Found == Object.end() || !Found->is_number_unsigned())
+    return std::nullopt;
+  return Found->get<std::uint64_t>();
+}
+
 void readUsage(const nlohmann::json &Json, stream_progress &Progress) {
-  if (!Json.contains("usage") || !Json["usage"].is_object())
+  const auto Usage = Json.find("usage");
+  if (Usage == Json.end() || !Usage->is_object())
     return;
-  Progress.PromptTokens = Json["usage"].value("prompt_tokens", 0ULL);
-  Progress.GeneratedTokens = Json["usage"].value("completion_tokens", 0ULL);
   Progress.Done = true;
+  const auto Prompt = countIn(*Usage, "prompt_tokens");
+  const auto Generated = countIn(*Usage, "completion_tokens");
+  Progress.UsageKnown = Prompt && Generated;
+  if (!Progress.UsageKnown)
+    logLimited(log_level::Warning, "engine_usage_unreadable", {});
+  Progress.PromptTokens = Prompt.value_or(0);
+  // Without a count, no less than what has arrived.
+  Progress.GeneratedTokens = Generated.value_or(Progress.Tokens);
+}
+
+/// \returns the delta of an event's first choice; null if it has none.
+const nlohmann::json *findDelta(const nlohmann::json &Json) {
+  const auto Choices = Json.find("choices");
+  if (Choices == Json.end() || !Choices->is_array() || Choices->empty() ||
+      !Choices->front().is_object())
+    return nullptr;
+  const auto Delta = Choices->front().find("delta");
+  return Delta != Choices->front().end() && Delta->is_object() ? &*Delta
+                                                               : nullptr;
 }
 
 void readChunk(std::string_view Data, stream_progress &Progress,
@@ -75,12 +106,20 @@
   if (Json.is_discarded() || !Json.is_object())
     return;
   readUsage(Json, Progress);
-  if (!Json.contains("choices") || Json["choices"].empty())
+  const nlohmann::json *Delta = findDelta(Json);
+  if (!Delta)
+    return;
+  const auto Content = Delta->find("content");
+  // Null comes with the role, before the first token.
+  if (Content == Delta->end() || Content->is_null())
     return;
-  const auto &Choice = Json["choices"][0];
-  if (!Choice.contains("delta") || !Choice["delta"].contains("content"))
+  if (!Content->is_string()) {
+    Progress.Unreadable = true;
+    logLimited(log_level::Warning, "engine_event_unreadable",
+               {{"content", Content->type_name()}});
     return;
-  const auto Text = Choice["delta"]["content"].get<std::string>();
+  }
+  const auto Text = Content->get<std::string>();
   ++Progress.Tokens;
   Progress.BytesSinceToken = 0;
   Progress.Text += Text;
@@ -142,18 +181,17 @@
                                       Deadline.Steady - readClock().Steady));
     event_parser Parser;
     Progress.BytesSinceToken = 0;
-    const call_result Result =
-        callBounded(endpointOf(Placed.Runner), Head, Body, Limits,
-                    [&](std::string_view Bytes) {
-                      Progress.BytesSinceToken += Bytes.size();
-                      Parser.add(Bytes, [&](std::string_view Event) {
-                        readChunk(Event, Progress, OnText);
-                      });
-                      Progress.Endless =
-                          Progress.BytesSinceToken > MaxEventBytes ||
-                          Progress.Text.size() > MaxTextBytes;
-                      return !Progress.Endless && !IsCancelled();
-                    });
+    const call_result Result = callBounded(
+        endpointOf(Placed.Runner), Head, Body, Limits,
+        [&](std::string_view Bytes) {
+          Progress.BytesSinceToken += Bytes.size();
+          Parser.add(Bytes, [&](std::string_view Event) {
+            readChunk(Event, Progress, OnText);
+          });
+          Progress.Endless = Progress.BytesSinceToken > MaxEventBytes ||
+                             Progress.Text.size() > MaxTextBytes;
+          return !Progress.Endless && !Progress.Unreadable && !IsCancelled();
+        });
     Connected = Result.End != call_end::NotConnected;
     return Result.Head.Status != 0 ? std::optional<int>(Result.Head.Status)
                                    : std::nullopt;
@@ -198,7 +236,7 @@
                        const runner_settings &Runner) {
   attempt_result Result;
   Result.Response = wrapAnswer(Progress.Text);
-  Result.UsageKnown = true;
+  Result.UsageKnown = Progress.UsageKnown;
   Result.PromptTokens = Progress.PromptTokens;
   Result.GeneratedTokens = Progress.GeneratedTokens;
   Result.Runner = Runner.Name;
@@ -226,10 +264,16 @@
                    isRefusal(*Status) ? run_state::NotRun : run_state::Ran,
                    fmt::format("the engine answered {}", *Status), Runner);
   std::uint32_t Resumes = 0;
-  while (!Progress.Done) {
+  while (!Progress.Done || Progress.Unreadable) {
     if (IsCancelled())
       return failure(error_code::ProgramEnded, run_state::Ran, "cancelled",
                      Runner);
+    if (Progress.Unreadable) {
+      cancelStream(endpointOf(Runner), Placed.Attempt.AttemptId);
+      return failure(error_code::RunnerFailed, run_state::Ran,
+                     "the engine's stream has a token that can't be read",
+                     Runner);
+    }
     if (Progress.Endless) {
       cancelStream(endpointOf(Runner), Placed.Attempt.AttemptId);
       return failure(error_code::RunnerFailed, run_state::Ran,
@@ -274,13 +318,22 @@
   if (!Json.is_array())
     return std::nullopt;
   std::vector<program_id> Sessions;
+  std::size_t Unreadable = 0;
   for (const auto &Item : Json) {
-    if (!Item.is_object() || !Item.contains("session") ||
-        !Item["session"].is_string())
-      continue;
-    if (const auto Program = parseProgramId(Item["session"].get<std::string>()))
+    std::optional<program_id> Program;
+    if (Item.is_object() && Item.contains("session") &&
+        Item["session"].is_string())
+      Program = parseProgramId(Item["session"].get<std::string>());
+    if (Program)
       Sessions.push_back(*Program);
+    else
+      ++Unreadable;
   }
+  if (Unreadable > 0)
+    logLimited(log_level::Warning, "engine_sessions_unreadable",
+               {{"address", Engine.Address},
+                {"port", std::to_string(Engine.Port)},
+                {"count", std::to_string(Unreadable)}});
   return Sessions;
 }
 
@@ -295,7 +348,7 @@
       Running && Waiting &&
       (!Json.contains("draining") || Json["draining"].is_boolean());
   if (!Readable) {
-    logEvent(
+    logLimited(
         log_level::Warning, "load_report_unreadable",
         {{"address", Runner.Address}, {"port", std::to_string(Runner.Port)}});
     return {};
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -451,6 +451,61 @@
   }
 }
 
+// Guards against an engine's event of another form that throws out of the
+// attempt and ends the process, or passes for the call's whole answer.
+TEST_CASE("events of a model's stream with other types end no process") {
+  const auto Run = [](const std::string &Events) {
+    closing_server Server("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
+                          "\r\nConnection: close\r\n\r\n" +
+                              Events,
+                          false);
+    model_client_settings Settings;
+    Settings.MaxResumes = 0;
+    attempt_result Result;
+    CHECK_NOTHROW(Result =
+                      runModelAttempt(makeAttempt(Server.port(), 5), Settings,
+                                      never, [](std::string_view) {}));
+    return Result;
+  };
+  const std::string Token =
+      "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+  const std::string Usage =
+      "data: {\"usage\":{\"prompt_tokens\":3,\"completion_tokens\":1}}\n\n";
+  // Parts without text.
+  for (const char *Event :
+       {R"({"choices":[{"delta":{"role":"assistant","content":null}}]})",
+        R"({"choices":[{"delta":{"new":1}}],"new":[1]})", R"({"choices":null})",
+        R"({"choices":"x"})", R"({"choices":{"a":1}})", R"({"choices":[7]})",
+        R"({"choices":[{"delta":7}]})", R"({"usage":null})", "7", "odd"}) {
+    CAPTURE(Event);
+    const attempt_result Result =
+        Run("data: " + std::string(Event) + "\n\n" + Token + Usage);
+    CHECK(Result.Code == error_code::None);
+    CHECK(Result.GeneratedTokens == 1);
+    CHECK(Result.UsageKnown);
+  }
+  // The text of a token can't be read: the answer would lack it.
+  for (const char *Content : {"7", "true", "{}", "[\"a\"]"}) {
+    CAPTURE(Content);
+    const attempt_result Result =
+        Run(Token + "data: {\"choices\":[{\"delta\":{\"content\":" + Content +
+            "}}]}\n\n" + Usage);
+    CHECK(Result.Code == error_code::RunnerFailed);
+    CHECK(Result.Run == run_state::Ran);
+  }
+  // A usage that can't be read is not a usage of zero.
+  for (const char *Counts :
+       {"{}", R"({"prompt_tokens":"3","completion_tokens":1})",
+        R"({"prompt_tokens":3,"completion_tokens":-1})",
+        R"({"prompt_tokens":3,"completion_tokens":null})"}) {
+    CAPTURE(Counts);
+    const attempt_result Result =
+        Run(Token + "data: {\"usage\":" + Counts + "}\n\n");
+    CHECK(Result.Code == error_code::None);
+    CHECK_FALSE(Result.UsageKnown);
+  }
+}
+
 TEST_CASE("a model's stream is complete only with its last event, however it "
           "ends") {
   const std::string Token =
