Ask history replicas for permits of workspaces

Quotas need one issuer for each workspace that all instances agree on. Pings carry quota requests and replies, appended to both messages. The first issuer follows from the rendezvous hash of the workspace's name; an instance that suspects it asks through a relay, then the next replica as a stand-in. For 4 s after a change of the set, a new first issuer is asked as a stand-in, because instances that have not heard still ask the former. Replicas of a build without quotas are skipped. Quota pings carry neither limits of runners nor evidence: they are as frequent as requests.

--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -19,6 +19,19 @@
 /// How long a relay is not used after it failed to reach a replica.
 constexpr milliseconds RelayBackoffTime{1'000};
 
+/// How long no relay is asked for a replica that relays did not reach.
+constexpr milliseconds UnreachedTime{1'000};
+
+/// How long a replica that does not decide on quotas is not asked again. It may
+/// be replaced by a newer build.
+constexpr milliseconds WithoutQuotasTime{3'000};
+
+/// After a change of the set, a workspace's new first issuer is asked as a
+/// stand-in for this long if the former one was another: instances that have
+/// not heard of the change still ask that one. All hear of it by a ping, every
+/// three seconds.
+constexpr milliseconds IssuerChangeTime{4'000};
+
 /// Connections kept open to relays. One is used at a time; the others are
 /// standbys.
 constexpr std::size_t MaxRelays = 3;
@@ -27,6 +40,15 @@
 /// maximum that it reserved.
 constexpr milliseconds SettleTimeout{10'000};
 
+/// \returns whether two sets have the same addresses, whatever else differs.
+bool hasSameReplicas(const replica_set &Left, const replica_set &Right) {
+  return Left.Slots.size() == Right.Slots.size() &&
+         std::all_of(Left.Slots.begin(), Left.Slots.end(),
+                     [&](const replica_slot &Slot) {
+                       return Right.find(Slot.Address).has_value();
+                     });
+}
+
 } // namespace
 
 const char *reserveOutcomeName(reserve_outcome Outcome) {
@@ -351,6 +373,96 @@
   return false;
 }
 
+history_client::quota_way
+history_client::selectIssuer(const std::string &Workspace, instant Now) {
+  const auto isActive = [Now](const std::map<std::string, instant> &Marks,
+                              const std::string &Address) {
+    const auto Found = Marks.find(Address);
+    return Found != Marks.end() && Found->second.Steady > Now.Steady;
+  };
+  quota_way Way;
+  const std::vector<std::size_t> Order = issuerOrder(Set, Workspace);
+  for (const std::size_t Slot : Order) {
+    Way.Issuer = Set.Slots[Slot].Address;
+    if (!isActive(WithoutQuotas, Way.Issuer)) {
+      history_link &Direct = link(Way.Issuer);
+      if (!Direct.isSuspected(Now)) {
+        Way.Link = &Direct;
+        break;
+      }
+      if (!isActive(UnreachedByRelays, Way.Issuer))
+        Way.Link = selectRelay(Now);
+      Way.Relayed = Way.Link != nullptr;
+      if (Way.Relayed)
+        break;
+    }
+    ++Way.Position;
+  }
+  const bool Changed = FormerSet.Established &&
+                       Now.Steady - SetReplacedAt.Steady < IssuerChangeTime;
+  if (Changed && Way.Position == 0 &&
+      FormerSet.Slots[issuerOrder(FormerSet, Workspace).front()].Address !=
+          Way.Issuer)
+    Way.Position = 1;
+  return Way;
+}
+
+std::optional<sent_quota> history_client::requestQuota(
+    quota_request Request, std::function<void(const quota_answer &)> OnReply) {
+  if (!ready())
+    return std::nullopt;
+  const quota_way Way = selectIssuer(Request.Workspace, readClock());
+  if (!Way.Link)
+    return std::nullopt;
+  Request.Position = Way.Position;
+  replica_request Message;
+  Message.SetVersion = Set.Version;
+  if (Way.Relayed)
+    Message.Target = Way.Issuer;
+  Message.Quotas.push_back(std::move(Request));
+  const std::uint64_t Sequence = Way.Link->send(
+      std::move(Message),
+      [this, Way, OnReply = std::move(OnReply)](const replica_reply &Reply) {
+        applyQuotaReply(Reply, Way, OnReply);
+      });
+  return sent_quota{Way.Link->address(), Sequence, Way.Position};
+}
+
+void history_client::applyQuotaReply(
+    const replica_reply &Reply, const quota_way &Way,
+    const std::function<void(const quota_answer &)> &OnReply) {
+  for (const replica_set &Newer : Reply.Set)
+    setReplicas(Newer, "replica");
+  quota_answer Answer;
+  Answer.Issuer = Way.Issuer;
+  const instant Now = readClock();
+  if (!Reply.Quotas.empty())
+    Answer.Reply = Reply.Quotas.front();
+  else if (Way.Relayed) // Or the relay is of an older build.
+    UnreachedByRelays[Way.Issuer] = later(Now, UnreachedTime);
+  else if (Reply.Status == replica_status::Done ||
+           Reply.Status == replica_status::Incomplete)
+    WithoutQuotas[Way.Issuer] = later(Now, WithoutQuotasTime);
+  OnReply(Answer);
+}
+
+void history_client::cancelQuota(const sent_quota &Sent) {
+  for (auto *Connections : {&Links, &Relays})
+    if (const auto Link = Connections->find(Sent.Address);
+        Link != Connections->end())
+      Link->second->cancel(Sent.Sequence);
+}
+
+bool history_client::quotasUnsupported(instant Now) const {
+  return ready() && std::all_of(Set.Slots.begin(), Set.Slots.end(),
+                                [&](const replica_slot &Slot) {
+                                  const auto Found =
+                                      WithoutQuotas.find(Slot.Address);
+                                  return Found != WithoutQuotas.end() &&
+                                         Found->second.Steady > Now.Steady;
+                                });
+}
+
 void history_client::setReplicas(const replica_set &NewSet,
                                  const char *Source) {
   const bool Newer = NewSet.Version > Set.Version;
@@ -361,9 +473,16 @@
             {"former_version", std::to_string(Set.Version)},
             {"source", Source},
             {"replicas", encodeReplicaSet(NewSet)}});
+  if (Set.Established && !hasSameReplicas(Set, NewSet)) {
+    FormerSet = Set;
+    SetReplacedAt = readClock();
+  }
   Set = NewSet;
   if (!Set.Established)
     return;
+  for (auto *Marks : {&UnreachedByRelays, &WithoutQuotas})
+    std::erase_if(*Marks,
+                  [&](const auto &Item) { return !Set.find(Item.first); });
   std::vector<operation_ptr> OperationsToRestart;
   for (auto Item = ActiveOperations.begin(); Item != ActiveOperations.end();) {
     if (auto Operation = Item->lock()) {
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace lentilhoist {
@@ -47,6 +48,19 @@
   runner_incarnation PreviousRunner; ///< Runner of the previous turn.
 };
 
+/// A request for a permit of a workspace that is under way.
+struct sent_quota {
+  std::string Address; ///< The issuer or the relay.
+  std::uint64_t Sequence = 0;
+  std::uint32_t Position = 0; ///< Of the issuer in the workspace's order.
+};
+
+/// Reply to a request for a permit of a workspace.
+struct quota_answer {
+  std::optional<quota_reply> Reply; ///< Nothing if the replica can't decide.
+  std::string Issuer;               ///< Address.
+};
+
 /// Client of the replicated history, which stores token budgets and turns.
 /// Reads and writes need a quorum of the replica set. Not thread-safe: all
 /// calls and callbacks run on the event loop.
@@ -121,6 +135,24 @@
       permit_request Request,
       std::function<void(const permit_reply &, const std::string &)> OnReply);
 
+  /// Requests a permit of a workspace from the first replica in its issuer
+  /// order that can be reached, also through a relay.
+  /// \param Request the request; its position is set here.
+  /// \param OnReply called at most once, and not after cancelQuota().
+  /// \returns what was sent; nothing if no replica can be reached.
+  std::optional<sent_quota>
+  requestQuota(quota_request Request,
+               std::function<void(const quota_answer &)> OnReply);
+
+  /// Drops a request for a permit of a workspace; its reply is ignored.
+  /// \param Sent what requestQuota() returned.
+  void cancelQuota(const sent_quota &Sent);
+
+  /// \param Now the current time.
+  /// \returns whether every replica of the set has replied lately without
+  /// deciding on quotas, as those of an older build do.
+  bool quotasUnsupported(instant Now) const;
+
   /// \param Handler receives the limits that replicas list in pings.
   void
   onLimits(std::function<void(const std::vector<limit_notice> &)> Handler) {
@@ -171,6 +203,17 @@
   friend class operation;
 
   history_link *selectRelay(instant Now);
+  /// Link to an issuer of quotas.
+  struct quota_way {
+    history_link *Link = nullptr;
+    std::string Issuer; ///< Address.
+    bool Relayed = false;
+    std::uint32_t Position = 0; ///< In the order of issuers.
+  };
+  quota_way selectIssuer(const std::string &Workspace, instant Now);
+  void
+  applyQuotaReply(const replica_reply &Reply, const quota_way &Way,
+                  const std::function<void(const quota_answer &)> &OnReply);
   void applyPing(const replica_reply &Reply);
   operation_ptr
   start(replica_request Request, milliseconds Timeout,
@@ -190,6 +233,12 @@
   asio::io_context &Loop;
   std::string Domain;
   replica_set Set;
+  replica_set FormerSet;   ///< Established set before this one.
+  instant SetReplacedAt{}; ///< When it was replaced.
+  /// Replicas by address that relays don't reach, until the given time.
+  std::map<std::string, instant> UnreachedByRelays;
+  /// Replicas by address that don't decide on quotas, until the given time.
+  std::map<std::string, instant> WithoutQuotas;
   std::map<std::string, std::shared_ptr<history_link>> Links;
   /// Connections to instances that relay requests.
   std::map<std::string, std::shared_ptr<history_link>> Relays;
--- a/src/history/replica_message.cpp
+++ b/src/history/replica_message.cpp
@@ -66,6 +66,10 @@
           "malformed history message: backup of kind \"" + Backup.Kind +
           "\" has " + std::to_string(Backup.Names.size()) + " names and " +
           std::to_string(Backup.Specs.size()) + " contents");
+  for (quota_reply &Quota : Reply.Quotas)
+    if (Quota.Verdict < quota_verdict::Undecided ||
+        Quota.Verdict > quota_verdict::Refused)
+      Quota.Verdict = quota_verdict::Undecided;
   return Reply;
 }
 
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -3,6 +3,7 @@
 #include "history/replica_set.h"
 #include "history/turn_record.h"
 #include "limit/permit_message.h"
+#include "limit/quota_message.h"
 #include "quarantine/suspect_message.h"
 
 #include <cstdint>
@@ -58,9 +59,10 @@
   std::vector<permit_request> Permits;  ///< Ping: permits to issue.
   std::vector<suspect_notice> Suspects; ///< Ping: evidence of the sender.
   request_signature Signature = 0;      ///< Reserve: of the turn's request.
+  std::vector<quota_request> Quotas;    ///< Ping: permits of workspaces.
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
                  Previous, WantChain, Turn, Turns, Cursor, Set, Target,
-                 RelayAddress, Permits, Suspects, Signature)
+                 RelayAddress, Permits, Suspects, Signature, Quotas)
 };
 
 /// Token ledger of one program on a replica.
@@ -101,9 +103,10 @@
   std::vector<limit_notice> Limits;  ///< Ping: limits of runners.
   /// Ping: the newest evidence; Reserve: that about the turn's signature.
   std::vector<suspect_notice> Suspects;
+  std::vector<quota_reply> Quotas; ///< Ping: in the order of the request.
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
                  Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner,
-                 Permits, Limits, Suspects)
+                 Permits, Limits, Suspects, Quotas)
 };
 
 /// \param Message the message.
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace lentilhoist {
@@ -112,6 +113,7 @@
     Json["segments"] = State.LiveRecords.size();
     Json["sources_copied"] = Progress.Copied.size();
     Json["limited_runners"] = Issuer.Runners.size();
+    Json["quota_workspaces"] = Quotas.Buckets.size();
     Json["suspects"] = Suspects.Suspects.size();
     Json["replicas"] = nlohmann::ordered_json::array();
     if (Set)
@@ -170,7 +172,11 @@
         Reply.Relays.push_back(Relay);
     const instant Now = readClock();
     answerPermitRequests(Issuer, Request, Reply, Now);
-    if (exchangeSuspects(Suspects, Request, Reply, Now)) {
+    answerQuotaRequests(Quotas, Request, Reply, Now);
+    // Requests for permits of workspaces are as frequent as requests of
+    // callers; other pings carry the evidence.
+    if (Request.Quotas.empty() &&
+        exchangeSuspects(Suspects, Request, Reply, Now)) {
       SuspectsChanged = true;
       logEvent(log_level::Info, "suspects_changed",
                {{"notices", std::to_string(Request.Suspects.size())},
@@ -181,6 +187,10 @@
           Permit.Granted
               ? "lentilhoist_permits_issued_total{granted=\"true\"}"
               : "lentilhoist_permits_issued_total{granted=\"false\"}");
+    for (const quota_reply &Quota : Reply.Quotas)
+      Metrics.count(fmt::format(
+          "lentilhoist_quota_decisions_total{{verdict=\"{}\"}}",
+          QuotaVerdictNames[static_cast<std::size_t>(Quota.Verdict)]));
   }
 
   void watchReplicaSet() {
@@ -573,6 +583,7 @@
     ExpiryTimer.async_wait([this](const asio::error_code &) {
       Store.expire();
       forgetIdleRunners(Issuer, readClock());
+      forgetIdleQuotas(Quotas, readClock());
       forgetOldSuspects(Suspects, readClock());
       const auto OldestPing = readClock().Steady - RelayTimeout;
       std::erase_if(Relays, [&](const auto &Relay) {
@@ -618,6 +629,7 @@
   std::map<std::string, std::map<std::string, std::string>> Backups;
   std::map<std::string, instant> Relays; ///< Time of the last ping, by address.
   permit_issuer Issuer;
+  quota_issuer Quotas;
   suspect_table Suspects;
   bool SuspectsChanged = false; ///< Since they were last saved.
 
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -8,6 +8,7 @@
 #include "history/segment_log.h"
 #include "history/suspect_service.h"
 #include "limit/permit_stock.h"
+#include "limit/quota_stock.h"
 #include "net/address.h"
 
 #include <doctest/doctest.h>
@@ -552,6 +553,60 @@
   CHECK(Reply.Limits[0].PerSecond == 5.0);
 }
 
+// Guards against two issuers of one workspace's permits, and against replies
+// that carry lists with each permit.
+TEST_CASE("a replica of another set issues no permits of workspaces") {
+  quota_issuer Quotas;
+  permit_issuer Issuer;
+  issuePermit(Issuer, {"r", 1, 5.0, 0, permit_rank::New, 500, false}, Start);
+  replica_request Request;
+  Request.SetVersion = 3;
+  Request.Quotas = {{"w", 1, 5.0, 10.0, 0, 0, 0, false}};
+  replica_reply Reply;
+  Reply.Status = replica_status::OldSet;
+  answerQuotaRequests(Quotas, Request, Reply, Start);
+  CHECK(Reply.Quotas.empty());
+  Reply.Status = replica_status::Done;
+  answerQuotaRequests(Quotas, Request, Reply, Start);
+  answerPermitRequests(Issuer, Request, Reply, Start);
+  REQUIRE(Reply.Quotas.size() == 1);
+  CHECK(Reply.Quotas[0].Verdict == quota_verdict::Granted);
+  CHECK(Reply.Limits.empty());
+  CHECK(Quotas.SetVersion == 3);
+  Request.Operation = replica_operation::Reserve;
+  Reply.Quotas.clear();
+  answerQuotaRequests(Quotas, Request, Reply, Start);
+  CHECK(Reply.Quotas.empty());
+}
+
+// Guards against messages that one of two builds can't read.
+TEST_CASE("quotas are appended to messages, also for builds without them") {
+  replica_request Request;
+  Request.Quotas = {{"w", 7, 5.0, 10.0, 2, 3, 1, true}};
+  const replica_request Decoded =
+      decodeReplicaRequest(encodeMessage(Request).substr(4));
+  REQUIRE(Decoded.Quotas.size() == 1);
+  CHECK(Decoded.Quotas[0].Workspace == "w");
+  CHECK(Decoded.Quotas[0].Refused == 3);
+  CHECK(Decoded.Quotas[0].Again);
+  replica_reply Reply;
+  Reply.Quotas = {{static_cast<quota_verdict>(9), 1, 0, 0, 7, 5.0, 1.0, 2, 3}};
+  const replica_reply Answer =
+      decodeReplicaReply(encodeMessage(Reply).substr(4));
+  REQUIRE(Answer.Quotas.size() == 1);
+  CHECK(Answer.Quotas[0].Verdict == quota_verdict::Undecided);
+  // A message of a build that ends before the quotas.
+  msgpack::sbuffer Short;
+  msgpack::packer<msgpack::sbuffer> Packer(Short);
+  Packer.pack_array(2);
+  Packer.pack(std::uint64_t{5});
+  Packer.pack(std::uint64_t{6});
+  const replica_request Former =
+      decodeReplicaRequest({Short.data(), Short.size()});
+  CHECK(Former.SetVersion == 6);
+  CHECK(Former.Quotas.empty());
+}
+
 TEST_CASE("a ping tells and learns evidence, a reservation learns that about "
           "its request") {
   suspect_table Table;
@@ -730,15 +785,18 @@
     Request.Permits = {{"r", 1, 5.0, 100, permit_rank::New, 500, false}};
     Request.Suspects = {{7, {{"r", 1, 100, true}}, 50, -1}};
     Request.Signature = 7;
+    Request.Quotas = {{"w", 7, 5.0, 10.0, 2, 3, 1, true}};
     Requests.push_back(encodeMessage(Request).substr(4));
   }
   replica_state State = makeReplica();
   permit_issuer Issuer;
+  quota_issuer Quotas;
   suspect_table Suspects;
   fuzz(Requests, [&](const std::string &Bytes) {
     const replica_request Request = decodeReplicaRequest(Bytes);
     replica_reply Reply = handleRequest(State, Request, 1, Limits, Start).Reply;
     answerPermitRequests(Issuer, Request, Reply, Start);
+    answerQuotaRequests(Quotas, Request, Reply, Start);
     exchangeSuspects(Suspects, Request, Reply, Start);
     answerSuspect(Suspects, Request.Signature, Reply, Start);
     expireRecords(State, later(Start, seconds(70)));
@@ -750,6 +808,8 @@
   Batch.Backups = {{"config", {"main"}, {"{}"}}};
   Batch.Permits = {{true, 100, 5.0, 10}};
   Batch.Limits = {{"r", 1, 5.0, 10}};
+  Batch.Quotas = {{quota_verdict::Granted, 2, 100, 200, 7, 5.0, 1.0, 2, 3}};
+  quota_stock WorkspaceStock;
   permit_stock Stock;
   fuzz({encodeMessage(Batch).substr(4)}, [&](const std::string &Bytes) {
     const replica_reply Reply = decodeReplicaReply(Bytes);
@@ -757,6 +817,8 @@
       applyReply(Stock, permit_rank::New, Permit, Start, Start);
     for (const limit_notice &Notice : Reply.Limits)
       applyNotice(Stock, Notice.PerSecond, Notice.AgeMs, Start);
+    for (const quota_reply &Quota : Reply.Quotas)
+      applyQuotaReply(WorkspaceStock, Quota, Start, Start);
     applyCopyBatch(State, Reply, 1, Limits, Start);
     for (const replica_set &Set : Reply.Set)
       adoptReplicaSet(State, Set);
