Require a permit of the workspace before each send

A workspace with a rate could send any number of requests through several instances. A request that is about to be sent now needs a permit of its workspace: from the instance's stock, or from the issuer. Over the quota it gets 429 with the time at which the rate allows it, or 502 if an earlier send may have run. A send that surely has not run leaves its permit to the next one while it is valid; a permit that lapses while the connection is opened is replaced before the request is written. A lost reply is waited for 260 ms, then the next issuer is asked; without any issuer the instance takes its share, or waits up to 1.2 s within the hold time and answers 503. Replicas of an older build are no reason to refuse.

Adds /quotas on the metrics ports, lentilhoistctl quotas and counters for the largest workspaces.

The new case "a request over its workspace's quota" expected a grant in the same millisecond in which a quota is raised; a bucket gets no credit for that, so the case now expects it 20 ms later (not run yet).

--- a/src/ctl/command_table.cpp
+++ b/src/ctl/command_table.cpp
@@ -71,6 +71,10 @@
        "/status"},
       {"engines", "", "", "list the runners as an entry daemon sees them",
        false, "/runners"},
+      {"quotas", "", "",
+       "list the largest workspaces' quotas and refusals, as an entry or a "
+       "history daemon knows them",
+       false, "/quotas"},
       {"replica", "", "", "show a history daemon: set, copy, records", false,
        "/status"},
       {"metrics", "", "", "print a daemon's counters and histograms", false,
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -246,6 +246,8 @@
       return {200, status().dump() + "\n"};
     if (Head.Target == "/runners")
       return {200, runners().dump() + "\n"};
+    if (Head.Target == "/quotas")
+      return {200, quotas().dump() + "\n"};
     return renderMetrics();
   }
 
@@ -310,7 +312,31 @@
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
 
+  /// The largest workspaces with a quota, as this instance knows them.
+  nlohmann::ordered_json quotas() {
+    nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
+    for (const std::string &Name :
+         largestWorkspaces(Context.Quotas, MaxListedQuotas)) {
+      const quota_stock &Stock = Context.Quotas.Stocks.at(Name);
+      Rows.push_back(
+          {{"workspace", Name},
+           {"sent", Stock.Granted},
+           {"refused", Stock.Refused},
+           {"permits", Stock.Permits.size()},
+           {"issuer", Stock.Issuer},
+           {"issuer_tokens", Stock.Tokens},
+           {"demand_per_second", Stock.Demand},
+           {"reply_age_ms",
+            Stock.DemandAt.Steady.count() == 0 ? -1 : ageMs(Stock.DemandAt)}});
+    }
+    return {{"instance", Settings.Name},
+            {"known_workspaces", Context.Quotas.Stocks.size()},
+            {"workspaces", Rows}};
+  }
+
   text_answer renderMetrics() {
+    Metrics.gauge("lentilhoist_quota_workspaces",
+                  static_cast<double>(Context.Quotas.Stocks.size()));
     Metrics.gauge("lentilhoist_active_requests",
                   static_cast<double>(Context.ActiveRequests));
     Metrics.gauge("lentilhoist_caller_connections",
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -143,8 +143,12 @@
 }
 
 void exchange::scheduleRetry(void (exchange::*Step)()) {
+  scheduleStep(Step, HoldRetryInterval);
+}
+
+void exchange::scheduleStep(void (exchange::*Step)(), milliseconds Delay) {
   Stage = stage::Holding;
-  StepTimer.expires_after(HoldRetryInterval);
+  StepTimer.expires_after(Delay);
   StepTimer.async_wait(
       [Weak = weak_from_this(), Step](const asio::error_code &Error) {
         const auto Self = Weak.lock();
@@ -350,6 +354,8 @@
                                     : "all_paused");
     return;
   }
+  if (!takeQuota(Now))
+    return;
   logEvent(
       log_level::Info, "request_placed",
       {{"request", Traits.Attempt},
@@ -380,6 +386,47 @@
   send(Placement.Runner);
 }
 
+quota exchange::workspaceQuota() const {
+  return quotaOf(Workspace, KeyRoutes ? KeyRoutes->config().Version : 0);
+}
+
+/// Takes a permit of the workspace for the next send.
+/// \returns false if there is none; the request then waits for one or is
+/// answered.
+bool exchange::takeQuota(instant Now) {
+  const quota Limit = workspaceQuota();
+  if (!Limit.active())
+    return true;
+  const quota_decision Decision = advanceQuota(
+      Context, Workspace->Name, Limit, QuotaProgress, holdTimeLeft(Now),
+      Traits.Attempt, [Weak = weak_from_this()](const quota_reply &Reply) {
+        const auto Self = Weak.lock();
+        if (!Self || Self->Stage != stage::Holding)
+          return;
+        applyQuotaAnswer(Self->QuotaProgress, Reply, readClock());
+        Self->StepTimer.cancel();
+        Self->place();
+      });
+  switch (Decision.Step) {
+  case quota_step::Send:
+    return true;
+  case quota_step::Wait:
+    scheduleStep(&exchange::place,
+                 std::max(milliseconds(1),
+                          std::chrono::ceil<milliseconds>(
+                              QuotaProgress.RetryAt.Steady - Now.Steady)));
+    return false;
+  case quota_step::Refuse:
+    QuotaRetry = Decision.RetryAfter;
+    respondWithError(proxy_error::QuotaExceeded);
+    return false;
+  case quota_step::GiveUp:
+    respondWithError(proxy_error::QuotaUndecided);
+    return false;
+  }
+  return false;
+}
+
 /// Decides whether the next send goes through a relay.
 /// \returns false if there is neither a path nor a relay; the request is then
 /// held or answered.
@@ -572,6 +619,14 @@
   // The configuration may have changed while the connection was opened.
   if (!checkKey())
     return;
+  const instant Now = readClock();
+  if (const quota Limit = workspaceQuota();
+      Limit.active() &&
+      !hasPermit(Context, Workspace->Name, Limit, QuotaProgress, Now)) {
+    TriedRunners.erase(RunnerId);
+    onSendFailed(send_outcome::NotSent, "quota_permit_lapsed", false);
+    return;
+  }
   Stage = stage::Awaiting;
   if (Relay.empty()) {
     Context.DirectExchanges.insert(weak_from_this());
@@ -579,7 +634,7 @@
   }
   platform::runner_request_options Order;
   Order.RunnerId = RunnerId;
-  Order.TimeLeft = timeLeft(readClock());
+  Order.TimeLeft = timeLeft(Now);
   if (Key)
     Order.Workspace = Workspace ? Workspace->Name : std::string();
   Stream->write(
@@ -879,6 +934,9 @@
                 !RunnerResponse.Attempt.empty() && Reader.keepAlive() &&
                 Stream && !Stream->closed() && Stream->pendingBytes() == 0);
   countFailedSend(Sends, Outcome);
+  // Another send may run besides this one.
+  if (Outcome == send_outcome::Unknown)
+    QuotaProgress.PermitUntil = {};
   Context.Metrics.count(
       std::string("lentilhoist_failed_sends_total{outcome=\"") +
       sendOutcomeName(Outcome) + "\"}");
@@ -940,8 +998,9 @@
 void exchange::respondWithError(proxy_error Reason) {
   const int Status = statusOf(Reason, Sends);
   const std::uint64_t Hash = stableHash(Traits.Attempt, 1);
-  const milliseconds RetryDelay =
-      Status == 503 ? retryAfter(Reason, Hash) : milliseconds(0);
+  const milliseconds RetryDelay = Status == 503   ? retryAfter(Reason, Hash)
+                                  : Status == 429 ? QuotaRetry
+                                                  : milliseconds(0);
   const bool Close = promiseClose();
   const std::string Text =
       std::string("{\"error\":\"") + proxyErrorName(Reason) + "\"}\n";
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -4,6 +4,7 @@
 #include "forward/exchange_context.h"
 #include "forward/path_watch.h"
 #include "forward/permit_client.h"
+#include "forward/quota_client.h"
 #include "forward/request_traits.h"
 #include "forward/retry_policy.h"
 #include "net/event_parser.h"
@@ -74,6 +75,7 @@
 
   void awaitConfiguration();
   void scheduleRetry(void (exchange::*Step)());
+  void scheduleStep(void (exchange::*Step)(), milliseconds Delay);
   void chooseRoute();
   bool checkKey();
   bool needsReservation() const;
@@ -83,6 +85,8 @@
   bool rejectQuarantined(const quarantine_decision &Decision);
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
+  quota workspaceQuota() const;
+  bool takeQuota(instant Now);
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
   void onPermit(permit_outcome Outcome);
@@ -154,6 +158,8 @@
   instant PermitRequestedAt{}; ///< Zero if no permit is requested.
   instant PermitUntil{};       ///< A permit granted to it lapses then.
   int PermitRefusals = 0;
+  quota_progress QuotaProgress; ///< Towards a permit of its workspace.
+  milliseconds QuotaRetry{0};   ///< When its quota allows a refused request.
   bool RateLimited = false; ///< Runners limited their rate when it was held.
 
   send_counts Sends;
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -4,6 +4,7 @@
 #include "forward/runner_connection_pool.h"
 #include "history/history_client.h"
 #include "limit/permit_issuer.h"
+#include "limit/quota_stock.h"
 #include "metrics/metrics.h"
 #include "path/relay_directory.h"
 #include "path/runner_path.h"
@@ -31,6 +32,7 @@
   runner_directory Runners{};
   /// Issues this instance's share of limits while no replica can be reached.
   permit_issuer OwnShare{};
+  quota_table Quotas{};     ///< Permits of workspaces.
   suspect_table Suspects{}; ///< Evidence against requests.
   broken_sends Broken{};
   runner_path Path{};         ///< This instance's own path to runners.
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -82,6 +82,10 @@
     return "path_lost";
   case proxy_error::RunnersFull:
     return "runners_full";
+  case proxy_error::QuotaExceeded:
+    return "quota_exceeded";
+  case proxy_error::QuotaUndecided:
+    return "quota_undecided";
   case proxy_error::RateLimited:
     return "rate_limited";
   case proxy_error::Quarantined:
@@ -136,6 +140,8 @@
     return 400;
   case proxy_error::BudgetExhausted:
     return 402;
+  case proxy_error::QuotaExceeded:
+    return Sends.MayHaveRun == 0 ? 429 : 502;
   case proxy_error::TimedOut:
     return Sends.MayHaveRun == 0 ? 503 : 504;
   default:
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -53,6 +53,8 @@
   NoRunner,           ///< No runner is available.
   PathLost,           ///< Neither this instance nor a relay reaches runners.
   RunnersFull,        ///< Runners refused it or could not be reached.
+  QuotaExceeded,      ///< Its workspace has used up its quota.
+  QuotaUndecided,     ///< No issuer has decided on its workspace's quota.
   RateLimited,        ///< The runners' limits leave no room for it.
   Quarantined,        ///< Requests like it have ended runners.
   HistoryUnavailable, ///< Too few history replicas answered in time.
@@ -70,8 +72,9 @@
 
 /// \param Reason the error.
 /// \param Sends the failed sends so far.
-/// \returns the HTTP status. 503, which tells the caller that the request was
-/// not executed, is returned only if no send may have been executed.
+/// \returns the HTTP status. 429 and 503, which tell the caller that the
+/// request was not executed, are returned only if no send may have been
+/// executed.
 int statusOf(proxy_error Reason, const send_counts &Sends);
 
 /// Delay for the Retry-After header of a request that was not executed.
--- a/src/limit/quota.h
+++ b/src/limit/quota.h
@@ -50,6 +50,9 @@
 /// Part of that allowance for all instances that reach no issuer.
 inline constexpr double QuotaOwnPart = 0.16;
 
+/// Workspaces that a view for operators lists at most.
+inline constexpr std::size_t MaxListedQuotas = 50;
+
 /// \param Quota an active quota.
 /// \returns tokens that the bucket of its first issuer holds at most.
 inline double quotaCapacity(const quota &Quota) {
--- a/src/limit/quota_stock.cpp
+++ b/src/limit/quota_stock.cpp
@@ -10,6 +10,8 @@
 /// stated.
 constexpr seconds MaxRetryTime{5};
 
+constexpr std::size_t MaxLabelLength = 64;
+
 microseconds toDuration(double Seconds) {
   return std::chrono::duration_cast<microseconds>(
       std::chrono::duration<double>(std::min(Seconds, 3'600.0)));
@@ -88,6 +90,7 @@
 
 void applyQuotaReply(quota_stock &Stock, const quota_reply &Reply,
                      instant RequestedAt, instant Now) {
+  Stock.Tokens = Reply.Tokens;
   Stock.Demand = Reply.Demand;
   Stock.DemandAt = Now;
   const auto milli = [](std::uint64_t Value) {
@@ -114,6 +117,47 @@
                        Count, Until);
 }
 
+std::vector<std::string> largestWorkspaces(const quota_table &Table,
+                                           std::size_t Count) {
+  std::vector<std::pair<std::uint64_t, const std::string *>> Items;
+  Items.reserve(Table.Stocks.size());
+  for (const auto &[Workspace, Stock] : Table.Stocks)
+    Items.emplace_back(Stock.Granted + Stock.Refused, &Workspace);
+  const std::size_t Listed = std::min(Count, Items.size());
+  std::partial_sort(Items.begin(),
+                    Items.begin() + static_cast<std::ptrdiff_t>(Listed),
+                    Items.end(), [](const auto &Left, const auto &Right) {
+                      return Left.first != Right.first
+                                 ? Left.first > Right.first
+                                 : *Left.second < *Right.second;
+                    });
+  std::vector<std::string> Names;
+  for (std::size_t Index = 0; Index < Listed; ++Index)
+    Names.push_back(*Items[Index].second);
+  return Names;
+}
+
+std::string labelOf(quota_table &Table, const std::string &Workspace,
+                    instant Now) {
+  if (Now.Steady - Table.LabelsChosenAt.Steady >= QuotaLabelInterval) {
+    Table.LabelsChosenAt = Now;
+    for (std::string &Name : largestWorkspaces(Table, QuotaLabelsAtOnce))
+      if (Table.Labels.size() < MaxQuotaLabels)
+        Table.Labels.insert(std::move(Name));
+  }
+  if (!Table.Labels.contains(Workspace))
+    return OtherWorkspaces;
+  std::string Label = Workspace.substr(0, MaxLabelLength);
+  std::replace_if(
+      Label.begin(), Label.end(),
+      [](char Character) {
+        return Character == '"' || Character == '\\' ||
+               static_cast<unsigned char>(Character) < ' ';
+      },
+      '_');
+  return Label;
+}
+
 bool addOwnPermit(quota_stock &Stock, const quota &Quota, std::size_t Instances,
                   double Phase, instant Now) {
   const double PerSecond =
--- a/src/limit/quota_stock.h
+++ b/src/limit/quota_stock.h
@@ -4,6 +4,7 @@
 #include "limit/quota_message.h"
 
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -21,8 +22,10 @@
   std::uint32_t Requests = 0; ///< In this period.
   std::uint32_t FormerRequests = 0; ///< In the period before.
   instant OwnPermitAt{}; ///< Last permit that the instance gave itself.
-  double Demand = 0; ///< Requests a second over all instances, by the issuer.
-  instant DemandAt{};
+  std::string Issuer;    ///< Address, of the last reply.
+  double Tokens = 0;     ///< Of the issuer.
+  double Demand = 0;     ///< Requests a second over all instances.
+  instant DemandAt{};    ///< Of the last reply; zero without one.
   instant UsedAt{};
   std::uint64_t Granted = 0;
   std::uint64_t Refused = 0;
@@ -31,10 +34,21 @@
 /// All workspaces that one instance has requests of.
 struct quota_table {
   std::unordered_map<std::string, quota_stock> Stocks; ///< By workspace.
+  std::set<std::string> Labels; ///< Workspaces with counters of their own.
+  instant LabelsChosenAt{};
 };
 
 /// Workspaces that an instance keeps at most before it forgets idle ones.
 inline constexpr std::size_t MaxQuotaStocks = 16'384;
+/// Workspaces that have counters of their own.
+inline constexpr std::size_t MaxQuotaLabels = 32;
+/// Largest workspaces that get one at a time; the others are left for those
+/// that grow later.
+inline constexpr std::size_t QuotaLabelsAtOnce = 8;
+/// Interval at which they are chosen.
+inline constexpr seconds QuotaLabelInterval{30};
+/// Label of the other workspaces together.
+inline constexpr const char *OtherWorkspaces = "other";
 /// A stock without requests for this long is idle.
 inline constexpr seconds QuotaStockLifetime{60};
 /// A permit that an instance gives itself is for a request that comes within
@@ -88,6 +102,20 @@
 void applyQuotaReply(quota_stock &Stock, const quota_reply &Reply,
                      instant RequestedAt, instant Now);
 
+/// Selects the label of a workspace in counters. A workspace keeps its label,
+/// so that no counter decreases. \param Table the table; the labels are
+/// updated. \param Workspace name. \param Now the current time. \returns the
+/// name without characters that have a meaning in a label if the workspace is
+/// one of the largest of this instance; else OtherWorkspaces.
+std::string labelOf(quota_table &Table, const std::string &Workspace,
+                    instant Now);
+
+/// \param Table the table.
+/// \param Count number of workspaces to list.
+/// \returns the names of those with the most requests, in descending order.
+std::vector<std::string> largestWorkspaces(const quota_table &Table,
+                                           std::size_t Count);
+
 /// Adds a permit while no issuer can be reached, if this instance's share of
 /// the rate allows one: as if all instances were in the same state.
 /// \param Stock the stock; updated.
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -67,9 +67,11 @@
             Loop,
             {asio::ip::make_address(Settings.Address), Settings.FirstPort},
             [this](const http_request_head &Head) {
-              return Head.Target == "/status"
-                         ? text_answer{200, status().dump() + "\n"}
-                         : renderMetrics();
+              if (Head.Target == "/status")
+                return text_answer{200, status().dump() + "\n"};
+              if (Head.Target == "/quotas")
+                return text_answer{200, quotas().dump() + "\n"};
+              return renderMetrics();
             }),
         StoreClient(
             std::make_shared<store_client>(Loop, Settings.StoreAddress)),
@@ -125,6 +127,25 @@
     return Json;
   }
 
+  /// The largest workspaces that this replica issues permits for.
+  nlohmann::ordered_json quotas() const {
+    nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
+    for (const quota_usage &Usage :
+         listQuotas(Quotas, MaxListedQuotas, readClock()))
+      Rows.push_back({{"workspace", Usage.Workspace},
+                      {"per_second", Usage.Quota.PerSecond},
+                      {"burst", Usage.Quota.Burst},
+                      {"config_version", Usage.Quota.Version},
+                      {"demand_per_second", Usage.Demand},
+                      {"tokens", Usage.Tokens},
+                      {"granted", Usage.Granted},
+                      {"refused", Usage.Refused},
+                      {"stand_in", Usage.StandIn}});
+    return {{"instance", Settings.Name},
+            {"known_workspaces", Quotas.Buckets.size()},
+            {"workspaces", Rows}};
+  }
+
   text_answer renderMetrics() {
     const replica_state &State = Store.state();
     Metrics.gauge("lentilhoist_replica_turns",
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -189,6 +189,8 @@
 
   replica_state State;
   permit_issuer Issuer;
+  quota_issuer Quotas;
+  bool DecidesQuotas = true; ///< Builds without quotas don't.
   suspect_table Suspects;
   std::vector<std::string> Relays; ///< Sent in replies to pings.
   /// Index of the first connection whose requests are ignored; none by default.
@@ -230,6 +232,8 @@
         Reply.Relays = Relays;
       if (Request.Operation == replica_operation::Ping) {
         answerPermitRequests(Issuer, Request, Reply, readClock());
+        if (DecidesQuotas)
+          answerQuotaRequests(Quotas, Request, Reply, readClock());
         exchangeSuspects(Suspects, Request, Reply, readClock());
       }
       answerSuspect(Suspects, Request.Signature, Reply, readClock());
@@ -308,6 +312,43 @@
     Context.ConfigUpdatedAt = readClock();
   }
 
+  /// Sets the quota of every workspace, in the next configuration.
+  void setQuota(double PerSecond, double Burst) {
+    configuration Config = Context.Routes->config();
+    ++Config.Version;
+    for (workspace &Workspace : *Config.Workspaces) {
+      Workspace.RatePerSecond = PerSecond;
+      Workspace.Burst = Burst;
+    }
+    Context.Routes = std::make_shared<const route_table>(std::move(Config));
+    Context.ConfigUpdatedAt = readClock();
+  }
+
+  /// Sets what the issuers have left for a workspace whose quota hardly grows.
+  void setTokens(const std::string &Workspace, double Tokens) {
+    for (memory_replica &Replica : Replicas) {
+      quota_bucket Bucket;
+      Bucket.Quota = {Context.Routes->config().Version, SlowRate, 0};
+      Bucket.Tokens = Tokens;
+      Bucket.FilledAt = readClock();
+      Replica.Quotas.Buckets[Workspace] = Bucket;
+    }
+  }
+
+  /// \returns the replica that issues the permits of a workspace.
+  memory_replica &issuerOf(const std::string &Workspace) {
+    const replica_set &Set = History.replicas();
+    const std::string &Address =
+        Set.Slots[issuerOrder(Set, Workspace).front()].Address;
+    return *std::find_if(Replicas.begin(), Replicas.end(),
+                         [&](const memory_replica &Replica) {
+                           return Replica.address() == Address;
+                         });
+  }
+
+  /// Requests a second of which a test sees none.
+  static constexpr double SlowRate = 0.001;
+
   void startHistory() {
     replica_set Set{1, 1, true, {}};
     for (int Index = 0; Index < 3; ++Index) {
@@ -2278,3 +2319,153 @@
   CHECK_FALSE(Fixture.CallerEnded);
   CHECK(Fixture.arrivals() == 1);
 }
+
+// Guards against a workspace that takes capacity beyond its quota, and against
+// 429 without the time at which the rate allows the request.
+TEST_CASE("a request over its workspace's quota gets 429 at once, others are "
+          "served") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  Fixture.setQuota(fixture::SlowRate, 0);
+  Fixture.setTokens("a", 2);
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  const auto Begin = readClock();
+  const std::string Refused = Fixture.call("3", bearer("ka"));
+  CHECK(readClock().Steady - Begin.Steady < milliseconds(200));
+  CHECK(Refused.starts_with("HTTP/1.1 429"));
+  CHECK(Refused.find("quota_exceeded") != std::string::npos);
+  const std::size_t Field = Refused.find("Retry-After: ");
+  REQUIRE(Field != std::string::npos);
+  const double Wait = std::stod(Refused.substr(Field + 13));
+  CHECK(Wait > 990);
+  CHECK(Wait < 1'010);
+  // The next one is refused without a message, for the time after that.
+  CHECK(Fixture.call("4", bearer("ka")).starts_with("HTTP/1.1 429"));
+  CHECK(Fixture.arrivals() == 2);
+  CHECK(Fixture.call("5", bearer("kb")).starts_with("HTTP/1.1 200"));
+  const std::string Metrics = Fixture.Metrics.render();
+  CHECK(Metrics.find("lentilhoist_quota_messages_total 4") !=
+        std::string::npos);
+  CHECK(Metrics.find("decision=\"refused\"} 2") != std::string::npos);
+  // The issuer is asked about a newer configuration at once. Its bucket fills
+  // from then on, within a few milliseconds.
+  Fixture.setQuota(1'000, 1'000);
+  Fixture.call("6", bearer("ka"));
+  Fixture.runFor(milliseconds(20));
+  CHECK(Fixture.call("7", bearer("ka")).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("without a quota no issuer is asked") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"ka", "a"}}});
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.Metrics.render().find("lentilhoist_quota") ==
+        std::string::npos);
+  CHECK(Fixture.Context.Quotas.Stocks.empty());
+}
+
+// Guards against 429 for a request that may have run, and against a send that
+// no permit covers.
+TEST_CASE("a resend needs another permit only if the first send may have "
+          "run") {
+  int Calls = 0;
+  SUBCASE("the send may have run") {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      return ++Calls == 1
+                 ? scripted_response{"", false, true}
+                 : scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    Fixture.startHistory();
+    Fixture.setKeys({{{"ka", "a"}}});
+    Fixture.setQuota(fixture::SlowRate, 0);
+    Fixture.setTokens("a", 1);
+    const std::string Response = Fixture.call("1", bearer("ka"));
+    CHECK(Response.starts_with("HTTP/1.1 502"));
+    CHECK(Response.find("Retry-After") == std::string::npos);
+    CHECK(Fixture.arrivals() == 1);
+  }
+  SUBCASE("the runner refused it") {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      return ++Calls == 1
+                 ? scripted_response{NotExecutedResponse}
+                 : scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    Fixture.startHistory();
+    Fixture.setKeys({{{"ka", "a"}}});
+    Fixture.setQuota(fixture::SlowRate, 0);
+    Fixture.setTokens("a", 1);
+    CHECK(bodyOf(Fixture.call("1", bearer("ka"))) == "done");
+    CHECK(Fixture.arrivals() == 2);
+    CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 429"));
+  }
+}
+
+// Guards against a request that hangs because its issuer's reply is lost.
+TEST_CASE("if the issuer does not reply, the next one is asked") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.setQuota(20, 10);
+  Fixture.issuerOf("a").FirstIgnored = 0;
+  // A stand-in starts empty.
+  Fixture.runFor(milliseconds(1'500));
+  const auto Begin = readClock();
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(readClock().Steady - Begin.Steady < milliseconds(1'200));
+  CHECK(Fixture.issuerOf("a").Quotas.Buckets.empty());
+}
+
+// Guards against requests that pass without a decision, or that hang.
+TEST_CASE("if no issuer can be reached, a request waits and is then told to "
+          "come back") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.setQuota(20, 10);
+  const auto Begin = readClock();
+  const std::string Response = Fixture.call("1", bearer("ka"));
+  // The hold time is two fifths of the route's 2 s.
+  CHECK(readClock().Steady - Begin.Steady > milliseconds(750));
+  CHECK(readClock().Steady - Begin.Steady < milliseconds(1'500));
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("quota_undecided") != std::string::npos);
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  CHECK(Fixture.arrivals() == 0);
+  // Issuers that come back within the time serve it.
+  asio::steady_timer Return(Fixture.Loop, milliseconds(300));
+  Return.async_wait([&](const asio::error_code &) { Fixture.startHistory(); });
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against an upgrade that refuses everything until the replicas have
+// been replaced.
+TEST_CASE("replicas of a build without quotas are no reason to refuse") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  for (memory_replica &Replica : Fixture.Replicas)
+    Replica.DecidesQuotas = false;
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.setQuota(20, 10);
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  // One that decides is asked, as a stand-in.
+  Fixture.Replicas.back().DecidesQuotas = true;
+  Fixture.runFor(milliseconds(3'100));
+  CHECK(Fixture.call("3", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.Replicas.back().Quotas.Buckets.size() == 1);
+}
+
+// Guards against a send long after the permit was issued.
+TEST_CASE("a permit of a workspace that has lapsed does not cover a send") {
+  fixture Fixture(answer);
+  const instant Now = readClock();
+  const quota Quota{1, 20, 10};
+  quota_progress Progress;
+  Progress.PermitUntil = Now;
+  CHECK_FALSE(hasPermit(Fixture.Context, "a", Quota, Progress, Now));
+  Progress.PermitUntil = later(Now, microseconds(1));
+  CHECK(hasPermit(Fixture.Context, "a", Quota, Progress, Now));
+  CHECK(hasPermit(Fixture.Context, "a", {}, Progress, later(Now, seconds(9))));
+}
