--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
 namespace lentilhoist {
@@ -66,9 +67,11 @@
             Loop,
             {asio::ip::make_address(Settings.Address), Settings.FirstPort},
             [this](const http_request_head &Head) {
-              return Head.Target == "/status"
-                         ? text_answer{200, status().dump() + "\n"}
-                         : renderMetrics();
+              if (Head.Target == "/status")
+                return text_answer{200, status().dump() + "\n"};
+              if (Head.Target == "/quotas")
+                return text_answer{200, quotas().dump() + "\n"};
+              return renderMetrics();
             }),
         StoreClient(
             std::make_shared<store_client>(Loop, Settings.StoreAddress)),
@@ -112,6 +115,7 @@
     Json["segments"] = State.LiveRecords.size();
     Json["sources_copied"] = Progress.Copied.size();
     Json["limited_runners"] = Issuer.Runners.size();
+    Json["quota_workspaces"] = Quotas.Buckets.size();
     Json["suspects"] = Suspects.Suspects.size();
     Json["replicas"] = nlohmann::ordered_json::array();
     if (Set)
@@ -123,6 +127,25 @@
     return Json;
   }
 
+  /// The largest workspaces that this replica issues permits for.
+  nlohmann::ordered_json quotas() const {
+    nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
+    for (const quota_usage &Usage :
+         listQuotas(Quotas, MaxListedQuotas, readClock()))
+      Rows.push_back({{"workspace", Usage.Workspace},
+                      {"per_second", Usage.Quota.PerSecond},
+                      {"burst", Usage.Quota.Burst},
+                      {"config_version", Usage.Quota.Version},
+                      {"demand_per_second", Usage.Demand},
+                      {"tokens", Usage.Tokens},
+                      {"granted", Usage.Granted},
+                      {"refused", Usage.Refused},
+                      {"stand_in", Usage.StandIn}});
+    return {{"instance", Settings.Name},
+            {"known_workspaces", Quotas.Buckets.size()},
+            {"workspaces", Rows}};
+  }
+
   text_answer renderMetrics() {
     const replica_state &State = Store.state();
     Metrics.gauge("lentilhoist_replica_turns",
@@ -170,7 +193,11 @@
         Reply.Relays.push_back(Relay);
     const instant Now = readClock();
     answerPermitRequests(Issuer, Request, Reply, Now);
-    if (exchangeSuspects(Suspects, Request, Reply, Now)) {
+    answerQuotaRequests(Quotas, Request, Reply, Now);
+    // Requests for permits of workspaces are as frequent as requests of
+    // callers; other pings carry the evidence.
+    if (Request.Quotas.empty() &&
+        exchangeSuspects(Suspects, Request, Reply, Now)) {
       SuspectsChanged = true;
       logEvent(log_level::Info, "suspects_changed",
                {{"notices", std::to_string(Request.Suspects.size())},
@@ -181,6 +208,10 @@
           Permit.Granted
               ? "lentilhoist_permits_issued_total{granted=\"true\"}"
               : "lentilhoist_permits_issued_total{granted=\"false\"}");
+    for (const quota_reply &Quota : Reply.Quotas)
+      Metrics.count(fmt::format(
+          "lentilhoist_quota_decisions_total{{verdict=\"{}\"}}",
+          QuotaVerdictNames[static_cast<std::size_t>(Quota.Verdict)]));
   }
 
   void watchReplicaSet() {
@@ -573,6 +604,7 @@
     ExpiryTimer.async_wait([this](const asio::error_code &) {
       Store.expire();
       forgetIdleRunners(Issuer, readClock());
+      forgetIdleQuotas(Quotas, readClock());
       forgetOldSuspects(Suspects, readClock());
       const auto OldestPing = readClock().Steady - RelayTimeout;
       std::erase_if(Relays, [&](const auto &Relay) {
@@ -618,6 +650,7 @@
   std::map<std::string, std::map<std::string, std::string>> Backups;
   std::map<std::string, instant> Relays; ///< Time of the last ping, by address.
   permit_issuer Issuer;
+  quota_issuer Quotas;
   suspect_table Suspects;
   bool SuspectsChanged = false; ///< Since they were last saved.
 
