Log what decoders can't read, and reject requests of unreadable routes

Cause: malformed headers of callers and runners and unreadable fields of the configuration and the registry left no trace, and a line for each entry of another writer was not bounded. A request whose route is configured and can't be read got 404, which callers take as final.

Change: exchange and edge log the names that the decoders note, at a bounded rate and without values. Such a request gets 503 (route_unreadable); one that matches no route gets 503 while there are entries of an unknown kind.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -8,6 +8,7 @@
 #include "forward/runner_leaving.h"
 #include "history/relay_server.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/address.h"
 #include "net/listener.h"
 #include "net/text_server.h"
@@ -365,14 +366,24 @@
   void applyConfig(const store_item &Item, const char *Source) {
     if (Item.Name != platform::ConfigName)
       return;
-    auto Config = platform::decodeConfig(Item.Spec);
+    platform::decode_notes Notes;
+    auto Config = platform::decodeConfig(Item.Spec, &Notes);
     if (!Config) {
-      logEvent(log_level::Error, "configuration_unreadable",
-               {{"revision", std::to_string(Item.Revision)}});
+      Metrics.count("lentilhoist_unreadable_configurations_total");
+      logLimited(log_level::Error, "configuration_unreadable",
+                 {{"revision", std::to_string(Item.Revision)},
+                  {"source", Source},
+                  {"fields", joinNames(Notes)}});
       return;
     }
     if (!replacesConfig(Context.Routes, Config->Version))
       return;
+    if (Notes.Count > 0)
+      logLimited(log_level::Warning, "configuration_fields_unreadable",
+                 {{"version", std::to_string(Config->Version)},
+                  {"revision", std::to_string(Item.Revision)},
+                  {"count", std::to_string(Notes.Count)},
+                  {"fields", joinNames(Notes)}});
     logEvent(log_level::Info, "configuration_changed",
              {{"version", std::to_string(Config->Version)},
               {"revision", std::to_string(Item.Revision)},
@@ -416,17 +427,28 @@
     return Settled.Steady > Now.Steady ? Settled : Now;
   }
 
+  /// Decodes a registry entry and logs what can't be read.
+  static std::optional<runner_entry> decodeRunner(const store_item &Item) {
+    platform::decode_notes Notes;
+    auto Entry = platform::decodeRunner(Item, &Notes);
+    if (Notes.Count > 0)
+      logLimited(log_level::Warning,
+                 Entry ? "runner_fields_unreadable" : "runner_entry_unusable",
+                 {{"entry", Item.Name},
+                  {"revision", std::to_string(Item.Revision)},
+                  {"fields", joinNames(Notes)}});
+    return Entry;
+  }
+
   void applyRunnerList(const std::vector<store_item> &Items,
                        const char *Source) {
     const instant Now = readClock();
     std::vector<runner_entry> Entries;
     for (const store_item &Item : Items)
-      if (auto Entry = platform::decodeRunner(Item)) {
+      if (auto Entry = decodeRunner(Item)) {
         reportNewIncarnation(*Entry);
         Entries.push_back(std::move(*Entry));
-      } else
-        logEvent(log_level::Warning, "runner_entry_unusable",
-                 {{"entry", Item.Name}});
+      }
     replaceRunners(Context.Runners, Entries, removalTime(Now), Now);
     RunnerListReceived = true;
     logEvent(log_level::Info, "runners_listed",
@@ -463,12 +485,9 @@
       removeMissingRunners(Now);
       return;
     }
-    const auto Entry = platform::decodeRunner(Event.Item);
-    if (!Entry) {
-      logEvent(log_level::Warning, "runner_entry_unusable",
-               {{"entry", Event.Item.Name}, {"revision", Revision}});
+    const auto Entry = decodeRunner(Event.Item);
+    if (!Entry)
       return;
-    }
     reportNewIncarnation(*Entry);
     if (upsertRunner(Context.Runners, *Entry))
       logEvent(log_level::Info, "runner_changed",
@@ -542,6 +561,7 @@
       dropUnconfirmed(Context.Broken, Now);
       forgetOldSuspects(Context.Suspects, Now);
       forgetLeaving(Context.Runners, Now);
+      logSuppressed();
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
       sweep();
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "forward/runner_leaving.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/frame.h"
 #include "platform/request_headers.h"
 
@@ -107,7 +108,12 @@
 }
 
 void exchange::begin() {
-  auto Decoded = platform::decodeCallerRequest(Head);
+  platform::decode_notes Notes;
+  auto Decoded = platform::decodeCallerRequest(Head, &Notes);
+  if (Notes.Count > 0)
+    logLimited(log_level::Warning, "caller_headers_unreadable",
+               {{"request", std::string(Decoded ? Decoded->Attempt : "")},
+                {"headers", joinNames(Notes)}});
   if (!Decoded) {
     respondWithError(proxy_error::BadRequest);
     return;
@@ -157,7 +163,14 @@
   Routes = Context.Routes;
   Route = Routes->find(fieldValue(Head.Fields, "Host"), pathOf(Head.Target));
   if (!Route) {
-    respondWithError(proxy_error::NoRoute);
+    // 404 is final for callers: it is given only if all routes are known.
+    respondWithError(Routes->config().UnknownRoutes
+                         ? proxy_error::RouteUnreadable
+                         : proxy_error::NoRoute);
+    return;
+  }
+  if (Route->Unreadable) {
+    respondWithError(proxy_error::RouteUnreadable);
     return;
   }
   Service = chooseTarget(*Route, stableHash(Traits.Attempt));
@@ -563,7 +576,15 @@
 
 void exchange::onResponseHead() {
   const instant Now = readClock();
-  RunnerResponse = platform::decodeRunnerResponse(Reader.response());
+  platform::decode_notes Notes;
+  RunnerResponse = platform::decodeRunnerResponse(Reader.response(), &Notes);
+  if (Notes.Count > 0) {
+    Context.Metrics.count("lentilhoist_unreadable_runner_headers_total");
+    logLimited(log_level::Warning, "runner_headers_unreadable",
+               {{"request", Traits.Attempt},
+                {"runner", RunnerId},
+                {"headers", joinNames(Notes)}});
+  }
   FirstByte = Now;
   runner_view *View = currentRunner();
   if (View && RunnerResponse.Load)
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -70,6 +70,8 @@
     return "no_configuration";
   case proxy_error::NoRoute:
     return "no_route";
+  case proxy_error::RouteUnreadable:
+    return "route_unreadable";
   case proxy_error::BadRequest:
     return "bad_request";
   case proxy_error::NoRunner:
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -47,6 +47,7 @@
 enum class proxy_error {
   NoConfiguration,    ///< This instance has no configuration yet.
   NoRoute,            ///< No route matches.
+  RouteUnreadable,    ///< Its route, or what may be its route, can't be read.
   BadRequest,         ///< A required header is missing or malformed.
   NoRunner,           ///< No runner is available.
   PathLost,           ///< Neither this instance nor a relay reaches runners.
--- a/src/store/store_watch.cpp
+++ b/src/store/store_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 
 #include <algorithm>
 
@@ -143,8 +144,8 @@
 
 void store_watch::reportUnreadable(std::size_t Count) const {
   if (Count > 0)
-    logEvent(log_level::Warning, "store_objects_unreadable",
-             {{"kind", Kind}, {"count", std::to_string(Count)}});
+    logLimited(log_level::Warning, "store_objects_unreadable",
+               {{"kind", Kind}, {"count", std::to_string(Count)}});
 }
 
 void store_watch::onSuccess() {
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -368,6 +368,31 @@
   CHECK(Fixture.Context.ActiveRequests == 0);
 }
 
+// Guards against 404, which callers take as final, for a request whose route is
+// configured and can't be read, and against its being sent elsewhere.
+TEST_CASE("requests of routes that can't be read are rejected as not run") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  configuration Config = Fixture.Context.Routes->config();
+  route Hidden = Config.Routes.front();
+  Hidden.PathPrefix = "/x";
+  Hidden.Targets.clear();
+  Hidden.Unreadable = true;
+  Config.Routes.push_back(Hidden);
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  const std::string Response = Fixture.call("1");
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  Config.Routes.clear();
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 404"));
+  Config.UnknownRoutes = true;
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  CHECK(Fixture.call("3").starts_with("HTTP/1.1 503"));
+  CHECK(Fixture.arrivals() == 0);
+}
+
 TEST_CASE("request that was not executed is resent to another runner") {
   int Calls = 0;
   fixture Fixture([&](const http_request_head &Head, const std::string &) {
