Eject runners that differ from the others of their service

Cause: only consecutive failures counted. A runner that fails part of its requests, goes down and up, refuses while it is free or answers slowly got its share or more, as a success between two failures ends the backoff.

Change: placement/outlier: results of the last 30 s of each runner, compared with the others of its service; ejection by faults, outages, nothing but errors and slowness, of at most a third of a service; 5 s doubling to 80 s; a way back by five trial requests. exchange records what it sees, except refusals for load, short deadlines and what this instance's own path or a relay may have lost.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -288,6 +288,23 @@
     return Json;
   }
 
+  /// \returns the recent results of a runner that decide whether it is ejected.
+  nlohmann::ordered_json ejectionRow(const std::string &Id, instant Now) const {
+    const auto &Table = Context.Runners.Outliers.Runners;
+    const auto Found = Table.find(Id);
+    if (Found == Table.end())
+      return nullptr;
+    const outlier_state &State = Found->second;
+    const auto LeftMs = (State.TrialsFrom.Steady - Now.Steady).count() / 1'000;
+    return {{"reason", ejectionReasonName(State.Reason)},
+            {"left_ms", State.Ejected ? std::max<std::int64_t>(0, LeftMs) : 0},
+            {"ejections_in_row", State.Ejections},
+            {"trials_passed", State.TrialsPassed},
+            {"outcomes", State.Outcomes.size()},
+            {"faults", countFaults(State)},
+            {"outages", State.Outages.size()}};
+  }
+
   nlohmann::ordered_json runners() {
     const instant Now = readClock();
     nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
@@ -306,7 +323,9 @@
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadReceivedAt) : -1},
            {"limit_per_second", Runner.Permits.Limit.PerSecond},
            {"permits", Runner.Permits.Permits.size()},
-           {"failures_in_row", Runner.ConsecutiveFailures}});
+           {"failures_in_row", Runner.ConsecutiveFailures},
+           {"standing", runnerStandingName(standingOf(Runner, Now))},
+           {"ejection", ejectionRow(Id, Now)}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
 
@@ -321,6 +340,10 @@
                   Context.Path.State == path_state::Lost ? 1 : 0);
     Metrics.gauge("lentilhoist_tunnels",
                   static_cast<double>(Tunnels.tunnels()));
+    const auto Ejected = std::count_if(
+        Context.Runners.Runners.begin(), Context.Runners.Runners.end(),
+        [](const auto &Item) { return Item.second.Ejected; });
+    Metrics.gauge("lentilhoist_runners_ejected", static_cast<double>(Ejected));
     Metrics.gauge("lentilhoist_runners",
                   static_cast<double>(Context.Runners.Runners.size()));
     Metrics.gauge("lentilhoist_config_version",
@@ -561,6 +584,8 @@
       dropUnconfirmed(Context.Broken, Now);
       forgetOldSuspects(Context.Suspects, Now);
       forgetLeaving(Context.Runners, Now);
+      if (forgetOutliers(Context.Runners.Outliers, Now))
+        applyEjections(Context.Runners);
       logSuppressed();
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -477,6 +477,10 @@
     recordTrial(Context.Suspects, Signature, Now);
     shareSuspects(Context, {Signature});
   }
+  SlotFreeAtSend = estimateLoad(Context.Runners, View, Now) + 1 <=
+                   static_cast<double>(View.Entry.Slots);
+  UncachedTokens = std::max<std::int64_t>(
+      0, Traits.PromptTokens - cachedPrefixTokens(View, Traits));
   ++View.Outstanding;
   recordContent(View, Traits, Now);
   Reader.reset();
@@ -715,14 +719,27 @@
   ResponseCompletedAt = Now;
   if (RunnerResponse.NotExecuted) {
     const bool Misdirected = Reader.response().Status == StatusMisdirected;
-    if (runner_view *View = currentRunner())
+    if (runner_view *View = currentRunner()) {
       Misdirected ? recordFailure(*View, Now) : recordRefusal(*View, Now);
+      const auto &Load = RunnerResponse.Load;
+      // A limited rate is a reason to refuse with free slots.
+      if (!Misdirected && Load && !RunnerResponse.RateLimit &&
+          !View->Permits.Limit.active() &&
+          isFalseRefusal(Load->Running, Load->Waiting, Load->Slots))
+        reportRunnerOutcome(outcome_kind::Fault);
+    }
     onSendFailed(send_outcome::Refused,
                  Misdirected ? "another_runner" : "full");
     return;
   }
   if (runner_view *View = currentRunner())
     recordSuccess(*View);
+  const bool ServerError = Reader.response().Status / 100 == 5;
+  // Errors are often quick, and say nothing about the runner's speed.
+  reportRunnerOutcome(ServerError ? outcome_kind::Error : outcome_kind::Success,
+                      SlotFreeAtSend && !ServerError
+                          ? slownessOf(Now.Steady - SentAt.Steady, workSize())
+                          : 0);
   if (recordCompletion(Context.Suspects, Signature, Now))
     shareSuspects(Context, {Signature});
   // A runner that responds early leaves part of the request body unsent, so
@@ -833,8 +850,12 @@
                             bool RunnerFailed) {
   const instant Now = readClock();
   if (runner_view *View = currentRunner();
-      View && RunnerFailed && Outcome != send_outcome::Refused)
+      View && RunnerFailed && Outcome != send_outcome::Refused) {
     recordFailure(*View, Now);
+    reportRunnerOutcome(Outcome == send_outcome::NotSent
+                            ? outcome_kind::Unreachable
+                            : outcome_kind::Fault);
+  }
   if (Outcome == send_outcome::Refused && Stream)
     Stream->recordRefusal(Traits.Attempt);
   // A second copy of a refusal that names no request could be taken for the
@@ -871,9 +892,33 @@
                        : proxy_error::RunnerFailed);
 }
 
+/// \returns the size of the request as far as it has been answered.
+work_size exchange::workSize() const {
+  return {Engine.has_value(), UncachedTokens,
+          EventCount * (Engine ? Engine->TokensPerEvent : 1)};
+}
+
+void exchange::reportRunnerOutcome(outcome_kind Kind, double Slowness) {
+  reportOutcome(
+      Context, {Traits.Attempt, RunnerId, RunnerBornMs, !Relay.empty(), SentAt},
+      {Kind, Slowness});
+}
+
+/// A request that is cut by its deadline tells about the runner only if it had
+/// a free slot and has sent no part of the response. A short deadline is none
+/// of its faults.
+void exchange::reportHang() {
+  const bool AtRunner = Stage == stage::Awaiting || Stage == stage::Relaying;
+  if (AtRunner && SlotFreeAtSend && EventCount == 0 && ResponseBytes == 0 &&
+      ResponseBody.empty() &&
+      isHang(readClock().Steady - SentAt.Steady, workSize()))
+    reportRunnerOutcome(outcome_kind::Fault);
+}
+
 void exchange::onTimeout() {
   if (Stage == stage::Done || Stage == stage::Committing)
     return;
+  reportHang();
   if (ResponseStarted) {
     abortResponse("timed_out");
     return;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -2,6 +2,7 @@
 
 #include "forward/crash_watch.h"
 #include "forward/exchange_context.h"
+#include "forward/outlier_watch.h"
 #include "forward/path_watch.h"
 #include "forward/permit_client.h"
 #include "forward/request_traits.h"
@@ -107,6 +108,9 @@
   void onSendFailed(send_outcome Outcome, const char *Reason,
                     bool RunnerFailed = true);
   void respondWithError(proxy_error Reason);
+  work_size workSize() const;
+  void reportRunnerOutcome(outcome_kind Kind, double Slowness = 0);
+  void reportHang();
   void onTimeout();
   bool promiseClose();
   bool rejectIfStopping(instant Now);
@@ -156,7 +160,10 @@
   std::string RunnerId;
   std::int64_t RunnerBornMs = 0;
   std::string RunnerAddress;
-  std::string Relay; ///< Of the last send; empty if it had none.
+  /// The runner had a free slot when the request was sent, as far as known.
+  bool SlotFreeAtSend = false;
+  std::int64_t UncachedTokens = 0; ///< Of the prompt, at that runner.
+  std::string Relay;               ///< Of the last send; empty if it had none.
   std::shared_ptr<runner_connection> Stream;
   bool ReusedConnection = false; ///< The connection came from the pool.
   http_reader Reader{http_message::Response};
--- a/src/forward/path_watch.cpp
+++ b/src/forward/path_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "forward/crash_watch.h"
 #include "forward/exchange.h"
+#include "forward/outlier_watch.h"
 #include "log/log.h"
 
 namespace lentilhoist {
@@ -24,6 +25,7 @@
   Context.RunnerRefusals.clear();
   for (auto &[Id, Runner] : Context.Runners.Runners)
     recordSuccess(Runner);
+  forgiveOutliers(Context);
 }
 
 void onPathChanged(exchange_context &Context, instant Now) {
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -31,6 +31,12 @@
 constexpr double IsolationMsPerRequest = 100;
 /// Ranks runners in backoff after all others.
 constexpr double BackoffPenaltyMs = 10'000;
+/// Ranks an ejected runner after all others that may take a request now, and
+/// after those that have just refused for load and will soon.
+constexpr double EjectedPenaltyMs = 20'000;
+/// Added for a backoff after failures: a runner that fails part of its requests
+/// ranks before one that could not be used at all just now.
+constexpr double FailurePenaltyMs = 20'000;
 /// Age at which a load report has lost all weight, about the duration of a
 /// request.
 constexpr milliseconds LoadReportLifetime{1'500};
@@ -98,6 +104,13 @@
                    Runner.FailedUntil.Steady > Now.Steady;
   if (Cost.InBackoff)
     Cost.Total += BackoffPenaltyMs;
+  if (Runner.FailedUntil.Steady > Now.Steady)
+    Cost.Total += FailurePenaltyMs;
+  // A runner on trial gets one request of this instance at a time.
+  const runner_standing Standing = standingOf(Runner, Now);
+  if (Standing == runner_standing::Ejected ||
+      (Standing == runner_standing::OnTrial && Runner.Outstanding > 0))
+    Cost.Total += EjectedPenaltyMs;
   return Cost;
 }
 
--- a/src/placement/runner_directory.cpp
+++ b/src/placement/runner_directory.cpp
@@ -24,6 +24,13 @@
 /// runner that leaves ends within a minute or so, whatever the registry says.
 constexpr std::chrono::minutes LeavingMemory{15};
 
+void applyEjection(const runner_directory &Directory, runner_view &Runner) {
+  const auto Found = Directory.Outliers.Runners.find(Runner.Entry.Id);
+  const bool Known = Found != Directory.Outliers.Runners.end();
+  Runner.Ejected = Known && Found->second.Ejected;
+  Runner.TrialsFrom = Known ? Found->second.TrialsFrom : instant{};
+}
+
 void pruneRecentContent(runner_view &Runner) {
   if (Runner.RecentContent.size() <= MaxRecentEntries)
     return;
@@ -58,6 +65,7 @@
   }
   Runner.Entry = Entry;
   Runner.Leaving = isLeaving(Directory, Entry.Id, Entry.BornMs);
+  applyEjection(Directory, Runner);
   return true;
 }
 
@@ -160,6 +168,30 @@
   Runner.FailedUntil = {};
 }
 
+const char *runnerStandingName(runner_standing Standing) {
+  switch (Standing) {
+  case runner_standing::Sound:
+    return "sound";
+  case runner_standing::Ejected:
+    return "ejected";
+  case runner_standing::OnTrial:
+    return "on_trial";
+  }
+  return "unknown";
+}
+
+runner_standing standingOf(const runner_view &Runner, instant Now) {
+  if (!Runner.Ejected)
+    return runner_standing::Sound;
+  return Now.Steady < Runner.TrialsFrom.Steady ? runner_standing::Ejected
+                                               : runner_standing::OnTrial;
+}
+
+void applyEjections(runner_directory &Directory) {
+  for (auto &[Id, Runner] : Directory.Runners)
+    applyEjection(Directory, Runner);
+}
+
 void recordContent(runner_view &Runner, const request_traits &Request,
                    instant Now) {
   for (const prompt_part &Part : Request.Prompt)
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -3,6 +3,7 @@
 #include "core/instant.h"
 #include "forward/request_traits.h"
 #include "limit/permit_stock.h"
+#include "placement/outlier.h"
 #include "placement/runner_entry.h"
 
 #include <map>
@@ -26,6 +27,8 @@
   instant FailedUntil{};  ///< End of the backoff after a failure.
   permit_stock Permits;   ///< The runner's limit and permits to send to it.
   int ConsecutiveFailures = 0;
+  bool Ejected = false; ///< An outlier, as outlier_state::Ejected.
+  instant TrialsFrom{}; ///< As outlier_state::TrialsFrom.
   bool Leaving = false; ///< It has said in a response that it leaves.
   /// Time of last use of the prompt parts, sessions and affinity keys that this
   /// instance sent to the runner.
@@ -58,6 +61,8 @@
   /// Runners that leave, by ID. A statement outlasts the registration: one that
   /// lapses and comes back is that of the same incarnation.
   std::map<std::string, leaving_notice> Leaving;
+  /// Recent results of runners. They outlast the registration.
+  outlier_table Outliers;
 };
 
 /// Adds or updates a runner.
@@ -151,6 +156,26 @@
 /// \param Runner the runner.
 void recordSuccess(runner_view &Runner);
 
+/// Whether a runner's recent results keep requests away from it.
+enum class runner_standing {
+  Sound,
+  Ejected, ///< Ranks behind the others.
+  OnTrial, ///< Ejected, and gets one request at a time.
+};
+
+/// \param Standing the value to name.
+/// \returns its stable text form.
+const char *runnerStandingName(runner_standing Standing);
+
+/// \param Runner the runner.
+/// \param Now the current time.
+/// \returns its standing.
+runner_standing standingOf(const runner_view &Runner, instant Now);
+
+/// Applies the ejections in runner_directory::Outliers to the runners.
+/// \param Directory the directory.
+void applyEjections(runner_directory &Directory);
+
 /// Records the prompt parts, session and affinity key that a request leaves in
 /// the runner's cache.
 /// \param Runner the runner.
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2069,3 +2069,75 @@
             }
           }
 }
+
+// Guards against a runner that resets part of its connections and is used like
+// the others, and against a result that is recorded for the wrong runner.
+TEST_CASE("a runner that breaks off part of its requests is ejected, and the "
+          "other one serves") {
+  int FirstCalls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    const bool First = fieldValue(Head.Fields, "X-Expect-Instance") == "first";
+    if (First && ++FirstCalls % 2 == 0)
+      return scripted_response{"", false, true};
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  const auto FirstView = [&]() -> runner_view & {
+    return Fixture.Context.Runners.Runners.at("first");
+  };
+  for (int Call = 0; Call < 200 && !FirstView().Ejected; ++Call) {
+    CAPTURE(Call);
+    // Requests that don't overlap would all go to one of two equal runners.
+    const char *Busy = Call % 2 == 0 ? "second" : "first";
+    Fixture.Context.Runners.Runners.at(Busy).Outstanding += 2;
+    CHECK(bodyOf(Fixture.call("a" + std::to_string(Call))) == "done");
+    Fixture.Context.Runners.Runners.at(Busy).Outstanding -= 2;
+    Fixture.runFor(milliseconds(30));
+  }
+  CHECK(FirstView().Ejected);
+  CHECK(standingOf(FirstView(), readClock()) == runner_standing::Ejected);
+  CHECK_FALSE(Fixture.Context.Runners.Runners.at("second").Ejected);
+  const int Before = FirstCalls;
+  for (int Call = 0; Call < 10; ++Call)
+    CHECK(bodyOf(Fixture.call("b" + std::to_string(Call))) == "done");
+  CHECK(FirstCalls == Before);
+}
+
+// Guards against refusals for load and server errors held against a runner.
+TEST_CASE("refusals for load and answered errors are no faults of a runner") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    if (++Calls % 2 == 1)
+      return scripted_response{
+          "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+          attemptOf(Head) +
+          "\r\nX-Server-Load: 4,1,4\r\nContent-Length: 0\r\n\r\n"};
+    return scripted_response{
+        "HTTP/1.1 500 Error\r\nX-Attempt-Id: " + attemptOf(Head) +
+        "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+  });
+  for (int Call = 0; Call < 10; ++Call)
+    CHECK(Fixture.call(std::to_string(Call)).starts_with("HTTP/1.1 500"));
+  for (const auto &[Id, State] : Fixture.Context.Runners.Outliers.Runners) {
+    CAPTURE(Id);
+    CHECK(countFaults(State) == 0);
+    CHECK_FALSE(State.Ejected);
+  }
+}
+
+TEST_CASE("a runner that refuses as full while it reports free slots has a "
+          "fault") {
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    if (fieldValue(Head.Fields, "X-Expect-Instance") == "first")
+      return scripted_response{
+          "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+          attemptOf(Head) +
+          "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  Fixture.Context.Runners.Runners.at("second").Outstanding = 2;
+  CHECK(bodyOf(Fixture.call("1")) == "done");
+  const auto &States = Fixture.Context.Runners.Outliers.Runners;
+  REQUIRE(States.contains("first"));
+  CHECK(countFaults(States.at("first")) == 1);
+  CHECK(countFaults(States.at("second")) == 0);
+}
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,8 +1,11 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "placement/admission.h"
+#include "placement/outlier.h"
 #include "placement/placement.h"
 
+#include <cmath>
 #include <doctest/doctest.h>
+#include <random>
 
 using namespace lentilhoist;
 
@@ -322,3 +325,431 @@
   Fixture.at("b").Outstanding = 10;
   CHECK(Fixture.place() == "a");
 }
+
+namespace {
+
+/// Result of a runner at a time, given its index.
+using runner_script =
+    std::function<runner_outcome(std::size_t Runner, microseconds Time)>;
+
+/// Ejections of one runner in a run.
+struct ejection_record {
+  microseconds First{-1}; ///< Since the start; negative if there was none.
+  microseconds Total{0};
+  int Count = 0;
+  bool Ejected = false; ///< At the end, and not yet on trial.
+};
+
+/// Runners of one service as one instance sees them, each with requests at a
+/// fixed interval. Ejected ones get none, and those on trial do.
+struct outlier_fleet {
+  explicit outlier_fleet(std::size_t Count) : Records(Count) {}
+
+  void run(seconds Time, milliseconds Interval, const runner_script &Script) {
+    const microseconds End = Elapsed + Time;
+    for (; Elapsed < End; Elapsed += Interval) {
+      std::size_t EjectedNow = 0;
+      for (std::size_t Runner = 0; Runner < Records.size(); ++Runner) {
+        ejection_record &Record = Records[Runner];
+        // Runners don't all answer at the same moment.
+        const instant Now =
+            later(Start, Elapsed + Interval * Runner / Records.size());
+        const std::string Id = "r" + std::to_string(Runner);
+        const auto Found = Table.Runners.find(Id);
+        const bool Out = Found != Table.Runners.end() &&
+                         Found->second.Ejected &&
+                         Now.Steady < Found->second.TrialsFrom.Steady;
+        Record.Ejected = Out;
+        if (Out) {
+          ++EjectedNow;
+          Record.Total += Interval;
+          continue;
+        }
+        const auto Decision = recordOutcome(
+            Table, Id, 1, "s", Script(Runner, Now.Steady - Start.Steady),
+            [&] { return Records.size(); }, Now);
+        if (Decision.Change == outlier_change::Ejected ||
+            Decision.Change == outlier_change::EjectedAgain) {
+          if (++Record.Count == 1)
+            Record.First = Now.Steady - Start.Steady;
+        }
+        if (Decision.Change == outlier_change::Readmitted)
+          ++Readmitted;
+      }
+      MostEjected = std::max(MostEjected, EjectedNow);
+    }
+  }
+
+  int soundEjections(std::size_t FirstSound) const {
+    int Count = 0;
+    for (std::size_t Runner = FirstSound; Runner < Records.size(); ++Runner)
+      Count += Records[Runner].Count;
+    return Count;
+  }
+
+  outlier_table Table;
+  std::vector<ejection_record> Records;
+  microseconds Elapsed{0};
+  std::size_t MostEjected = 0;
+  int Readmitted = 0;
+};
+
+/// Results that fail with a probability.
+class failing_script {
+public:
+  explicit failing_script(std::uint64_t Seed) : Random(Seed) {}
+
+  runner_outcome outcome(double FaultShare,
+                         outcome_kind Failure = outcome_kind::Fault) {
+    const bool Fails = std::uniform_real_distribution<>()(Random) < FaultShare;
+    return {Fails ? Failure : outcome_kind::Success, 0};
+  }
+
+private:
+  std::mt19937_64 Random;
+};
+
+constexpr std::uint64_t Seeds = 20;
+
+} // namespace
+
+// Guards against runners that fail part of their requests and are used like
+// the others, because a success between two failures ends each backoff.
+TEST_CASE("runners that fail 40% of their requests are ejected, and sound ones "
+          "that fail 2% are not") {
+  int Sound = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    failing_script Script(Seed);
+    outlier_fleet Fleet(10);
+    Fleet.run(seconds(60), milliseconds(100), [&](std::size_t Runner, auto) {
+      return Script.outcome(Runner < 2 ? 0.4 : 0.02);
+    });
+    for (std::size_t Runner = 0; Runner < 2; ++Runner) {
+      CHECK(Fleet.Records[Runner].First >= microseconds(0));
+      CHECK(Fleet.Records[Runner].First < seconds(10));
+      CHECK(Fleet.Records[Runner].Total > seconds(35));
+    }
+    Sound += Fleet.soundEjections(2);
+  }
+  CAPTURE(Sound);
+  CHECK(Sound <= 2);
+}
+
+// An instance of a large deployment sees a runner once in two seconds.
+TEST_CASE("sparse results suffice to eject a runner that fails 40%, and don't "
+          "eject sound ones") {
+  int Sound = 0;
+  int Found = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    failing_script Script(Seed);
+    outlier_fleet Fleet(44);
+    Fleet.run(seconds(120), seconds(2), [&](std::size_t Runner, auto) {
+      return Script.outcome(Runner < 4 ? 0.4 : 0.02);
+    });
+    for (std::size_t Runner = 0; Runner < 4; ++Runner)
+      Found += Fleet.Records[Runner].Count > 0;
+    Sound += Fleet.soundEjections(4);
+  }
+  CAPTURE(Found);
+  CAPTURE(Sound);
+  CHECK(Found >= 76); // Of 80.
+  CHECK(Sound <= 4);
+}
+
+// Guards against a service in which some requests fail everywhere: the runners
+// that happen to fail more often would be lost.
+TEST_CASE("runners that all fail alike are not ejected") {
+  int Ejections = 0;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    failing_script Script(Seed);
+    outlier_fleet Fleet(12);
+    Fleet.run(seconds(60), milliseconds(100),
+              [&](std::size_t, auto) { return Script.outcome(0.3); });
+    Ejections += Fleet.soundEjections(0);
+  }
+  CAPTURE(Ejections);
+  CHECK(Ejections <= 2);
+}
+
+TEST_CASE("a runner that hangs is ejected after a few requests") {
+  outlier_fleet Fleet(5);
+  // Each hang takes a second of the caller's time.
+  Fleet.run(seconds(20), seconds(1), [&](std::size_t Runner, auto) {
+    return runner_outcome{
+        Runner == 0 ? outcome_kind::Fault : outcome_kind::Success, 0};
+  });
+  CHECK(Fleet.Records[0].First >= microseconds(0));
+  CHECK(Fleet.Records[0].First < seconds(6));
+  CHECK(Fleet.soundEjections(1) == 0);
+}
+
+// Guards against a runner whose successes while it is up hide its outages.
+TEST_CASE("a runner that goes down and up each 1.4 s is ejected for most of "
+          "the time") {
+  outlier_fleet Fleet(8);
+  Fleet.run(
+      seconds(60), milliseconds(50), [](std::size_t Runner, microseconds Time) {
+        const bool Down = Runner == 0 && Time.count() / 1'400'000 % 2 == 1;
+        return runner_outcome{
+            Down ? outcome_kind::Unreachable : outcome_kind::Success, 0};
+      });
+  CHECK(Fleet.Records[0].First >= microseconds(0));
+  CHECK(Fleet.Records[0].First < seconds(10));
+  CHECK(Fleet.Records[0].Total > seconds(35));
+  CHECK(Fleet.soundEjections(1) == 0);
+}
+
+// Guards against an ejection after a single crash, which the registry and the
+// backoff handle: the runner would be missing for seconds after it is back.
+TEST_CASE("a runner that ends once under many requests is not ejected") {
+  outlier_fleet Fleet(4);
+  Fleet.run(seconds(40), milliseconds(50),
+            [](std::size_t Runner, microseconds Time) {
+              const bool Down = Runner == 0 && Time >= seconds(10) &&
+                                Time < milliseconds(11'400);
+              return runner_outcome{
+                  Down ? outcome_kind::Unreachable : outcome_kind::Success, 0};
+            });
+  CHECK(Fleet.soundEjections(0) == 0);
+  // All of its requests break at once.
+  for (int Request = 0; Request < 8; ++Request)
+    CHECK(recordOutcome(
+              Fleet.Table, "r1", 1, "s", {outcome_kind::Fault, 0},
+              [] { return std::size_t{4}; }, later(Start, Fleet.Elapsed))
+              .Change == outlier_change::None);
+}
+
+namespace {
+
+/// Durations of runners of three speeds by failure domain, each of which is
+/// slower by 2.5 times for 15% of the time, in periods of 0.6 s. The first
+/// runners are slower by 8 times.
+class uneven_script {
+public:
+  uneven_script(std::uint64_t Seed, std::size_t Slow)
+      : Random(Seed), SlowRunners(Slow) {}
+
+  runner_outcome operator()(std::size_t Runner, microseconds Time) {
+    constexpr double Speeds[] = {0.7, 0.7, 1.7};
+    auto &[Period, Factor] = Periods[Runner];
+    if (Time.count() / 600'000 != Period) {
+      Period = Time.count() / 600'000;
+      Factor = std::uniform_real_distribution<>()(Random) < 0.15 ? 2.5 : 1;
+    }
+    const double Spread = std::uniform_real_distribution<>(0.6, 1.6)(Random);
+    return {outcome_kind::Success, Speeds[Runner % 3] * Factor * Spread *
+                                       (Runner < SlowRunners ? 8 : 1)};
+  }
+
+private:
+  std::mt19937_64 Random;
+  std::size_t SlowRunners;
+  std::map<std::size_t, std::pair<std::int64_t, double>> Periods;
+};
+
+} // namespace
+
+// Guards against a runner that succeeds slowly and makes its requests late, and
+// against the ejection of runners whose speeds merely differ.
+TEST_CASE("a runner that is slower by 8 times is ejected, and runners of "
+          "three speeds with noise are not") {
+  for (const milliseconds Interval : {milliseconds(50), milliseconds(2'000)}) {
+    CAPTURE(Interval.count());
+    int Sound = 0;
+    int Found = 0;
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      outlier_fleet Fleet(12);
+      Fleet.run(seconds(120), Interval, uneven_script(Seed, 1));
+      Found += Fleet.Records[0].Count > 0;
+      Sound += Fleet.soundEjections(1);
+    }
+    CAPTURE(Found);
+    CAPTURE(Sound);
+    CHECK(Found == Seeds);
+    CHECK(Sound <= 2);
+  }
+}
+
+// Guards against an ejection of so many runners that the others are overloaded.
+TEST_CASE("if half of a service fails, no more than a third is ejected and no "
+          "sound runner is") {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    CAPTURE(Seed);
+    failing_script Script(Seed);
+    outlier_fleet Fleet(10);
+    Fleet.run(seconds(60), milliseconds(100), [&](std::size_t Runner, auto) {
+      return Script.outcome(Runner < 5 ? 0.5 : 0);
+    });
+    CHECK(Fleet.MostEjected == 3);
+    CHECK(Fleet.soundEjections(5) == 0);
+  }
+}
+
+TEST_CASE("of two runners, one that fails more is ejected, and never both") {
+  failing_script Script(1);
+  SUBCASE("one fails") {
+    outlier_fleet Fleet(2);
+    Fleet.run(seconds(60), milliseconds(100), [&](std::size_t Runner, auto) {
+      return Script.outcome(Runner == 0 ? 0.4 : 0);
+    });
+    CHECK(Fleet.Records[0].Count > 0);
+    CHECK(Fleet.Records[1].Count == 0);
+  }
+  SUBCASE("both fail") {
+    outlier_fleet Fleet(2);
+    Fleet.run(seconds(60), milliseconds(100),
+              [&](std::size_t, auto) { return Script.outcome(0.6); });
+    CHECK(Fleet.MostEjected <= 1);
+  }
+  SUBCASE("the only runner fails") {
+    outlier_fleet Fleet(1);
+    Fleet.run(seconds(60), milliseconds(100),
+              [&](std::size_t, auto) { return Script.outcome(0.6); });
+    CHECK(Fleet.Records[0].Count == 0);
+  }
+}
+
+// Guards against a runner that stays ejected after it has recovered, and one
+// that is readmitted at full share while it still fails.
+TEST_CASE("an ejected runner is readmitted after a few trials that succeed, "
+          "and ejected for longer if one fails") {
+  outlier_fleet Fleet(6);
+  const auto FailsUntil = [](seconds End) {
+    return [End](std::size_t Runner, microseconds Time) {
+      return runner_outcome{Runner == 0 && Time < End ? outcome_kind::Fault
+                                                      : outcome_kind::Success,
+                            0};
+    };
+  };
+  Fleet.run(seconds(4), milliseconds(100), FailsUntil(seconds(4)));
+  CHECK(Fleet.Records[0].Ejected);
+  // It is ejected for 5 s, fails its trial, and is ejected for 10 s.
+  Fleet.run(seconds(10), milliseconds(100), FailsUntil(seconds(8)));
+  CHECK(Fleet.Records[0].Ejected);
+  CHECK(Fleet.Records[0].Count == 2);
+  Fleet.run(seconds(10), milliseconds(100), FailsUntil(seconds(8)));
+  CHECK_FALSE(Fleet.Records[0].Ejected);
+  CHECK(Fleet.Readmitted == 1);
+  const outlier_state &State = Fleet.Table.Runners.at("r0");
+  CHECK_FALSE(State.Ejected);
+  CHECK(countFaults(State) == 0);
+  // The longest ejection bounds the time without a trial.
+  Fleet.run(seconds(300), milliseconds(100), FailsUntil(seconds(1'000)));
+  CHECK(State.TrialsFrom.Steady - State.EjectedAt.Steady ==
+        FirstEjection * (1 << MaxEjectionDoublings));
+}
+
+// A server error is the application's answer, unless a runner gives no other.
+TEST_CASE("a runner that answers only errors is ejected if the others don't") {
+  const auto Run = [](double Own, double Others) {
+    failing_script Script(3);
+    outlier_fleet Fleet(6);
+    Fleet.run(seconds(30), milliseconds(100), [&](std::size_t Runner, auto) {
+      return Script.outcome(Runner == 0 ? Own : Others, outcome_kind::Error);
+    });
+    return Fleet.soundEjections(0);
+  };
+  CHECK(Run(1, 0) > 0);
+  CHECK(Run(0.4, 0) == 0);
+  CHECK(Run(1, 1) == 0);
+  CHECK(Run(1, 0.5) == 0);
+}
+
+// Guards against faults of this instance's own path held against runners.
+TEST_CASE("faults that were not the runners' are taken back") {
+  outlier_fleet Fleet(4);
+  const auto Outcome = [](std::size_t Runner, microseconds Time) {
+    const bool Fails = Runner == 0 && Time >= seconds(10);
+    return runner_outcome{Fails ? outcome_kind::Fault : outcome_kind::Success,
+                          0};
+  };
+  Fleet.run(seconds(13), milliseconds(100), Outcome);
+  REQUIRE(Fleet.Table.Runners.at("r0").Ejected);
+  forgiveFaults(Fleet.Table, later(Start, seconds(10)));
+  const outlier_state &State = Fleet.Table.Runners.at("r0");
+  CHECK_FALSE(State.Ejected);
+  CHECK(State.Ejections == 0);
+  CHECK(countFaults(State) == 0);
+  CHECK(State.Outages.empty());
+}
+
+TEST_CASE("runners that are not used any more are forgotten") {
+  outlier_fleet Fleet(3);
+  Fleet.run(seconds(10), milliseconds(100), [](std::size_t Runner, auto) {
+    return runner_outcome{
+        Runner == 0 ? outcome_kind::Fault : outcome_kind::Success, 0};
+  });
+  forgetOutliers(Fleet.Table, later(Start, seconds(60)));
+  // An ejection outlasts the results, so that the next one is longer.
+  CHECK(Fleet.Table.Runners.size() == 1);
+  forgetOutliers(Fleet.Table, later(Start, seconds(600)));
+  CHECK(Fleet.Table.Runners.empty());
+}
+
+TEST_CASE("short deadlines are no hangs, and refusals of full runners are no "
+          "faults") {
+  const work_size Plain{false, 0, 0};
+  const work_size Prompt{true, 100'000, 0};
+  CHECK_FALSE(isHang(milliseconds(78), Plain));
+  CHECK_FALSE(isHang(milliseconds(299), Plain));
+  CHECK(isHang(milliseconds(1'500), Plain));
+  CHECK_FALSE(isHang(milliseconds(1'500), Prompt));
+  CHECK(isFalseRefusal(0, 0, 8));
+  CHECK(isFalseRefusal(3, 1, 8));
+  CHECK_FALSE(isFalseRefusal(7, 0, 8));
+  CHECK_FALSE(isFalseRefusal(4, 6, 8));
+  CHECK_FALSE(isFalseRefusal(0, 0, 0));
+  CHECK_FALSE(isFalseRefusal(-5, 0, 8));
+  // The size of a request is no slowness.
+  CHECK(slownessOf(milliseconds(830), Prompt) ==
+        doctest::Approx(1).epsilon(.05));
+  CHECK(slownessOf(milliseconds(45), Plain) == doctest::Approx(1));
+}
+
+// Guards against an ejection that turns into an outage of the service.
+TEST_CASE("an ejected runner is selected after all others, and before none") {
+  fixture Fixture;
+  const auto Eject = [&](const char *Id, seconds Time) {
+    outlier_state &State = Fixture.Directory.Outliers.Runners[Id];
+    State.Ejected = true;
+    State.TrialsFrom = later(Start, Time);
+    applyEjections(Fixture.Directory);
+  };
+  recordContent(Fixture.at("a"), Fixture.Request, Start);
+  CHECK(Fixture.place() == "a");
+  Eject("a", seconds(5));
+  CHECK(standingOf(Fixture.at("a"), Start) == runner_standing::Ejected);
+  CHECK(Fixture.place() == "b");
+  Fixture.at("b").Outstanding = 30;
+  CHECK(Fixture.place() == "far");
+  Fixture.at("far").Outstanding = 30;
+  // The others are full.
+  CHECK(Fixture.place() == "a");
+  CHECK_FALSE(placeRequest(Fixture.Directory, Fixture.Query, Start).InBackoff);
+  // Another one can't be reached at all just now.
+  Fixture.at("b").Outstanding = Fixture.at("far").Outstanding = 0;
+  recordFailure(Fixture.at("b"), Start);
+  recordFailure(Fixture.at("far"), Start);
+  CHECK(Fixture.place() == "a");
+  recordSuccess(Fixture.at("b"));
+  CHECK(Fixture.place() == "b");
+  // A restart doesn't end the ejection.
+  runner_entry Entry = Fixture.at("a").Entry;
+  Entry.BornMs = 2;
+  upsertRunner(Fixture.Directory, Entry);
+  CHECK(standingOf(Fixture.at("a"), Start) == runner_standing::Ejected);
+}
+
+TEST_CASE("a runner on trial gets one request at a time") {
+  fixture Fixture;
+  outlier_state &State = Fixture.Directory.Outliers.Runners["a"];
+  State.Ejected = true;
+  State.TrialsFrom = Start;
+  applyEjections(Fixture.Directory);
+  recordContent(Fixture.at("a"), Fixture.Request, Start);
+  CHECK(standingOf(Fixture.at("a"), Start) == runner_standing::OnTrial);
+  CHECK(Fixture.place() == "a");
+  Fixture.at("a").Outstanding = 1;
+  CHECK(Fixture.place() == "b");
+}
