Limit the resends of an instance by a budget

Cause: each failed request was sent up to nine times, so that an overload in which runners refuse or break most requests is prolonged by the resends.

Change: retry_budget: half a resend for each request, ten a second and 100 at once. A resend because of this instance's own path or a relay takes none. A request that may not be resent is answered: 503 if it surely has not run, else 502; send_failed says no_budget, and a counter counts.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -186,6 +186,7 @@
   const instant Now = readClock();
   if (rejectIfStopping(Now))
     return;
+  recordRequest(Context.Resends, Now);
   DeadlineTimer.expires_after(timeLeft(Now));
   DeadlineTimer.async_wait(
       [Weak = weak_from_this()](const asio::error_code &Error) {
@@ -867,8 +868,16 @@
   Context.Metrics.count(
       std::string("lentilhoist_failed_sends_total{outcome=\"") +
       sendOutcomeName(Outcome) + "\"}");
-  const bool Retry = !ResponseStarted && !CallerLeft &&
-                     mayResend(*Route, Sends) && timeLeft(Now).count() > 0;
+  bool Retry = !ResponseStarted && !CallerLeft && mayResend(*Route, Sends) &&
+               timeLeft(Now).count() > 0;
+  // A send that this instance's own path or a relay has lost put no load on a
+  // runner.
+  const bool Denied =
+      Retry && RunnerFailed && !takeResend(Context.Resends, Now);
+  if (Denied) {
+    Retry = false;
+    Context.Metrics.count("lentilhoist_resends_denied_total");
+  }
   logEvent(log_level::Info, "send_failed",
            {{"request", Traits.Attempt},
             {"runner", RunnerId},
@@ -878,7 +887,10 @@
             {"reused_connection", ReusedConnection ? "true" : "false"},
             {"events", std::to_string(EventCount)},
             {"framing", responseFraming()},
-            {"again", Retry ? "true" : "false"}});
+            {"resends_left", formatTruncated(Context.Resends.Resends)},
+            {"again", Denied  ? "no_budget"
+                      : Retry ? "true"
+                              : "false"}});
   if (Retry) {
     place();
     return;
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/route_table.h"
+#include "forward/retry_policy.h"
 #include "forward/runner_connection_pool.h"
 #include "history/history_client.h"
 #include "limit/permit_issuer.h"
@@ -33,6 +34,7 @@
   permit_issuer OwnShare{};
   suspect_table Suspects{}; ///< Evidence against requests.
   broken_sends Broken{};
+  retry_budget Resends{};     ///< Of all requests of this instance.
   runner_path Path{};         ///< This instance's own path to runners.
   relay_directory Relays{};   ///< Instances that may have one instead.
   std::string RelayAddress{}; ///< Where this instance relays for others.
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -1,5 +1,7 @@
 #include "forward/retry_policy.h"
 
+#include <algorithm>
+
 namespace lentilhoist {
 
 namespace {
@@ -34,6 +36,18 @@
   milliseconds Spread;
 };
 
+void addResends(retry_budget &Budget, double Amount) {
+  Budget.Resends = std::min(Budget.Resends + Amount, MaxStoredResends);
+}
+
+void refill(retry_budget &Budget, instant Now) {
+  const std::chrono::duration<double> Passed =
+      Now.Steady - Budget.RefilledAt.Steady;
+  if (Budget.RefilledAt.Steady.count() != 0 && Passed.count() > 0)
+    addResends(Budget, Passed.count() * ResendsPerSecond);
+  Budget.RefilledAt = Now;
+}
+
 retry_delays retryDelays(proxy_error Reason) {
   switch (Reason) {
   case proxy_error::RunnersFull:
@@ -117,6 +131,19 @@
   return Sends.MayHaveRun == 0;
 }
 
+void recordRequest(retry_budget &Budget, instant Now) {
+  refill(Budget, Now);
+  addResends(Budget, ResendsPerRequest);
+}
+
+bool takeResend(retry_budget &Budget, instant Now) {
+  refill(Budget, Now);
+  if (Budget.Resends < 1)
+    return false;
+  Budget.Resends -= 1;
+  return true;
+}
+
 bool isCredible(int Status, bool NotExecuted) {
   if (NotExecuted)
     return Status >= 400;
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/route.h"
+#include "core/instant.h"
 
 #include <chrono>
 #include <cstdint>
@@ -35,6 +36,32 @@
 /// \returns whether the request may be sent to another runner.
 bool mayResend(const route &Route, const send_counts &Sends);
 
+/// Resends that each request of an instance adds to its budget, and those that
+/// each second adds. Without a bound, each of many failed requests is sent up
+/// to nine times, which prolongs the overload that made them fail.
+inline constexpr double ResendsPerRequest = 0.5;
+inline constexpr double ResendsPerSecond = 10;
+/// Resends that may be made at once: more than an instance has requests at a
+/// runner that ends.
+inline constexpr double MaxStoredResends = 100;
+
+/// Resends that an instance may still make.
+struct retry_budget {
+  double Resends = MaxStoredResends;
+  instant RefilledAt{}; ///< Zero before the first refill.
+};
+
+/// Adds the share of a new request.
+/// \param Budget the budget; updated.
+/// \param Now the current time.
+void recordRequest(retry_budget &Budget, instant Now);
+
+/// Takes a resend from the budget.
+/// \param Budget the budget; updated.
+/// \param Now the current time.
+/// \returns false if it is exhausted: the request must not be resent.
+bool takeResend(retry_budget &Budget, instant Now);
+
 /// Some statuses tell the caller that the request was not executed. They are
 /// passed on only if the runner states that, and only an error can state it.
 /// \param Status the status of a runner's response.
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2141,3 +2141,64 @@
   CHECK(countFaults(States.at("first")) == 1);
   CHECK(countFaults(States.at("second")) == 0);
 }
+
+// Guards against resends that multiply the requests of an overloaded service.
+TEST_CASE("the budget bounds resends when all requests fail, and never denies "
+          "those of single failures") {
+  constexpr int Rate = 50;
+  constexpr int Time = 60;
+  const instant Start{seconds(100), milliseconds(0)};
+  const auto at = [&](int Request) {
+    return later(Start, microseconds(1'000'000) * Request / Rate);
+  };
+  retry_budget Overload;
+  int Resends = 0;
+  for (int Request = 0; Request < Rate * Time; ++Request) {
+    recordRequest(Overload, at(Request));
+    for (int Try = 0; Try < 8 && takeResend(Overload, at(Request)); ++Try)
+      ++Resends;
+  }
+  CHECK(Resends <= ResendsPerRequest * Rate * Time + ResendsPerSecond * Time +
+                       MaxStoredResends);
+  // A runner of five fails all requests until it is known.
+  retry_budget Failures;
+  for (int Request = 0; Request < Rate * Time; ++Request) {
+    recordRequest(Failures, at(Request));
+    if (Request % 5 == 0)
+      REQUIRE(takeResend(Failures, at(Request)));
+  }
+  // An instance with hardly any request, and all requests of a runner that
+  // ends at once.
+  retry_budget Idle;
+  for (int Request = 0; Request < 100; ++Request) {
+    recordRequest(Idle, Start);
+    REQUIRE(takeResend(Idle, Start));
+  }
+  CHECK(Idle.Resends < MaxStoredResends);
+  recordRequest(Idle, later(Start, seconds(3'600)));
+  CHECK(Idle.Resends == MaxStoredResends);
+}
+
+TEST_CASE("a request that the budget does not let resend is answered "
+          "truthfully") {
+  bool Break = false;
+  fixture Fixture([&](const http_request_head &, const std::string &) {
+    return Break ? scripted_response{"", false, true}
+                 : scripted_response{NotExecutedResponse};
+  });
+  const auto Exhaust = [&] {
+    Fixture.Context.Resends.Resends = -100;
+    Fixture.Context.Resends.RefilledAt = readClock();
+  };
+  Exhaust();
+  // It has surely not run.
+  const std::string Refused = Fixture.call("1");
+  CHECK(Refused.starts_with("HTTP/1.1 503"));
+  CHECK(Refused.find("Retry-After") != std::string::npos);
+  CHECK(Fixture.arrivals() == 1);
+  Break = true;
+  Exhaust();
+  // It may have run.
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 502"));
+  CHECK(Fixture.arrivals() == 2);
+}
