--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -8,6 +8,7 @@
 #include "forward/runner_leaving.h"
 #include "history/relay_server.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/address.h"
 #include "net/listener.h"
 #include "net/text_server.h"
@@ -290,6 +291,23 @@
     return Json;
   }
 
+  /// \returns the recent results of a runner that decide whether it is ejected.
+  nlohmann::ordered_json ejectionRow(const std::string &Id, instant Now) const {
+    const auto &Table = Context.Runners.Outliers.Runners;
+    const auto Found = Table.find(Id);
+    if (Found == Table.end())
+      return nullptr;
+    const outlier_state &State = Found->second;
+    const auto LeftMs = (State.TrialsFrom.Steady - Now.Steady).count() / 1'000;
+    return {{"reason", ejectionReasonName(State.Reason)},
+            {"left_ms", State.Ejected ? std::max<std::int64_t>(0, LeftMs) : 0},
+            {"ejections_in_row", State.Ejections},
+            {"trials_passed", State.TrialsPassed},
+            {"outcomes", State.Outcomes.size()},
+            {"faults", countFaults(State)},
+            {"outages", State.Outages.size()}};
+  }
+
   nlohmann::ordered_json runners() {
     const instant Now = readClock();
     nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
@@ -308,7 +326,9 @@
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadReceivedAt) : -1},
            {"limit_per_second", Runner.Permits.Limit.PerSecond},
            {"permits", Runner.Permits.Permits.size()},
-           {"failures_in_row", Runner.ConsecutiveFailures}});
+           {"failures_in_row", Runner.ConsecutiveFailures},
+           {"standing", runnerStandingName(standingOf(Runner, Now))},
+           {"ejection", ejectionRow(Id, Now)}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
 
@@ -347,6 +367,10 @@
                   Context.Path.State == path_state::Lost ? 1 : 0);
     Metrics.gauge("lentilhoist_tunnels",
                   static_cast<double>(Tunnels.tunnels()));
+    const auto Ejected = std::count_if(
+        Context.Runners.Runners.begin(), Context.Runners.Runners.end(),
+        [](const auto &Item) { return Item.second.Ejected; });
+    Metrics.gauge("lentilhoist_runners_ejected", static_cast<double>(Ejected));
     Metrics.gauge("lentilhoist_runners",
                   static_cast<double>(Context.Runners.Runners.size()));
     Metrics.gauge("lentilhoist_config_version",
@@ -392,14 +416,24 @@
   void applyConfig(const store_item &Item, const char *Source) {
     if (Item.Name != platform::ConfigName)
       return;
-    auto Config = platform::decodeConfig(Item.Spec);
+    platform::decode_notes Notes;
+    auto Config = platform::decodeConfig(Item.Spec, &Notes);
     if (!Config) {
-      logEvent(log_level::Error, "configuration_unreadable",
-               {{"revision", std::to_string(Item.Revision)}});
+      Metrics.count("lentilhoist_unreadable_configurations_total");
+      logLimited(log_level::Error, "configuration_unreadable",
+                 {{"revision", std::to_string(Item.Revision)},
+                  {"source", Source},
+                  {"fields", joinNames(Notes)}});
       return;
     }
     if (!replacesConfig(Context.Routes, Config->Version))
       return;
+    if (Notes.Count > 0)
+      logLimited(log_level::Warning, "configuration_fields_unreadable",
+                 {{"version", std::to_string(Config->Version)},
+                  {"revision", std::to_string(Item.Revision)},
+                  {"count", std::to_string(Notes.Count)},
+                  {"fields", joinNames(Notes)}});
     logEvent(log_level::Info, "configuration_changed",
              {{"version", std::to_string(Config->Version)},
               {"revision", std::to_string(Item.Revision)},
@@ -469,17 +503,28 @@
     return Settled.Steady > Now.Steady ? Settled : Now;
   }
 
+  /// Decodes a registry entry and logs what can't be read.
+  static std::optional<runner_entry> decodeRunner(const store_item &Item) {
+    platform::decode_notes Notes;
+    auto Entry = platform::decodeRunner(Item, &Notes);
+    if (Notes.Count > 0)
+      logLimited(log_level::Warning,
+                 Entry ? "runner_fields_unreadable" : "runner_entry_unusable",
+                 {{"entry", Item.Name},
+                  {"revision", std::to_string(Item.Revision)},
+                  {"fields", joinNames(Notes)}});
+    return Entry;
+  }
+
   void applyRunnerList(const std::vector<store_item> &Items,
                        const char *Source) {
     const instant Now = readClock();
     std::vector<runner_entry> Entries;
     for (const store_item &Item : Items)
-      if (auto Entry = platform::decodeRunner(Item)) {
+      if (auto Entry = decodeRunner(Item)) {
         reportNewIncarnation(*Entry);
         Entries.push_back(std::move(*Entry));
-      } else
-        logEvent(log_level::Warning, "runner_entry_unusable",
-                 {{"entry", Item.Name}});
+      }
     replaceRunners(Context.Runners, Entries, removalTime(Now), Now);
     RunnerListReceived = true;
     logEvent(log_level::Info, "runners_listed",
@@ -516,12 +561,9 @@
       removeMissingRunners(Now);
       return;
     }
-    const auto Entry = platform::decodeRunner(Event.Item);
-    if (!Entry) {
-      logEvent(log_level::Warning, "runner_entry_unusable",
-               {{"entry", Event.Item.Name}, {"revision", Revision}});
+    const auto Entry = decodeRunner(Event.Item);
+    if (!Entry)
       return;
-    }
     reportNewIncarnation(*Entry);
     if (upsertRunner(Context.Runners, *Entry))
       logEvent(log_level::Info, "runner_changed",
@@ -595,6 +637,9 @@
       dropUnconfirmed(Context.Broken, Now);
       forgetOldSuspects(Context.Suspects, Now);
       forgetLeaving(Context.Runners, Now);
+      if (forgetOutliers(Context.Runners.Outliers, Now))
+        applyEjections(Context.Runners);
+      logSuppressed();
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
       sweep();
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "forward/runner_leaving.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/frame.h"
 #include "platform/request_headers.h"
 
@@ -107,7 +108,12 @@
 }
 
 void exchange::begin() {
-  auto Decoded = platform::decodeCallerRequest(Head);
+  platform::decode_notes Notes;
+  auto Decoded = platform::decodeCallerRequest(Head, &Notes);
+  if (Notes.Count > 0)
+    logLimited(log_level::Warning, "caller_headers_unreadable",
+               {{"request", std::string(Decoded ? Decoded->Attempt : "")},
+                {"headers", joinNames(Notes)}});
   if (!Decoded) {
     respondWithError(proxy_error::BadRequest);
     return;
@@ -161,7 +167,14 @@
   Routes = Context.Routes;
   Route = Routes->find(fieldValue(Head.Fields, "Host"), pathOf(Head.Target));
   if (!Route) {
-    respondWithError(proxy_error::NoRoute);
+    // 404 is final for callers: it is given only if all routes are known.
+    respondWithError(Routes->config().UnknownRoutes
+                         ? proxy_error::RouteUnreadable
+                         : proxy_error::NoRoute);
+    return;
+  }
+  if (Route->Unreadable) {
+    respondWithError(proxy_error::RouteUnreadable);
     return;
   }
   if (!checkKey())
@@ -179,6 +192,7 @@
   const instant Now = readClock();
   if (rejectIfStopping(Now))
     return;
+  recordRequest(Context.Resends, Now);
   DeadlineTimer.expires_after(timeLeft(Now));
   DeadlineTimer.async_wait(
       [Weak = weak_from_this()](const asio::error_code &Error) {
@@ -561,6 +575,10 @@
     recordTrial(Context.Suspects, Signature, Now);
     shareSuspects(Context, {Signature});
   }
+  SlotFreeAtSend = estimateLoad(Context.Runners, View, Now) + 1 <=
+                   static_cast<double>(View.Entry.Slots);
+  UncachedTokens = std::max<std::int64_t>(
+      0, Traits.PromptTokens - cachedPrefixTokens(View, Traits));
   ++View.Outstanding;
   recordContent(View, Traits, Now);
   Reader.reset();
@@ -675,7 +693,15 @@
 
 void exchange::onResponseHead() {
   const instant Now = readClock();
-  RunnerResponse = platform::decodeRunnerResponse(Reader.response());
+  platform::decode_notes Notes;
+  RunnerResponse = platform::decodeRunnerResponse(Reader.response(), &Notes);
+  if (Notes.Count > 0) {
+    Context.Metrics.count("lentilhoist_unreadable_runner_headers_total");
+    logLimited(log_level::Warning, "runner_headers_unreadable",
+               {{"request", Traits.Attempt},
+                {"runner", RunnerId},
+                {"headers", joinNames(Notes)}});
+  }
   FirstByte = Now;
   runner_view *View = currentRunner();
   if (View && RunnerResponse.Load)
@@ -806,14 +832,27 @@
   ResponseCompletedAt = Now;
   if (RunnerResponse.NotExecuted) {
     const bool Misdirected = Reader.response().Status == StatusMisdirected;
-    if (runner_view *View = currentRunner())
+    if (runner_view *View = currentRunner()) {
       Misdirected ? recordFailure(*View, Now) : recordRefusal(*View, Now);
+      const auto &Load = RunnerResponse.Load;
+      // A limited rate is a reason to refuse with free slots.
+      if (!Misdirected && Load && !RunnerResponse.RateLimit &&
+          !View->Permits.Limit.active() &&
+          isFalseRefusal(Load->Running, Load->Waiting, Load->Slots))
+        reportRunnerOutcome(outcome_kind::Fault);
+    }
     onSendFailed(send_outcome::Refused,
                  Misdirected ? "another_runner" : "full");
     return;
   }
   if (runner_view *View = currentRunner())
     recordSuccess(*View);
+  const bool ServerError = Reader.response().Status / 100 == 5;
+  // Errors are often quick, and say nothing about the runner's speed.
+  reportRunnerOutcome(ServerError ? outcome_kind::Error : outcome_kind::Success,
+                      SlotFreeAtSend && !ServerError
+                          ? slownessOf(Now.Steady - SentAt.Steady, workSize())
+                          : 0);
   if (recordCompletion(Context.Suspects, Signature, Now))
     shareSuspects(Context, {Signature});
   // A runner that responds early leaves part of the request body unsent, so
@@ -924,8 +963,12 @@
                             bool RunnerFailed) {
   const instant Now = readClock();
   if (runner_view *View = currentRunner();
-      View && RunnerFailed && Outcome != send_outcome::Refused)
+      View && RunnerFailed && Outcome != send_outcome::Refused) {
     recordFailure(*View, Now);
+    reportRunnerOutcome(Outcome == send_outcome::NotSent
+                            ? outcome_kind::Unreachable
+                            : outcome_kind::Fault);
+  }
   if (Outcome == send_outcome::Refused && Stream)
     Stream->recordRefusal(Traits.Attempt);
   // A second copy of a refusal that names no request could be taken for the
@@ -940,8 +983,16 @@
   Context.Metrics.count(
       std::string("lentilhoist_failed_sends_total{outcome=\"") +
       sendOutcomeName(Outcome) + "\"}");
-  const bool Retry = !ResponseStarted && !CallerLeft &&
-                     mayResend(*Route, Sends) && timeLeft(Now).count() > 0;
+  bool Retry = !ResponseStarted && !CallerLeft && mayResend(*Route, Sends) &&
+               timeLeft(Now).count() > 0;
+  // A send that this instance's own path or a relay has lost put no load on a
+  // runner.
+  const bool Denied =
+      Retry && RunnerFailed && !takeResend(Context.Resends, Now);
+  if (Denied) {
+    Retry = false;
+    Context.Metrics.count("lentilhoist_resends_denied_total");
+  }
   logEvent(log_level::Info, "send_failed",
            {{"request", Traits.Attempt},
             {"runner", RunnerId},
@@ -951,7 +1002,10 @@
             {"reused_connection", ReusedConnection ? "true" : "false"},
             {"events", std::to_string(EventCount)},
             {"framing", responseFraming()},
-            {"again", Retry ? "true" : "false"}});
+            {"resends_left", formatTruncated(Context.Resends.Resends)},
+            {"again", Denied  ? "no_budget"
+                      : Retry ? "true"
+                              : "false"}});
   if (Retry) {
     place();
     return;
@@ -965,9 +1019,33 @@
                        : proxy_error::RunnerFailed);
 }
 
+/// \returns the size of the request as far as it has been answered.
+work_size exchange::workSize() const {
+  return {Engine.has_value(), UncachedTokens,
+          EventCount * (Engine ? Engine->TokensPerEvent : 1)};
+}
+
+void exchange::reportRunnerOutcome(outcome_kind Kind, double Slowness) {
+  reportOutcome(
+      Context, {Traits.Attempt, RunnerId, RunnerBornMs, !Relay.empty(), SentAt},
+      {Kind, Slowness});
+}
+
+/// A request that is cut by its deadline tells about the runner only if it had
+/// a free slot and has sent no part of the response. A short deadline is none
+/// of its faults.
+void exchange::reportHang() {
+  const bool AtRunner = Stage == stage::Awaiting || Stage == stage::Relaying;
+  if (AtRunner && SlotFreeAtSend && EventCount == 0 && ResponseBytes == 0 &&
+      ResponseBody.empty() &&
+      isHang(readClock().Steady - SentAt.Steady, workSize()))
+    reportRunnerOutcome(outcome_kind::Fault);
+}
+
 void exchange::onTimeout() {
   if (Stage == stage::Done || Stage == stage::Committing)
     return;
+  reportHang();
   if (ResponseStarted) {
     abortResponse("timed_out");
     return;
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -434,6 +434,31 @@
   CHECK(Fixture.Context.ActiveRequests == 0);
 }
 
+// Guards against 404, which callers take as final, for a request whose route is
+// configured and can't be read, and against its being sent elsewhere.
+TEST_CASE("requests of routes that can't be read are rejected as not run") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  configuration Config = Fixture.Context.Routes->config();
+  route Hidden = Config.Routes.front();
+  Hidden.PathPrefix = "/x";
+  Hidden.Targets.clear();
+  Hidden.Unreadable = true;
+  Config.Routes.push_back(Hidden);
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  const std::string Response = Fixture.call("1");
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  Config.Routes.clear();
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 404"));
+  Config.UnknownRoutes = true;
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  CHECK(Fixture.call("3").starts_with("HTTP/1.1 503"));
+  CHECK(Fixture.arrivals() == 0);
+}
+
 TEST_CASE("request that was not executed is resent to another runner") {
   int Calls = 0;
   fixture Fixture([&](const http_request_head &Head, const std::string &) {
@@ -2468,4 +2493,139 @@
   Progress.PermitUntil = later(Now, microseconds(1));
   CHECK(hasPermit(Fixture.Context, "a", Quota, Progress, Now));
   CHECK(hasPermit(Fixture.Context, "a", {}, Progress, later(Now, seconds(9))));
-}
+
+  // Guards against a runner that resets part of its connections and is used
+  // like the others, and against a result that is recorded for the wrong
+  // runner.
+  TEST_CASE("a runner that breaks off part of its requests is ejected, and the "
+            "other one serves") {
+    int FirstCalls = 0;
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      const bool First =
+          fieldValue(Head.Fields, "X-Expect-Instance") == "first";
+      if (First && ++FirstCalls % 2 == 0)
+        return scripted_response{"", false, true};
+      return scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    const auto FirstView = [&]() -> runner_view & {
+      return Fixture.Context.Runners.Runners.at("first");
+    };
+    for (int Call = 0; Call < 200 && !FirstView().Ejected; ++Call) {
+      CAPTURE(Call);
+      // Requests that don't overlap would all go to one of two equal runners.
+      const char *Busy = Call % 2 == 0 ? "second" : "first";
+      Fixture.Context.Runners.Runners.at(Busy).Outstanding += 2;
+      CHECK(bodyOf(Fixture.call("a" + std::to_string(Call))) == "done");
+      Fixture.Context.Runners.Runners.at(Busy).Outstanding -= 2;
+      Fixture.runFor(milliseconds(30));
+    }
+    CHECK(FirstView().Ejected);
+    CHECK(standingOf(FirstView(), readClock()) == runner_standing::Ejected);
+    CHECK_FALSE(Fixture.Context.Runners.Runners.at("second").Ejected);
+    const int Before = FirstCalls;
+    for (int Call = 0; Call < 10; ++Call)
+      CHECK(bodyOf(Fixture.call("b" + std::to_string(Call))) == "done");
+    CHECK(FirstCalls == Before);
+  }
+
+  // Guards against refusals for load and server errors held against a runner.
+  TEST_CASE("refusals for load and answered errors are no faults of a runner") {
+    int Calls = 0;
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      if (++Calls % 2 == 1)
+        return scripted_response{
+            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+            attemptOf(Head) +
+            "\r\nX-Server-Load: 4,1,4\r\nContent-Length: 0\r\n\r\n"};
+      return scripted_response{
+          "HTTP/1.1 500 Error\r\nX-Attempt-Id: " + attemptOf(Head) +
+          "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (int Call = 0; Call < 10; ++Call)
+      CHECK(Fixture.call(std::to_string(Call)).starts_with("HTTP/1.1 500"));
+    for (const auto &[Id, State] : Fixture.Context.Runners.Outliers.Runners) {
+      CAPTURE(Id);
+      CHECK(countFaults(State) == 0);
+      CHECK_FALSE(State.Ejected);
+    }
+  }
+
+  TEST_CASE("a runner that refuses as full while it reports free slots has a "
+            "fault") {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      if (fieldValue(Head.Fields, "X-Expect-Instance") == "first")
+        return scripted_response{
+            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+            attemptOf(Head) +
+            "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+      return scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    Fixture.Context.Runners.Runners.at("second").Outstanding = 2;
+    CHECK(bodyOf(Fixture.call("1")) == "done");
+    const auto &States = Fixture.Context.Runners.Outliers.Runners;
+    REQUIRE(States.contains("first"));
+    CHECK(countFaults(States.at("first")) == 1);
+    CHECK(countFaults(States.at("second")) == 0);
+  }
+
+  // Guards against resends that multiply the requests of an overloaded service.
+  TEST_CASE(
+      "the budget bounds resends when all requests fail, and never denies "
+      "those of single failures") {
+    constexpr int Rate = 50;
+    constexpr int Time = 60;
+    const instant Start{seconds(100), milliseconds(0)};
+    const auto at = [&](int Request) {
+      return later(Start, microseconds(1'000'000) * Request / Rate);
+    };
+    retry_budget Overload;
+    int Resends = 0;
+    for (int Request = 0; Request < Rate * Time; ++Request) {
+      recordRequest(Overload, at(Request));
+      for (int Try = 0; Try < 8 && takeResend(Overload, at(Request)); ++Try)
+        ++Resends;
+    }
+    CHECK(Resends <= ResendsPerRequest * Rate * Time + ResendsPerSecond * Time +
+                         MaxStoredResends);
+    // A runner of five fails all requests until it is known.
+    retry_budget Failures;
+    for (int Request = 0; Request < Rate * Time; ++Request) {
+      recordRequest(Failures, at(Request));
+      if (Request % 5 == 0)
+        REQUIRE(takeResend(Failures, at(Request)));
+    }
+    // An instance with hardly any request, and all requests of a runner that
+    // ends at once.
+    retry_budget Idle;
+    for (int Request = 0; Request < 100; ++Request) {
+      recordRequest(Idle, Start);
+      REQUIRE(takeResend(Idle, Start));
+    }
+    CHECK(Idle.Resends < MaxStoredResends);
+    recordRequest(Idle, later(Start, seconds(3'600)));
+    CHECK(Idle.Resends == MaxStoredResends);
+  }
+
+  TEST_CASE("a request that the budget does not let resend is answered "
+            "truthfully") {
+    bool Break = false;
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      return Break ? scripted_response{"", false, true}
+                   : scripted_response{NotExecutedResponse};
+    });
+    const auto Exhaust = [&] {
+      Fixture.Context.Resends.Resends = -100;
+      Fixture.Context.Resends.RefilledAt = readClock();
+    };
+    Exhaust();
+    // It has surely not run.
+    const std::string Refused = Fixture.call("1");
+    CHECK(Refused.starts_with("HTTP/1.1 503"));
+    CHECK(Refused.find("Retry-After") != std::string::npos);
+    CHECK(Fixture.arrivals() == 1);
+    Break = true;
+    Exhaust();
+    // It may have run.
+    CHECK(Fixture.call("2").starts_with("HTTP/1.1 502"));
+    CHECK(Fixture.arrivals() == 2);
+  }
