Place requests by the priority of their workspace

Cause: placement used the priority of the route only.

Change: a workspace's priority, if present, replaces that of the route, in placement and in the line request_placed.

Result: config_test passes, 9 of 9, and the 9 cases of forward_test about keys, workspaces and priorities; the other cases of forward_test were not run again.

--- a/src/config/route_table.cpp
+++ b/src/config/route_table.cpp
@@ -78,6 +78,11 @@
   return Route.Targets.back().Service;
 }
 
+int priorityOf(const route &Route, const workspace *Workspace) {
+  return Workspace && Workspace->Priority ? *Workspace->Priority
+                                          : Route.Priority;
+}
+
 bool replacesConfig(const route_table_ptr &Current, std::int64_t Version) {
   return !Current || Version > Current->config().Version;
 }
--- a/src/config/route_table.h
+++ b/src/config/route_table.h
@@ -47,6 +47,11 @@
 /// \returns the service's name; empty if no target has a weight.
 std::string_view chooseTarget(const route &Route, std::uint64_t Hash);
 
+/// \param Route the route of a request.
+/// \param Workspace the caller's workspace, or null.
+/// \returns the priority of the request: that of the workspace, if it has one.
+int priorityOf(const route &Route, const workspace *Workspace);
+
 /// The configuration version of a process only increases.
 /// \param Current the active table, or null.
 /// \param Version version of the candidate.
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -329,7 +329,7 @@
   Query.Request = &Traits;
   Query.Engine = Engine;
   Query.Excluded = TriedRunners;
-  Query.Priority = Route->Priority;
+  Query.Priority = priorityOf(*Route, Workspace);
   Query.Rank = permitRank();
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
@@ -371,7 +371,7 @@
        {"limit_per_second",
         formatRate(Context.Runners.Runners.at(Placement.Runner)
                        .Permits.Limit.PerSecond)},
-       {"priority", std::to_string(Route->Priority)},
+       {"priority", std::to_string(Query.Priority)},
        {"quarantine", quarantineVerdictName(Quarantine)},
        {"program_left_ms", Traits.ProgramTimeLeft
                                ? std::to_string(Traits.ProgramTimeLeft->count())
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -15,7 +15,7 @@
   const request_traits *Request = nullptr;
   std::optional<engine_traits> Engine; ///< Set for model engines only.
   std::set<std::string> Excluded;      ///< IDs of runners already tried.
-  int Priority = 0; ///< Priority of the route; 0 is the most urgent.
+  int Priority = 0; ///< Of the workspace or route; 0 is the most urgent.
   /// Rank of the request at runners that limit their rate.
   permit_rank Rank = permit_rank::New;
   /// Prefer the runner with the fewest requests: this one may end it.
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -184,3 +184,15 @@
   CHECK(Text.empty());
   CHECK(std::count(Bytes, Bytes + 64, 'k') == 0);
 }
+
+TEST_CASE("a workspace's priority replaces that of the route") {
+  route Route;
+  Route.Priority = 2;
+  CHECK(priorityOf(Route, nullptr) == 2);
+  const workspace Without = makeWorkspace("a", {});
+  CHECK(priorityOf(Route, &Without) == 2);
+  const workspace Highest = makeWorkspace("a", {}, 0);
+  CHECK(priorityOf(Route, &Highest) == 0);
+  const workspace Lower = makeWorkspace("a", {}, 7);
+  CHECK(priorityOf(Route, &Lower) == 7);
+}
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -9,9 +9,12 @@
 #include "tunnel/tunnel_server.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <doctest/doctest.h>
+#include <iostream>
 #include <list>
 #include <set>
+#include <unistd.h>
 
 using namespace lentilhoist;
 
@@ -2099,6 +2102,44 @@
   return {sealedResponse(attemptOf(Head), "answer")};
 }
 
+/// Collects what the process writes to standard output while it lives.
+class output_capture {
+public:
+  output_capture() : File(std::tmpfile()), Saved(dup(STDOUT_FILENO)) {
+    REQUIRE(File);
+    std::fflush(stdout);
+    std::cout.flush();
+    dup2(fileno(File), STDOUT_FILENO);
+  }
+  ~output_capture() { restore(); }
+  output_capture(const output_capture &) = delete;
+  output_capture &operator=(const output_capture &) = delete;
+
+  /// Ends the collection.
+  std::string text() {
+    restore();
+    std::rewind(File);
+    std::string Text;
+    for (int Char = std::fgetc(File); Char != EOF; Char = std::fgetc(File))
+      Text += static_cast<char>(Char);
+    std::fclose(std::exchange(File, nullptr));
+    return Text;
+  }
+
+private:
+  void restore() {
+    if (Saved < 0)
+      return;
+    std::fflush(stdout);
+    std::cout.flush();
+    dup2(Saved, STDOUT_FILENO);
+    close(std::exchange(Saved, -1));
+  }
+
+  std::FILE *File;
+  int Saved;
+};
+
 } // namespace
 
 TEST_CASE("a request without a known key is answered with 401 and not sent") {
@@ -2278,3 +2319,19 @@
   CHECK_FALSE(Fixture.CallerEnded);
   CHECK(Fixture.arrivals() == 1);
 }
+
+TEST_CASE("the log states the priority of the workspace") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  configuration Config = Fixture.Context.Routes->config();
+  Config.Routes.front().Priority = 2;
+  Config.Workspaces->front().Priority = 1;
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  const auto Logged = [&](const std::string &Key) {
+    output_capture Output;
+    CHECK(Fixture.call("1", bearer(Key)).starts_with("HTTP/1.1 200"));
+    return Output.text();
+  };
+  CHECK(Logged("ka").find("\"priority\":\"1\"") != std::string::npos);
+  CHECK(Logged("kb").find("\"priority\":\"2\"") != std::string::npos);
+}
