--- a/src/config/route_table.cpp
+++ b/src/config/route_table.cpp
@@ -31,7 +31,8 @@
   return "unknown";
 }
 
-route_table::route_table(configuration Given) : Config(std::move(Given)) {
+route_table::route_table(configuration Given)
+    : Config(std::move(Given)), Keys(Config) {
   for (const route &Route : Config.Routes)
     ByHost[lowerHost(Route.Host)].push_back(&Route);
   for (auto &[Host, Routes] : ByHost)
@@ -77,6 +78,11 @@
   return Route.Targets.back().Service;
 }
 
+int priorityOf(const route &Route, const workspace *Workspace) {
+  return Workspace && Workspace->Priority ? *Workspace->Priority
+                                          : Route.Priority;
+}
+
 bool replacesConfig(const route_table_ptr &Current, std::int64_t Version) {
   return !Current || Version > Current->config().Version;
 }
--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -8,6 +8,7 @@
 #include "forward/runner_leaving.h"
 #include "history/relay_server.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/address.h"
 #include "net/listener.h"
 #include "net/text_server.h"
@@ -18,6 +19,7 @@
 #include <algorithm>
 #include <asio/signal_set.hpp>
 #include <csignal>
+#include <fmt/ranges.h>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -245,6 +247,8 @@
       return {200, status().dump() + "\n"};
     if (Head.Target == "/runners")
       return {200, runners().dump() + "\n"};
+    if (Head.Target == "/quotas")
+      return {200, quotas().dump() + "\n"};
     return renderMetrics();
   }
 
@@ -287,6 +291,23 @@
     return Json;
   }
 
+  /// \returns the recent results of a runner that decide whether it is ejected.
+  nlohmann::ordered_json ejectionRow(const std::string &Id, instant Now) const {
+    const auto &Table = Context.Runners.Outliers.Runners;
+    const auto Found = Table.find(Id);
+    if (Found == Table.end())
+      return nullptr;
+    const outlier_state &State = Found->second;
+    const auto LeftMs = (State.TrialsFrom.Steady - Now.Steady).count() / 1'000;
+    return {{"reason", ejectionReasonName(State.Reason)},
+            {"left_ms", State.Ejected ? std::max<std::int64_t>(0, LeftMs) : 0},
+            {"ejections_in_row", State.Ejections},
+            {"trials_passed", State.TrialsPassed},
+            {"outcomes", State.Outcomes.size()},
+            {"faults", countFaults(State)},
+            {"outages", State.Outages.size()}};
+  }
+
   nlohmann::ordered_json runners() {
     const instant Now = readClock();
     nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
@@ -305,11 +326,37 @@
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadReceivedAt) : -1},
            {"limit_per_second", Runner.Permits.Limit.PerSecond},
            {"permits", Runner.Permits.Permits.size()},
-           {"failures_in_row", Runner.ConsecutiveFailures}});
+           {"failures_in_row", Runner.ConsecutiveFailures},
+           {"standing", runnerStandingName(standingOf(Runner, Now))},
+           {"ejection", ejectionRow(Id, Now)}});
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
 
+  /// The largest workspaces with a quota, as this instance knows them.
+  nlohmann::ordered_json quotas() {
+    nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
+    for (const std::string &Name :
+         largestWorkspaces(Context.Quotas, MaxListedQuotas)) {
+      const quota_stock &Stock = Context.Quotas.Stocks.at(Name);
+      Rows.push_back(
+          {{"workspace", Name},
+           {"sent", Stock.Granted},
+           {"refused", Stock.Refused},
+           {"permits", Stock.Permits.size()},
+           {"issuer", Stock.Issuer},
+           {"issuer_tokens", Stock.Tokens},
+           {"demand_per_second", Stock.Demand},
+           {"reply_age_ms",
+            Stock.DemandAt.Steady.count() == 0 ? -1 : ageMs(Stock.DemandAt)}});
+    }
+    return {{"instance", Settings.Name},
+            {"known_workspaces", Context.Quotas.Stocks.size()},
+            {"workspaces", Rows}};
+  }
+
   text_answer renderMetrics() {
+    Metrics.gauge("lentilhoist_quota_workspaces",
+                  static_cast<double>(Context.Quotas.Stocks.size()));
     Metrics.gauge("lentilhoist_active_requests",
                   static_cast<double>(Context.ActiveRequests));
     Metrics.gauge("lentilhoist_caller_connections",
@@ -320,6 +367,10 @@
                   Context.Path.State == path_state::Lost ? 1 : 0);
     Metrics.gauge("lentilhoist_tunnels",
                   static_cast<double>(Tunnels.tunnels()));
+    const auto Ejected = std::count_if(
+        Context.Runners.Runners.begin(), Context.Runners.Runners.end(),
+        [](const auto &Item) { return Item.second.Ejected; });
+    Metrics.gauge("lentilhoist_runners_ejected", static_cast<double>(Ejected));
     Metrics.gauge("lentilhoist_runners",
                   static_cast<double>(Context.Runners.Runners.size()));
     Metrics.gauge("lentilhoist_config_version",
@@ -365,21 +416,57 @@
   void applyConfig(const store_item &Item, const char *Source) {
     if (Item.Name != platform::ConfigName)
       return;
-    auto Config = platform::decodeConfig(Item.Spec);
+    platform::decode_notes Notes;
+    auto Config = platform::decodeConfig(Item.Spec, &Notes);
     if (!Config) {
-      logEvent(log_level::Error, "configuration_unreadable",
-               {{"revision", std::to_string(Item.Revision)}});
+      Metrics.count("lentilhoist_unreadable_configurations_total");
+      logLimited(log_level::Error, "configuration_unreadable",
+                 {{"revision", std::to_string(Item.Revision)},
+                  {"source", Source},
+                  {"fields", joinNames(Notes)}});
       return;
     }
     if (!replacesConfig(Context.Routes, Config->Version))
       return;
+    if (Notes.Count > 0)
+      logLimited(log_level::Warning, "configuration_fields_unreadable",
+                 {{"version", std::to_string(Config->Version)},
+                  {"revision", std::to_string(Item.Revision)},
+                  {"count", std::to_string(Notes.Count)},
+                  {"fields", joinNames(Notes)}});
     logEvent(log_level::Info, "configuration_changed",
              {{"version", std::to_string(Config->Version)},
               {"revision", std::to_string(Item.Revision)},
               {"source", Source},
-              {"routes", std::to_string(Config->Routes.size())}});
+              {"routes", std::to_string(Config->Routes.size())},
+              {"workspaces", Config->Workspaces
+                                 ? std::to_string(Config->Workspaces->size())
+                                 : "none"}});
     Context.Routes = std::make_shared<const route_table>(std::move(*Config));
     Context.ConfigUpdatedAt = readClock();
+    logWorkspaceFaults(*Context.Routes);
+  }
+
+  /// Logs what the configuration's list of workspaces says that is not in
+  /// force, without any key.
+  static void logWorkspaceFaults(const route_table &Table) {
+    const workspace_faults &Faults = Table.config().WorkspaceFaults;
+    const key_conflicts &Conflicts = Table.keys().conflicts();
+    if (Faults.Entries + Faults.Keys + Faults.Fields + Faults.Repeated +
+            Conflicts.Keys ==
+        0)
+      return;
+    logEvent(
+        log_level::Warning, "workspaces_faulty",
+        {{"version", std::to_string(Table.config().Version)},
+         {"entries_omitted", std::to_string(Faults.Entries)},
+         {"keys_omitted", std::to_string(Faults.Keys)},
+         {"fields_omitted", std::to_string(Faults.Fields)},
+         {"repeated_entries", std::to_string(Faults.Repeated)},
+         {"workspaces", fmt::format("{}", fmt::join(Faults.Workspaces, ", "))},
+         {"shared_keys", std::to_string(Conflicts.Keys)},
+         {"workspaces_sharing_keys",
+          fmt::format("{}", fmt::join(Conflicts.Workspaces, ", "))}});
   }
 
   void watchRunners() {
@@ -416,17 +503,28 @@
     return Settled.Steady > Now.Steady ? Settled : Now;
   }
 
+  /// Decodes a registry entry and logs what can't be read.
+  static std::optional<runner_entry> decodeRunner(const store_item &Item) {
+    platform::decode_notes Notes;
+    auto Entry = platform::decodeRunner(Item, &Notes);
+    if (Notes.Count > 0)
+      logLimited(log_level::Warning,
+                 Entry ? "runner_fields_unreadable" : "runner_entry_unusable",
+                 {{"entry", Item.Name},
+                  {"revision", std::to_string(Item.Revision)},
+                  {"fields", joinNames(Notes)}});
+    return Entry;
+  }
+
   void applyRunnerList(const std::vector<store_item> &Items,
                        const char *Source) {
     const instant Now = readClock();
     std::vector<runner_entry> Entries;
     for (const store_item &Item : Items)
-      if (auto Entry = platform::decodeRunner(Item)) {
+      if (auto Entry = decodeRunner(Item)) {
         reportNewIncarnation(*Entry);
         Entries.push_back(std::move(*Entry));
-      } else
-        logEvent(log_level::Warning, "runner_entry_unusable",
-                 {{"entry", Item.Name}});
+      }
     replaceRunners(Context.Runners, Entries, removalTime(Now), Now);
     RunnerListReceived = true;
     logEvent(log_level::Info, "runners_listed",
@@ -463,12 +561,9 @@
       removeMissingRunners(Now);
       return;
     }
-    const auto Entry = platform::decodeRunner(Event.Item);
-    if (!Entry) {
-      logEvent(log_level::Warning, "runner_entry_unusable",
-               {{"entry", Event.Item.Name}, {"revision", Revision}});
+    const auto Entry = decodeRunner(Event.Item);
+    if (!Entry)
       return;
-    }
     reportNewIncarnation(*Entry);
     if (upsertRunner(Context.Runners, *Entry))
       logEvent(log_level::Info, "runner_changed",
@@ -542,6 +637,9 @@
       dropUnconfirmed(Context.Broken, Now);
       forgetOldSuspects(Context.Suspects, Now);
       forgetLeaving(Context.Runners, Now);
+      if (forgetOutliers(Context.Runners.Outliers, Now))
+        applyEjections(Context.Runners);
+      logSuppressed();
       if (!RegistryUnreachable)
         removeMissingRunners(Now);
       sweep();
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 #include "forward/runner_leaving.h"
 #include "log/log.h"
+#include "log/log_limit.h"
 #include "net/frame.h"
 #include "platform/request_headers.h"
 
@@ -107,7 +108,12 @@
 }
 
 void exchange::begin() {
-  auto Decoded = platform::decodeCallerRequest(Head);
+  platform::decode_notes Notes;
+  auto Decoded = platform::decodeCallerRequest(Head, &Notes);
+  if (Notes.Count > 0)
+    logLimited(log_level::Warning, "caller_headers_unreadable",
+               {{"request", std::string(Decoded ? Decoded->Attempt : "")},
+                {"headers", joinNames(Notes)}});
   if (!Decoded) {
     respondWithError(proxy_error::BadRequest);
     return;
@@ -143,8 +149,12 @@
 }
 
 void exchange::scheduleRetry(void (exchange::*Step)()) {
+  scheduleStep(Step, HoldRetryInterval);
+}
+
+void exchange::scheduleStep(void (exchange::*Step)(), milliseconds Delay) {
   Stage = stage::Holding;
-  StepTimer.expires_after(HoldRetryInterval);
+  StepTimer.expires_after(Delay);
   StepTimer.async_wait(
       [Weak = weak_from_this(), Step](const asio::error_code &Error) {
         const auto Self = Weak.lock();
@@ -157,9 +167,18 @@
   Routes = Context.Routes;
   Route = Routes->find(fieldValue(Head.Fields, "Host"), pathOf(Head.Target));
   if (!Route) {
-    respondWithError(proxy_error::NoRoute);
+    // 404 is final for callers: it is given only if all routes are known.
+    respondWithError(Routes->config().UnknownRoutes
+                         ? proxy_error::RouteUnreadable
+                         : proxy_error::NoRoute);
+    return;
+  }
+  if (Route->Unreadable) {
+    respondWithError(proxy_error::RouteUnreadable);
     return;
   }
+  if (!checkKey())
+    return;
   Service = chooseTarget(*Route, stableHash(Traits.Attempt));
   Signature = signatureOf(Head.Method, fieldValue(Head.Fields, "Host"),
                           Head.Target, Body);
@@ -173,6 +192,7 @@
   const instant Now = readClock();
   if (rejectIfStopping(Now))
     return;
+  recordRequest(Context.Resends, Now);
   DeadlineTimer.expires_after(timeLeft(Now));
   DeadlineTimer.async_wait(
       [Weak = weak_from_this()](const asio::error_code &Error) {
@@ -186,6 +206,54 @@
     place();
 }
 
+/// Checks the caller's key against the newest configuration. The request is
+/// answered if the key is not valid.
+/// \returns whether the request may be served.
+bool exchange::checkKey() {
+  if (KeyRoutes == Context.Routes)
+    return true;
+  const configuration &Config = Context.Routes->config();
+  // A request that began with workspaces keeps its own if there are none now.
+  if (!Config.Workspaces)
+    return true;
+  const bool FirstCheck = !Key;
+  if (FirstCheck)
+    Key = platform::takeKey(Head);
+  const route *Newest = Context.Routes->find(fieldValue(Head.Fields, "Host"),
+                                             pathOf(Head.Target));
+  access_decision Decision =
+      decideAccess(Config, Context.Routes->keys(),
+                   Newest ? Newest->Public : Route->Public, *Key);
+  const std::string Former = Workspace ? Workspace->Name : "";
+  const std::string Name = Decision.Workspace ? Decision.Workspace->Name : "";
+  // What it has reserved belongs to the former workspace.
+  if (Decision.Verdict == access_verdict::Granted && !FirstCheck &&
+      Name != Former)
+    Decision.Verdict = access_verdict::ChangedOwner;
+  if (Decision.Verdict == access_verdict::Granted) {
+    KeyRoutes = Context.Routes;
+    Workspace = Decision.Workspace;
+    return true;
+  }
+  const char *Reason = accessVerdictName(Decision.Verdict);
+  Context.Metrics.count(
+      std::string("lentilhoist_refused_keys_total{reason=\"") + Reason + "\"}");
+  const auto ConfigAge = duration_cast<milliseconds>(
+      readClock().Steady - Context.ConfigUpdatedAt.Steady);
+  logEvent(log_level::Info, "key_refused",
+           {{"request", Traits.Attempt},
+            {"route", Route->Name},
+            {"reason", Reason},
+            {"stage", stageName(Stage)},
+            {"config_version", std::to_string(Config.Version)},
+            {"config_age_ms", std::to_string(ConfigAge.count())}});
+  releaseRunner(false);
+  respondWithError(Decision.Verdict == access_verdict::ChangedOwner
+                       ? proxy_error::WorkspaceChanged
+                       : proxy_error::Unauthorized);
+  return false;
+}
+
 /// \returns whether the history has to know of the request before it is sent:
 /// it builds on earlier turns, or draws tokens from its program's budget.
 bool exchange::needsReservation() const {
@@ -263,7 +331,7 @@
 
 void exchange::place() {
   const instant Now = readClock();
-  if (rejectIfStopping(Now))
+  if (rejectIfStopping(Now) || !checkKey())
     return;
   const quarantine_decision Decision =
       decideQuarantine(Context.Suspects, Signature, Now);
@@ -279,7 +347,7 @@
   Query.Request = &Traits;
   Query.Engine = Engine;
   Query.Excluded = TriedRunners;
-  Query.Priority = Route->Priority;
+  Query.Priority = priorityOf(*Route, Workspace);
   Query.Rank = permitRank();
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
@@ -300,6 +368,8 @@
                                     : "all_paused");
     return;
   }
+  if (!takeQuota(Now))
+    return;
   logEvent(
       log_level::Info, "request_placed",
       {{"request", Traits.Attempt},
@@ -321,7 +391,7 @@
        {"limit_per_second",
         formatRate(Context.Runners.Runners.at(Placement.Runner)
                        .Permits.Limit.PerSecond)},
-       {"priority", std::to_string(Route->Priority)},
+       {"priority", std::to_string(Query.Priority)},
        {"quarantine", quarantineVerdictName(Quarantine)},
        {"program_left_ms", Traits.ProgramTimeLeft
                                ? std::to_string(Traits.ProgramTimeLeft->count())
@@ -330,6 +400,47 @@
   send(Placement.Runner);
 }
 
+quota exchange::workspaceQuota() const {
+  return quotaOf(Workspace, KeyRoutes ? KeyRoutes->config().Version : 0);
+}
+
+/// Takes a permit of the workspace for the next send.
+/// \returns false if there is none; the request then waits for one or is
+/// answered.
+bool exchange::takeQuota(instant Now) {
+  const quota Limit = workspaceQuota();
+  if (!Limit.active())
+    return true;
+  const quota_decision Decision = advanceQuota(
+      Context, Workspace->Name, Limit, QuotaProgress, holdTimeLeft(Now),
+      Traits.Attempt, [Weak = weak_from_this()](const quota_reply &Reply) {
+        const auto Self = Weak.lock();
+        if (!Self || Self->Stage != stage::Holding)
+          return;
+        applyQuotaAnswer(Self->QuotaProgress, Reply, readClock());
+        Self->StepTimer.cancel();
+        Self->place();
+      });
+  switch (Decision.Step) {
+  case quota_step::Send:
+    return true;
+  case quota_step::Wait:
+    scheduleStep(&exchange::place,
+                 std::max(milliseconds(1),
+                          std::chrono::ceil<milliseconds>(
+                              QuotaProgress.RetryAt.Steady - Now.Steady)));
+    return false;
+  case quota_step::Refuse:
+    QuotaRetry = Decision.RetryAfter;
+    respondWithError(proxy_error::QuotaExceeded);
+    return false;
+  case quota_step::GiveUp:
+    respondWithError(proxy_error::QuotaUndecided);
+    return false;
+  }
+  return false;
+}
+
 /// Decides whether the next send goes through a relay.
 /// \returns false if there is neither a path nor a relay; the request is then
 /// held or answered.
@@ -464,6 +575,10 @@
     recordTrial(Context.Suspects, Signature, Now);
     shareSuspects(Context, {Signature});
   }
+  SlotFreeAtSend = estimateLoad(Context.Runners, View, Now) + 1 <=
+                   static_cast<double>(View.Entry.Slots);
+  UncachedTokens = std::max<std::int64_t>(
+      0, Traits.PromptTokens - cachedPrefixTokens(View, Traits));
   ++View.Outstanding;
   recordContent(View, Traits, Now);
   Reader.reset();
@@ -519,12 +634,27 @@
 }
 
 void exchange::writeRequest() {
+  // The configuration may have changed while the connection was opened.
+  if (!checkKey())
+    return;
+  const instant Now = readClock();
+  if (const quota Limit = workspaceQuota();
+      Limit.active() &&
+      !hasPermit(Context, Workspace->Name, Limit, QuotaProgress, Now)) {
+    TriedRunners.erase(RunnerId);
+    onSendFailed(send_outcome::NotSent, "quota_permit_lapsed", false);
+    return;
+  }
   Stage = stage::Awaiting;
   if (Relay.empty()) {
     Context.DirectExchanges.insert(weak_from_this());
     reportPathSent(Context);
   }
-  const platform::runner_request_options Order{RunnerId, timeLeft(readClock())};
+  platform::runner_request_options Order;
+  Order.RunnerId = RunnerId;
+  Order.TimeLeft = timeLeft(Now);
+  if (Key)
+    Order.Workspace = Workspace ? Workspace->Name : std::string();
   Stream->write(
       encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body));
 }
@@ -563,7 +693,15 @@
 
 void exchange::onResponseHead() {
   const instant Now = readClock();
-  RunnerResponse = platform::decodeRunnerResponse(Reader.response());
+  platform::decode_notes Notes;
+  RunnerResponse = platform::decodeRunnerResponse(Reader.response(), &Notes);
+  if (Notes.Count > 0) {
+    Context.Metrics.count("lentilhoist_unreadable_runner_headers_total");
+    logLimited(log_level::Warning, "runner_headers_unreadable",
+               {{"request", Traits.Attempt},
+                {"runner", RunnerId},
+                {"headers", joinNames(Notes)}});
+  }
   FirstByte = Now;
   runner_view *View = currentRunner();
   if (View && RunnerResponse.Load)
@@ -694,14 +832,27 @@
   ResponseCompletedAt = Now;
   if (RunnerResponse.NotExecuted) {
     const bool Misdirected = Reader.response().Status == StatusMisdirected;
-    if (runner_view *View = currentRunner())
+    if (runner_view *View = currentRunner()) {
       Misdirected ? recordFailure(*View, Now) : recordRefusal(*View, Now);
+      const auto &Load = RunnerResponse.Load;
+      // A limited rate is a reason to refuse with free slots.
+      if (!Misdirected && Load && !RunnerResponse.RateLimit &&
+          !View->Permits.Limit.active() &&
+          isFalseRefusal(Load->Running, Load->Waiting, Load->Slots))
+        reportRunnerOutcome(outcome_kind::Fault);
+    }
     onSendFailed(send_outcome::Refused,
                  Misdirected ? "another_runner" : "full");
     return;
   }
   if (runner_view *View = currentRunner())
     recordSuccess(*View);
+  const bool ServerError = Reader.response().Status / 100 == 5;
+  // Errors are often quick, and say nothing about the runner's speed.
+  reportRunnerOutcome(ServerError ? outcome_kind::Error : outcome_kind::Success,
+                      SlotFreeAtSend && !ServerError
+                          ? slownessOf(Now.Steady - SentAt.Steady, workSize())
+                          : 0);
   if (recordCompletion(Context.Suspects, Signature, Now))
     shareSuspects(Context, {Signature});
   // A runner that responds early leaves part of the request body unsent, so
@@ -812,8 +963,12 @@
                             bool RunnerFailed) {
   const instant Now = readClock();
   if (runner_view *View = currentRunner();
-      View && RunnerFailed && Outcome != send_outcome::Refused)
+      View && RunnerFailed && Outcome != send_outcome::Refused) {
     recordFailure(*View, Now);
+    reportRunnerOutcome(Outcome == send_outcome::NotSent
+                            ? outcome_kind::Unreachable
+                            : outcome_kind::Fault);
+  }
   if (Outcome == send_outcome::Refused && Stream)
     Stream->recordRefusal(Traits.Attempt);
   // A second copy of a refusal that names no request could be taken for the
@@ -822,11 +977,22 @@
                 !RunnerResponse.Attempt.empty() && Reader.keepAlive() &&
                 Stream && !Stream->closed() && Stream->pendingBytes() == 0);
   countFailedSend(Sends, Outcome);
+  // Another send may run besides this one.
+  if (Outcome == send_outcome::Unknown)
+    QuotaProgress.PermitUntil = {};
   Context.Metrics.count(
       std::string("lentilhoist_failed_sends_total{outcome=\"") +
       sendOutcomeName(Outcome) + "\"}");
-  const bool Retry = !ResponseStarted && !CallerLeft &&
-                     mayResend(*Route, Sends) && timeLeft(Now).count() > 0;
+  bool Retry = !ResponseStarted && !CallerLeft && mayResend(*Route, Sends) &&
+               timeLeft(Now).count() > 0;
+  // A send that this instance's own path or a relay has lost put no load on a
+  // runner.
+  const bool Denied =
+      Retry && RunnerFailed && !takeResend(Context.Resends, Now);
+  if (Denied) {
+    Retry = false;
+    Context.Metrics.count("lentilhoist_resends_denied_total");
+  }
   logEvent(log_level::Info, "send_failed",
            {{"request", Traits.Attempt},
             {"runner", RunnerId},
@@ -836,7 +1002,10 @@
             {"reused_connection", ReusedConnection ? "true" : "false"},
             {"events", std::to_string(EventCount)},
             {"framing", responseFraming()},
-            {"again", Retry ? "true" : "false"}});
+            {"resends_left", formatTruncated(Context.Resends.Resends)},
+            {"again", Denied  ? "no_budget"
+                      : Retry ? "true"
+                              : "false"}});
   if (Retry) {
     place();
     return;
@@ -850,9 +1019,33 @@
                        : proxy_error::RunnerFailed);
 }
 
+/// \returns the size of the request as far as it has been answered.
+work_size exchange::workSize() const {
+  return {Engine.has_value(), UncachedTokens,
+          EventCount * (Engine ? Engine->TokensPerEvent : 1)};
+}
+
+void exchange::reportRunnerOutcome(outcome_kind Kind, double Slowness) {
+  reportOutcome(
+      Context, {Traits.Attempt, RunnerId, RunnerBornMs, !Relay.empty(), SentAt},
+      {Kind, Slowness});
+}
+
+/// A request that is cut by its deadline tells about the runner only if it had
+/// a free slot and has sent no part of the response. A short deadline is none
+/// of its faults.
+void exchange::reportHang() {
+  const bool AtRunner = Stage == stage::Awaiting || Stage == stage::Relaying;
+  if (AtRunner && SlotFreeAtSend && EventCount == 0 && ResponseBytes == 0 &&
+      ResponseBody.empty() &&
+      isHang(readClock().Steady - SentAt.Steady, workSize()))
+    reportRunnerOutcome(outcome_kind::Fault);
+}
+
 void exchange::onTimeout() {
   if (Stage == stage::Done || Stage == stage::Committing)
     return;
+  reportHang();
   if (ResponseStarted) {
     abortResponse("timed_out");
     return;
@@ -883,8 +1076,9 @@
 void exchange::respondWithError(proxy_error Reason) {
   const int Status = statusOf(Reason, Sends);
   const std::uint64_t Hash = stableHash(Traits.Attempt, 1);
-  const milliseconds RetryDelay =
-      Status == 503 ? retryAfter(Reason, Hash) : milliseconds(0);
+  const milliseconds RetryDelay = Status == 503   ? retryAfter(Reason, Hash)
+                                  : Status == 429 ? QuotaRetry
+                                                  : milliseconds(0);
   const bool Close = promiseClose();
   const std::string Text =
       std::string("{\"error\":\"") + proxyErrorName(Reason) + "\"}\n";
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -2,8 +2,10 @@
 
 #include "forward/crash_watch.h"
 #include "forward/exchange_context.h"
+#include "forward/outlier_watch.h"
 #include "forward/path_watch.h"
 #include "forward/permit_client.h"
+#include "forward/quota_client.h"
 #include "forward/request_traits.h"
 #include "forward/retry_policy.h"
 #include "net/event_parser.h"
@@ -74,7 +76,9 @@
 
   void awaitConfiguration();
   void scheduleRetry(void (exchange::*Step)());
+  void scheduleStep(void (exchange::*Step)(), milliseconds Delay);
   void chooseRoute();
+  bool checkKey();
   bool needsReservation() const;
   std::uint64_t ledgerRetentionMs() const;
   void reserve();
@@ -82,6 +86,8 @@
   bool rejectQuarantined(const quarantine_decision &Decision);
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
+  quota workspaceQuota() const;
+  bool takeQuota(instant Now);
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
   void onPermit(permit_outcome Outcome);
@@ -107,6 +113,9 @@
   void onSendFailed(send_outcome Outcome, const char *Reason,
                     bool RunnerFailed = true);
   void respondWithError(proxy_error Reason);
+  work_size workSize() const;
+  void reportRunnerOutcome(outcome_kind Kind, double Slowness = 0);
+  void reportHang();
   void onTimeout();
   bool promiseClose();
   bool rejectIfStopping(instant Now);
@@ -130,7 +139,11 @@
   request_traits Traits;
   route_table_ptr Routes; ///< Configuration at the start of the request.
   const route *Route = nullptr;
-  /// The caller's workspace, part of Routes; null without one.
+  /// Configuration by which the key was last checked.
+  route_table_ptr KeyRoutes;
+  /// The caller's key, taken out of Head once workspaces are configured.
+  std::optional<sent_key> Key;
+  /// The caller's workspace, part of KeyRoutes; null without one.
   const workspace *Workspace = nullptr;
   std::string Service;
   std::optional<engine_traits> Engine;
@@ -149,6 +162,8 @@
   instant PermitRequestedAt{}; ///< Zero if no permit is requested.
   instant PermitUntil{};       ///< A permit granted to it lapses then.
   int PermitRefusals = 0;
+  quota_progress QuotaProgress; ///< Towards a permit of its workspace.
+  milliseconds QuotaRetry{0};   ///< When its quota allows a refused request.
   bool RateLimited = false; ///< Runners limited their rate when it was held.
 
   send_counts Sends;
@@ -156,7 +171,10 @@
   std::string RunnerId;
   std::int64_t RunnerBornMs = 0;
   std::string RunnerAddress;
-  std::string Relay; ///< Of the last send; empty if it had none.
+  /// The runner had a free slot when the request was sent, as far as known.
+  bool SlotFreeAtSend = false;
+  std::int64_t UncachedTokens = 0; ///< Of the prompt, at that runner.
+  std::string Relay;               ///< Of the last send; empty if it had none.
   std::shared_ptr<runner_connection> Stream;
   bool ReusedConnection = false; ///< The connection came from the pool.
   http_reader Reader{http_message::Response};
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -1,5 +1,7 @@
 #include "forward/retry_policy.h"
 
+#include <algorithm>
+
 namespace lentilhoist {
 
 namespace {
@@ -34,6 +36,18 @@
   milliseconds Spread;
 };
 
+void addResends(retry_budget &Budget, double Amount) {
+  Budget.Resends = std::min(Budget.Resends + Amount, MaxStoredResends);
+}
+
+void refill(retry_budget &Budget, instant Now) {
+  const std::chrono::duration<double> Passed =
+      Now.Steady - Budget.RefilledAt.Steady;
+  if (Budget.RefilledAt.Steady.count() != 0 && Passed.count() > 0)
+    addResends(Budget, Passed.count() * ResendsPerSecond);
+  Budget.RefilledAt = Now;
+}
+
 retry_delays retryDelays(proxy_error Reason) {
   switch (Reason) {
   case proxy_error::RunnersFull:
@@ -70,6 +84,12 @@
     return "no_configuration";
   case proxy_error::NoRoute:
     return "no_route";
+  case proxy_error::Unauthorized:
+    return "unauthorized";
+  case proxy_error::WorkspaceChanged:
+    return "workspace_changed";
+  case proxy_error::RouteUnreadable:
+    return "route_unreadable";
   case proxy_error::BadRequest:
     return "bad_request";
   case proxy_error::NoRunner:
@@ -78,6 +98,10 @@
     return "path_lost";
   case proxy_error::RunnersFull:
     return "runners_full";
+  case proxy_error::QuotaExceeded:
+    return "quota_exceeded";
+  case proxy_error::QuotaUndecided:
+    return "quota_undecided";
   case proxy_error::RateLimited:
     return "rate_limited";
   case proxy_error::Quarantined:
@@ -115,6 +139,19 @@
   return Sends.MayHaveRun == 0;
 }
 
+void recordRequest(retry_budget &Budget, instant Now) {
+  refill(Budget, Now);
+  addResends(Budget, ResendsPerRequest);
+}
+
+bool takeResend(retry_budget &Budget, instant Now) {
+  refill(Budget, Now);
+  if (Budget.Resends < 1)
+    return false;
+  Budget.Resends -= 1;
+  return true;
+}
+
 bool isCredible(int Status, bool NotExecuted) {
   if (NotExecuted)
     return Status >= 400;
@@ -126,10 +163,14 @@
   case proxy_error::NoRoute:
   case proxy_error::UnknownTurn:
     return 404;
+  case proxy_error::Unauthorized:
+    return 401;
   case proxy_error::BadRequest:
     return 400;
   case proxy_error::BudgetExhausted:
     return 402;
+  case proxy_error::QuotaExceeded:
+    return Sends.MayHaveRun == 0 ? 429 : 502;
   case proxy_error::TimedOut:
     return Sends.MayHaveRun == 0 ? 503 : 504;
   default:
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -9,8 +9,12 @@
 #include "tunnel/tunnel_server.h"
 
 #include <algorithm>
+#include <cstdio>
 #include <doctest/doctest.h>
+#include <iostream>
 #include <list>
+#include <set>
+#include <unistd.h>
 
 using namespace lentilhoist;
 
@@ -188,6 +192,8 @@
 
   replica_state State;
   permit_issuer Issuer;
+  quota_issuer Quotas;
+  bool DecidesQuotas = true; ///< Builds without quotas don't.
   suspect_table Suspects;
   std::vector<std::string> Relays; ///< Sent in replies to pings.
   /// Index of the first connection whose requests are ignored; none by default.
@@ -229,6 +235,8 @@
         Reply.Relays = Relays;
       if (Request.Operation == replica_operation::Ping) {
         answerPermitRequests(Issuer, Request, Reply, readClock());
+        if (DecidesQuotas)
+          answerQuotaRequests(Quotas, Request, Reply, readClock());
         exchangeSuspects(Suspects, Request, Reply, readClock());
       }
       answerSuspect(Suspects, Request.Signature, Reply, readClock());
@@ -283,6 +291,67 @@
     Context.Routes = std::make_shared<const route_table>(Config);
   }
 
+  /// Puts the next version of the configuration in force.
+  /// \param Workspaces key and workspace of each; nothing for no workspaces.
+  void
+  setKeys(const std::optional<std::vector<std::pair<std::string, std::string>>>
+              &KeysAndWorkspaces,
+          bool Public = false) {
+    configuration Config = Context.Routes->config();
+    ++Config.Version;
+    for (route &Route : Config.Routes)
+      Route.Public = Public;
+    Config.Workspaces.reset();
+    if (KeysAndWorkspaces) {
+      Config.Workspaces.emplace();
+      for (const auto &[Key, Name] : *KeysAndWorkspaces) {
+        workspace Workspace;
+        Workspace.Name = Name;
+        Workspace.Keys = {digestOfKey(Key)};
+        Config.Workspaces->push_back(std::move(Workspace));
+      }
+    }
+    Context.Routes = std::make_shared<const route_table>(std::move(Config));
+    Context.ConfigUpdatedAt = readClock();
+  }
+
+  /// Sets the quota of every workspace, in the next configuration.
+  void setQuota(double PerSecond, double Burst) {
+    configuration Config = Context.Routes->config();
+    ++Config.Version;
+    for (workspace &Workspace : *Config.Workspaces) {
+      Workspace.RatePerSecond = PerSecond;
+      Workspace.Burst = Burst;
+    }
+    Context.Routes = std::make_shared<const route_table>(std::move(Config));
+    Context.ConfigUpdatedAt = readClock();
+  }
+
+  /// Sets what the issuers have left for a workspace whose quota hardly grows.
+  void setTokens(const std::string &Workspace, double Tokens) {
+    for (memory_replica &Replica : Replicas) {
+      quota_bucket Bucket;
+      Bucket.Quota = {Context.Routes->config().Version, SlowRate, 0};
+      Bucket.Tokens = Tokens;
+      Bucket.FilledAt = readClock();
+      Replica.Quotas.Buckets[Workspace] = Bucket;
+    }
+  }
+
+  /// \returns the replica that issues the permits of a workspace.
+  memory_replica &issuerOf(const std::string &Workspace) {
+    const replica_set &Set = History.replicas();
+    const std::string &Address =
+        Set.Slots[issuerOrder(Set, Workspace).front()].Address;
+    return *std::find_if(Replicas.begin(), Replicas.end(),
+                         [&](const memory_replica &Replica) {
+                           return Replica.address() == Address;
+                         });
+  }
+
+  /// Requests a second of which a test sees none.
+  static constexpr double SlowRate = 0.001;
+
   void startHistory() {
     replica_set Set{1, 1, true, {}};
     for (int Index = 0; Index < 3; ++Index) {
@@ -368,6 +437,31 @@
   CHECK(Fixture.Context.ActiveRequests == 0);
 }
 
+// Guards against 404, which callers take as final, for a request whose route is
+// configured and can't be read, and against its being sent elsewhere.
+TEST_CASE("requests of routes that can't be read are rejected as not run") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  configuration Config = Fixture.Context.Routes->config();
+  route Hidden = Config.Routes.front();
+  Hidden.PathPrefix = "/x";
+  Hidden.Targets.clear();
+  Hidden.Unreadable = true;
+  Config.Routes.push_back(Hidden);
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  const std::string Response = Fixture.call("1");
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  Config.Routes.clear();
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 404"));
+  Config.UnknownRoutes = true;
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  CHECK(Fixture.call("3").starts_with("HTTP/1.1 503"));
+  CHECK(Fixture.arrivals() == 0);
+}
+
 TEST_CASE("request that was not executed is resent to another runner") {
   int Calls = 0;
   fixture Fixture([&](const http_request_head &Head, const std::string &) {
@@ -2044,3 +2138,551 @@
             }
           }
 }
+
+namespace {
+
+http_fields bearer(const std::string &Key) {
+  return {{"Authorization", "Bearer " + Key}};
+}
+
+/// \returns the names of the workspaces that runners were told, in any order.
+std::multiset<std::string> statedWorkspaces(const fixture &Fixture) {
+  std::multiset<std::string> Names;
+  for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
+    for (const http_request_head &Head : Runner->Heads) {
+      const http_field *Name = findField(Head.Fields, "X-Tenant");
+      Names.insert(Name ? Name->Value : "none");
+    }
+  return Names;
+}
+
+bool anyRunnerHasKey(const fixture &Fixture) {
+  for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
+    for (const http_request_head &Head : Runner->Heads)
+      if (findField(Head.Fields, "Authorization"))
+        return true;
+  return false;
+}
+
+scripted_response answer(const http_request_head &Head, const std::string &) {
+  return {sealedResponse(attemptOf(Head), "answer")};
+}
+
+/// Collects what the process writes to standard output while it lives.
+class output_capture {
+public:
+  output_capture() : File(std::tmpfile()), Saved(dup(STDOUT_FILENO)) {
+    REQUIRE(File);
+    std::fflush(stdout);
+    std::cout.flush();
+    dup2(fileno(File), STDOUT_FILENO);
+  }
+  ~output_capture() { restore(); }
+  output_capture(const output_capture &) = delete;
+  output_capture &operator=(const output_capture &) = delete;
+
+  /// Ends the collection.
+  std::string text() {
+    restore();
+    std::rewind(File);
+    std::string Text;
+    for (int Char = std::fgetc(File); Char != EOF; Char = std::fgetc(File))
+      Text += static_cast<char>(Char);
+    std::fclose(std::exchange(File, nullptr));
+    return Text;
+  }
+
+private:
+  void restore() {
+    if (Saved < 0)
+      return;
+    std::fflush(stdout);
+    std::cout.flush();
+    dup2(Saved, STDOUT_FILENO);
+    close(std::exchange(Saved, -1));
+  }
+
+  std::FILE *File;
+  int Saved;
+};
+
+} // namespace
+
+TEST_CASE("a request without a known key is answered with 401 and not sent") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  for (const http_fields &Fields :
+       {http_fields{}, bearer("kc"), bearer(""), bearer("ka,kb"),
+        http_fields{{"Authorization", "Basic ka"}},
+        http_fields{{"Authorization", "Bearer ka"},
+                    {"Authorization", "Bearer kb"}},
+        http_fields{{"X-Tenant", "a"}}}) {
+    const std::string Response = Fixture.call("1", Fields);
+    CHECK(Response.starts_with("HTTP/1.1 401"));
+    CHECK(Response.find("WWW-Authenticate: Bearer") != std::string::npos);
+    CHECK(Response.find("kc") == std::string::npos);
+    CHECK(Response.find("Retry-After") == std::string::npos);
+  }
+  CHECK(Fixture.arrivals() == 0);
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.call("3", bearer("kb")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"a", "b"});
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+  Fixture.setKeys({std::vector<std::pair<std::string, std::string>>{}});
+  CHECK(Fixture.call("4", bearer("ka")).starts_with("HTTP/1.1 401"));
+  CHECK(Fixture.arrivals() == 2);
+  const std::string Metrics = Fixture.Metrics.render();
+  CHECK(Metrics.find("lentilhoist_refused_keys_total{reason=\"missing_key\"} "
+                     "2") != std::string::npos);
+  CHECK(Metrics.find("lentilhoist_refused_keys_total{reason=\"unknown_key\"} "
+                     "6") != std::string::npos);
+}
+
+TEST_CASE("a public route needs no key, but a key sent to it must be known") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}}, true);
+  CHECK(Fixture.call("1", {{"X-Tenant", "a"}}).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"none"});
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"none", "a"});
+  CHECK(Fixture.call("3", bearer("kb")).starts_with("HTTP/1.1 401"));
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("without workspaces the headers of keys and workspaces are passed "
+          "on") {
+  fixture Fixture(answer);
+  http_fields Fields = bearer("anything");
+  Fields.push_back({"X-Tenant", "mine"});
+  CHECK(Fixture.call("1", Fields).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"mine"});
+  CHECK(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("a retry states the workspace again, not what the caller sent") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    return ++Calls == 1
+               ? scripted_response{"", false, true}
+               : scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  Fixture.setKeys({{{"ka", "a"}}});
+  http_fields Fields = bearer("ka");
+  Fields.push_back({"X-Tenant", "b"});
+  CHECK(bodyOf(Fixture.call("1", Fields)) == "done");
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"a", "a"});
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("a key that is removed while its request waits or is retried is "
+          "refused before the next send") {
+  SUBCASE("waits for a runner") {
+    fixture Fixture(answer);
+    Fixture.setKeys({{{"ka", "a"}}});
+    Fixture.Context.Runners.Runners.clear();
+    asio::steady_timer Change(Fixture.Loop, milliseconds(100));
+    Change.async_wait([&](const asio::error_code &) {
+      Fixture.setKeys({{{"kb", "a"}}});
+      Fixture.addRunner("first", Fixture.First.address());
+    });
+    CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 401"));
+    CHECK(Fixture.arrivals() == 0);
+    CHECK(Fixture.call("2", bearer("kb")).starts_with("HTTP/1.1 200"));
+  }
+  SUBCASE("is retried") {
+    fixture *Used = nullptr;
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      Used->setKeys({{{"kb", "a"}}});
+      return scripted_response{"", false, true};
+    });
+    Used = &Fixture;
+    Fixture.setKeys({{{"ka", "a"}}});
+    CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 401"));
+    CHECK(Fixture.arrivals() == 1);
+  }
+  SUBCASE("its route becomes one that needs a key") {
+    fixture Fixture(answer);
+    Fixture.setKeys({{{"ka", "a"}}}, true);
+    Fixture.Context.Runners.Runners.clear();
+    asio::steady_timer Change(Fixture.Loop, milliseconds(100));
+    Change.async_wait([&](const asio::error_code &) {
+      Fixture.setKeys({{{"ka", "a"}}}, false);
+      Fixture.addRunner("first", Fixture.First.address());
+    });
+    CHECK(Fixture.call("1").starts_with("HTTP/1.1 401"));
+    CHECK(Fixture.arrivals() == 0);
+  }
+}
+
+TEST_CASE("a waiting request goes on under the newest configuration") {
+  fixture Fixture(answer);
+  std::function<void()> Change;
+  SUBCASE("its key stays") {
+    Fixture.setKeys({{{"ka", "a"}}});
+    Change = [&] { Fixture.setKeys({{{"kc", "c"}, {"ka", "a"}}}); };
+  }
+  SUBCASE("workspaces are configured meanwhile") {
+    Change = [&] { Fixture.setKeys({{{"ka", "a"}}}); };
+  }
+  SUBCASE("workspaces are no longer configured") {
+    Fixture.setKeys({{{"ka", "a"}}});
+    Change = [&] { Fixture.setKeys(std::nullopt); };
+  }
+  Fixture.Context.Runners.Runners.clear();
+  asio::steady_timer Timer(Fixture.Loop, milliseconds(100));
+  Timer.async_wait([&](const asio::error_code &) {
+    Change();
+    Fixture.addRunner("first", Fixture.First.address());
+  });
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"a"});
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("a key that moves to another workspace while its request waits is "
+          "answered as not executed") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.Context.Runners.Runners.clear();
+  asio::steady_timer Change(Fixture.Loop, milliseconds(100));
+  Change.async_wait([&](const asio::error_code &) {
+    Fixture.setKeys({{{"ka", "b"}}});
+    Fixture.addRunner("first", Fixture.First.address());
+  });
+  const std::string Response = Fixture.call("1", bearer("ka"));
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  CHECK(Fixture.arrivals() == 0);
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"b"});
+}
+
+TEST_CASE("an instance without a configuration answers 503, whatever the key") {
+  fixture Fixture(answer);
+  Fixture.Context.Routes = nullptr;
+  http_fields Fields = bearer("ka");
+  Fields.push_back({"X-Deadline-Ms", "300"});
+  CHECK(Fixture.call("1", Fields).starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("keys are added and removed on an open connection") {
+  caller_fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  const auto Send = [&](const std::string &Attempt) {
+    Fixture.Received.clear();
+    Fixture.Caller->write(
+        "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + Attempt +
+        "\r\nAuthorization: Bearer kb\r\n"
+        "Content-Length: 4\r\n\r\nbody");
+    Fixture.runFor(milliseconds(200));
+    return Fixture.Received.substr(0, 12);
+  };
+  CHECK(Send("1") == "HTTP/1.1 401");
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  CHECK(Send("2") == "HTTP/1.1 200");
+  Fixture.setKeys({{{"ka", "a"}}});
+  CHECK(Send("3") == "HTTP/1.1 401");
+  CHECK_FALSE(Fixture.CallerEnded);
+  CHECK(Fixture.arrivals() == 1);
+}
+
+// Guards against a workspace that takes capacity beyond its quota, and against
+// 429 without the time at which the rate allows the request.
+TEST_CASE("a request over its workspace's quota gets 429 at once, others are "
+          "served") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  Fixture.setQuota(fixture::SlowRate, 0);
+  Fixture.setTokens("a", 2);
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  const auto Begin = readClock();
+  const std::string Refused = Fixture.call("3", bearer("ka"));
+  CHECK(readClock().Steady - Begin.Steady < milliseconds(200));
+  CHECK(Refused.starts_with("HTTP/1.1 429"));
+  CHECK(Refused.find("quota_exceeded") != std::string::npos);
+  const std::size_t Field = Refused.find("Retry-After: ");
+  REQUIRE(Field != std::string::npos);
+  const double Wait = std::stod(Refused.substr(Field + 13));
+  CHECK(Wait > 990);
+  CHECK(Wait < 1'010);
+  // The next one is refused without a message, for the time after that.
+  CHECK(Fixture.call("4", bearer("ka")).starts_with("HTTP/1.1 429"));
+  CHECK(Fixture.arrivals() == 2);
+  CHECK(Fixture.call("5", bearer("kb")).starts_with("HTTP/1.1 200"));
+  const std::string Metrics = Fixture.Metrics.render();
+  CHECK(Metrics.find("lentilhoist_quota_messages_total 4") !=
+        std::string::npos);
+  CHECK(Metrics.find("decision=\"refused\"} 2") != std::string::npos);
+  // The issuer is asked about a newer configuration at once. Its bucket fills
+  // from then on, within a few milliseconds.
+  Fixture.setQuota(1'000, 1'000);
+  Fixture.call("6", bearer("ka"));
+  Fixture.runFor(milliseconds(20));
+  CHECK(Fixture.call("7", bearer("ka")).starts_with("HTTP/1.1 200"));
+}
+
+TEST_CASE("without a quota no issuer is asked") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"ka", "a"}}});
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.Metrics.render().find("lentilhoist_quota") ==
+        std::string::npos);
+  CHECK(Fixture.Context.Quotas.Stocks.empty());
+}
+
+// Guards against 429 for a request that may have run, and against a send that
+// no permit covers.
+TEST_CASE("a resend needs another permit only if the first send may have "
+          "run") {
+  int Calls = 0;
+  SUBCASE("the send may have run") {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      return ++Calls == 1
+                 ? scripted_response{"", false, true}
+                 : scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    Fixture.startHistory();
+    Fixture.setKeys({{{"ka", "a"}}});
+    Fixture.setQuota(fixture::SlowRate, 0);
+    Fixture.setTokens("a", 1);
+    const std::string Response = Fixture.call("1", bearer("ka"));
+    CHECK(Response.starts_with("HTTP/1.1 502"));
+    CHECK(Response.find("Retry-After") == std::string::npos);
+    CHECK(Fixture.arrivals() == 1);
+  }
+  SUBCASE("the runner refused it") {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      return ++Calls == 1
+                 ? scripted_response{NotExecutedResponse}
+                 : scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    Fixture.startHistory();
+    Fixture.setKeys({{{"ka", "a"}}});
+    Fixture.setQuota(fixture::SlowRate, 0);
+    Fixture.setTokens("a", 1);
+    CHECK(bodyOf(Fixture.call("1", bearer("ka"))) == "done");
+    CHECK(Fixture.arrivals() == 2);
+    CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 429"));
+  }
+}
+
+// Guards against a request that hangs because its issuer's reply is lost.
+TEST_CASE("if the issuer does not reply, the next one is asked") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.setQuota(20, 10);
+  Fixture.issuerOf("a").FirstIgnored = 0;
+  // A stand-in starts empty.
+  Fixture.runFor(milliseconds(1'500));
+  const auto Begin = readClock();
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(readClock().Steady - Begin.Steady < milliseconds(1'200));
+  CHECK(Fixture.issuerOf("a").Quotas.Buckets.empty());
+}
+
+// Guards against requests that pass without a decision, or that hang.
+TEST_CASE("if no issuer can be reached, a request waits and is then told to "
+          "come back") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.setQuota(20, 10);
+  const auto Begin = readClock();
+  const std::string Response = Fixture.call("1", bearer("ka"));
+  // The hold time is two fifths of the route's 2 s.
+  CHECK(readClock().Steady - Begin.Steady > milliseconds(750));
+  CHECK(readClock().Steady - Begin.Steady < milliseconds(1'500));
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("quota_undecided") != std::string::npos);
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  CHECK(Fixture.arrivals() == 0);
+  // Issuers that come back within the time serve it.
+  asio::steady_timer Return(Fixture.Loop, milliseconds(300));
+  Return.async_wait([&](const asio::error_code &) { Fixture.startHistory(); });
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+}
+
+// Guards against an upgrade that refuses everything until the replicas have
+// been replaced.
+TEST_CASE("replicas of a build without quotas are no reason to refuse") {
+  fixture Fixture(answer);
+  Fixture.startHistory();
+  for (memory_replica &Replica : Fixture.Replicas)
+    Replica.DecidesQuotas = false;
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.setQuota(20, 10);
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  // One that decides is asked, as a stand-in.
+  Fixture.Replicas.back().DecidesQuotas = true;
+  Fixture.runFor(milliseconds(3'100));
+  CHECK(Fixture.call("3", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.Replicas.back().Quotas.Buckets.size() == 1);
+}
+
+// Guards against a send long after the permit was issued.
+TEST_CASE("a permit of a workspace that has lapsed does not cover a send") {
+  fixture Fixture(answer);
+  const instant Now = readClock();
+  const quota Quota{1, 20, 10};
+  quota_progress Progress;
+  Progress.PermitUntil = Now;
+  CHECK_FALSE(hasPermit(Fixture.Context, "a", Quota, Progress, Now));
+  Progress.PermitUntil = later(Now, microseconds(1));
+  CHECK(hasPermit(Fixture.Context, "a", Quota, Progress, Now));
+  CHECK(hasPermit(Fixture.Context, "a", {}, Progress, later(Now, seconds(9))));
+
+  // Guards against a runner that resets part of its connections and is used
+  // like the others, and against a result that is recorded for the wrong
+  // runner.
+  TEST_CASE("a runner that breaks off part of its requests is ejected, and the "
+            "other one serves") {
+    int FirstCalls = 0;
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      const bool First =
+          fieldValue(Head.Fields, "X-Expect-Instance") == "first";
+      if (First && ++FirstCalls % 2 == 0)
+        return scripted_response{"", false, true};
+      return scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    const auto FirstView = [&]() -> runner_view & {
+      return Fixture.Context.Runners.Runners.at("first");
+    };
+    for (int Call = 0; Call < 200 && !FirstView().Ejected; ++Call) {
+      CAPTURE(Call);
+      // Requests that don't overlap would all go to one of two equal runners.
+      const char *Busy = Call % 2 == 0 ? "second" : "first";
+      Fixture.Context.Runners.Runners.at(Busy).Outstanding += 2;
+      CHECK(bodyOf(Fixture.call("a" + std::to_string(Call))) == "done");
+      Fixture.Context.Runners.Runners.at(Busy).Outstanding -= 2;
+      Fixture.runFor(milliseconds(30));
+    }
+    CHECK(FirstView().Ejected);
+    CHECK(standingOf(FirstView(), readClock()) == runner_standing::Ejected);
+    CHECK_FALSE(Fixture.Context.Runners.Runners.at("second").Ejected);
+    const int Before = FirstCalls;
+    for (int Call = 0; Call < 10; ++Call)
+      CHECK(bodyOf(Fixture.call("b" + std::to_string(Call))) == "done");
+    CHECK(FirstCalls == Before);
+  }
+
+  // Guards against refusals for load and server errors held against a runner.
+  TEST_CASE("refusals for load and answered errors are no faults of a runner") {
+    int Calls = 0;
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      if (++Calls % 2 == 1)
+        return scripted_response{
+            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+            attemptOf(Head) +
+            "\r\nX-Server-Load: 4,1,4\r\nContent-Length: 0\r\n\r\n"};
+      return scripted_response{
+          "HTTP/1.1 500 Error\r\nX-Attempt-Id: " + attemptOf(Head) +
+          "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+    });
+    for (int Call = 0; Call < 10; ++Call)
+      CHECK(Fixture.call(std::to_string(Call)).starts_with("HTTP/1.1 500"));
+    for (const auto &[Id, State] : Fixture.Context.Runners.Outliers.Runners) {
+      CAPTURE(Id);
+      CHECK(countFaults(State) == 0);
+      CHECK_FALSE(State.Ejected);
+    }
+  }
+
+  TEST_CASE("a runner that refuses as full while it reports free slots has a "
+            "fault") {
+    fixture Fixture([&](const http_request_head &Head, const std::string &) {
+      if (fieldValue(Head.Fields, "X-Expect-Instance") == "first")
+        return scripted_response{
+            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+            attemptOf(Head) +
+            "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+      return scripted_response{sealedResponse(attemptOf(Head), "done")};
+    });
+    Fixture.Context.Runners.Runners.at("second").Outstanding = 2;
+    CHECK(bodyOf(Fixture.call("1")) == "done");
+    const auto &States = Fixture.Context.Runners.Outliers.Runners;
+    REQUIRE(States.contains("first"));
+    CHECK(countFaults(States.at("first")) == 1);
+    CHECK(countFaults(States.at("second")) == 0);
+  }
+
+  // Guards against resends that multiply the requests of an overloaded service.
+  TEST_CASE(
+      "the budget bounds resends when all requests fail, and never denies "
+      "those of single failures") {
+    constexpr int Rate = 50;
+    constexpr int Time = 60;
+    const instant Start{seconds(100), milliseconds(0)};
+    const auto at = [&](int Request) {
+      return later(Start, microseconds(1'000'000) * Request / Rate);
+    };
+    retry_budget Overload;
+    int Resends = 0;
+    for (int Request = 0; Request < Rate * Time; ++Request) {
+      recordRequest(Overload, at(Request));
+      for (int Try = 0; Try < 8 && takeResend(Overload, at(Request)); ++Try)
+        ++Resends;
+    }
+    CHECK(Resends <= ResendsPerRequest * Rate * Time + ResendsPerSecond * Time +
+                         MaxStoredResends);
+    // A runner of five fails all requests until it is known.
+    retry_budget Failures;
+    for (int Request = 0; Request < Rate * Time; ++Request) {
+      recordRequest(Failures, at(Request));
+      if (Request % 5 == 0)
+        REQUIRE(takeResend(Failures, at(Request)));
+    }
+    // An instance with hardly any request, and all requests of a runner that
+    // ends at once.
+    retry_budget Idle;
+    for (int Request = 0; Request < 100; ++Request) {
+      recordRequest(Idle, Start);
+      REQUIRE(takeResend(Idle, Start));
+    }
+    CHECK(Idle.Resends < MaxStoredResends);
+    recordRequest(Idle, later(Start, seconds(3'600)));
+    CHECK(Idle.Resends == MaxStoredResends);
+  }
+
+  TEST_CASE("a request that the budget does not let resend is answered "
+            "truthfully") {
+    bool Break = false;
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      return Break ? scripted_response{"", false, true}
+                   : scripted_response{NotExecutedResponse};
+    });
+    const auto Exhaust = [&] {
+      Fixture.Context.Resends.Resends = -100;
+      Fixture.Context.Resends.RefilledAt = readClock();
+    };
+    Exhaust();
+    // It has surely not run.
+    const std::string Refused = Fixture.call("1");
+    CHECK(Refused.starts_with("HTTP/1.1 503"));
+    CHECK(Refused.find("Retry-After") != std::string::npos);
+    CHECK(Fixture.arrivals() == 1);
+    Break = true;
+    Exhaust();
+    // It may have run.
+    CHECK(Fixture.call("2").starts_with("HTTP/1.1 502"));
+    CHECK(Fixture.arrivals() == 2);
+  }
+
+  TEST_CASE("the log states the priority of the workspace") {
+    fixture Fixture(answer);
+    Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+    configuration Config = Fixture.Context.Routes->config();
+    Config.Routes.front().Priority = 2;
+    Config.Workspaces->front().Priority = 1;
+    Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+    const auto Logged = [&](const std::string &Key) {
+      output_capture Output;
+      CHECK(Fixture.call("1", bearer(Key)).starts_with("HTTP/1.1 200"));
+      return Output.text();
+    };
+    CHECK(Logged("ka").find("\"priority\":\"1\"") != std::string::npos);
+    CHECK(Logged("kb").find("\"priority\":\"2\"") != std::string::npos);
+  }
