Count relayed successes of a runner without their duration

Cause: a success through a relay, or sent before the path changed, was dropped with its duration, so that a runner on trial could not pass while the path is lost.

No test shows the case itself.

--- a/src/forward/outlier_watch.cpp
+++ b/src/forward/outlier_watch.cpp
@@ -56,16 +56,17 @@
       findIncarnation(Context.Runners, Send.Runner, Send.BornMs);
   if (!View || !takesRequests(*View))
     return;
-  const bool Sound =
-      Outcome.Kind == outcome_kind::Success && Outcome.Slowness <= 0;
   const bool PathUnsure = Send.Relayed ||
                           Context.Path.State != path_state::Open ||
                           Context.Path.ChangedAt.Steady > Send.SentAt.Steady;
-  if (PathUnsure && !Sound)
+  if (PathUnsure && Outcome.Kind != outcome_kind::Success)
     return;
+  // The way may have made it slow.
+  const runner_outcome Recorded{Outcome.Kind,
+                                PathUnsure ? 0 : Outcome.Slowness};
   const std::string Service = View->Entry.Service;
   const outlier_decision Decision = recordOutcome(
-      Context.Runners.Outliers, Send.Runner, Send.BornMs, Service, Outcome,
+      Context.Runners.Outliers, Send.Runner, Send.BornMs, Service, Recorded,
       [&] { return countRunners(Context.Runners, Service); }, Now);
   if (Decision.Change == outlier_change::None)
     return;
