Keep turns and ledgers of workspaces apart

Cause: any caller who named a turn got its text, and programs of the same name in two workspaces drew from one budget.

Change: turn_record and replica_request state the owner in a last field, Workspace, and a reply whose the previous turn is (PreviousWorkspace). Replicas return a turn to its owner only, and the entry instance compares owners itself, since older replicas ignore them; a turn of another workspace is 404 with a quorum, else 503. Records without an owner are read by all. The name of a ledger and the key of the cache of chains contain the owner. A replica refuses a turn whose id another workspace has used, since one of the two would be lost. Requests without a key have an owner of their own where workspaces are configured. request_done and turn_reserved state the workspace.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "forward/runner_leaving.h"
+#include "history/ownership.h"
 #include "log/log.h"
 #include "net/frame.h"
 #include "platform/request_headers.h"
@@ -162,6 +163,8 @@
   }
   if (!checkKey())
     return;
+  if (Key)
+    Owner = Workspace ? Workspace->Name : std::string(AnonymousOwner);
   Service = chooseTarget(*Route, stableHash(Traits.Attempt));
   Signature = signatureOf(Head.Method, fieldValue(Head.Fields, "Host"),
                           Head.Target, Body);
@@ -260,6 +263,7 @@
       Traits.TokenBudget.value_or(std::numeric_limits<std::uint64_t>::max());
   Reservation.RetentionMs = ledgerRetentionMs();
   Reservation.Signature = Signature;
+  Reservation.Workspace = Owner;
   Reserved = true;
   const milliseconds Limit = std::min(ReserveTimeout, timeLeft(readClock()));
   History =
@@ -278,6 +282,7 @@
   logEvent(log_level::Info, "turn_reserved",
            {{"request", Traits.Attempt},
             {"program", Traits.Program},
+            {"workspace", Workspace ? Workspace->Name : "none"},
             {"outcome", reserveOutcomeName(Result.Outcome)},
             {"others_tokens", std::to_string(Result.OtherAttemptTokens)},
             {"most_tokens", std::to_string(Traits.MaxOutputTokens)},
@@ -794,6 +799,7 @@
   Turn.Tokens = EventCount * (Engine ? Engine->TokensPerEvent : 1);
   Turn.RetentionMs = static_cast<std::uint64_t>(Route->Retention.count());
   Turn.Runner = {RunnerId, RunnerBornMs};
+  Turn.Workspace = Owner;
   Reserved = false; // The commit settles the tokens.
   History = Context.History.commit(
       Turn, Chain, CommitTimeout, [Weak = weak_from_this()](bool Durable) {
@@ -1021,7 +1027,7 @@
   Reserved = false;
   const std::uint64_t Tokens =
       EventCount * (Engine ? Engine->TokensPerEvent : 1);
-  Context.History.settle(Traits.Program, {Traits.Attempt, Tokens, true},
+  Context.History.settle(Owner, Traits.Program, {Traits.Attempt, Tokens, true},
                          ledgerRetentionMs());
 }
 
@@ -1054,6 +1060,7 @@
   logEvent(log_level::Info, "request_done",
            {{"request", Traits.Attempt},
             {"program", Traits.Program},
+            {"workspace", Workspace ? Workspace->Name : "none"},
             {"route", RouteName},
             {"result", Result},
             {"status", std::to_string(Status)},
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -137,6 +137,9 @@
   std::optional<sent_key> Key;
   /// The caller's workspace, part of KeyRoutes; null without one.
   const workspace *Workspace = nullptr;
+  /// Owner of what the request stores, see ownership.h. Stays as it was when
+  /// the request reserved.
+  std::string Owner;
   std::string Service;
   std::optional<engine_traits> Engine;
   request_signature Signature = 0;
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -1,5 +1,6 @@
 #include "history/history_client.h"
 
+#include "history/ownership.h"
 #include "log/log.h"
 
 #include <algorithm>
@@ -412,13 +413,15 @@
       std::make_shared<turn_reservation>(std::move(Requested));
   replica_request Request;
   Request.Operation = replica_operation::Reserve;
-  Request.Program = Reservation->Program;
+  Request.Program = ownedName(Reservation->Workspace, Reservation->Program);
   Request.Entry = {Reservation->Attempt, Reservation->MaxTokens, false};
   Request.RetentionMs = Reservation->RetentionMs;
   Request.Previous = Reservation->Previous;
   Request.Signature = Reservation->Signature;
+  Request.Workspace = Reservation->Workspace;
   Request.WantChain =
-      !Reservation->Previous.empty() && !Chains.find(Reservation->Previous);
+      !Reservation->Previous.empty() &&
+      !Chains.find(ownedName(Reservation->Workspace, Reservation->Previous));
   // The operation owns the handler, so the handler holds only a weak pointer to
   // the operation.
   const auto Outer = std::make_shared<std::weak_ptr<operation>>();
@@ -443,7 +446,7 @@
     return;
   }
   const merged_reservation View =
-      mergeReservation(*Round, Reservation->Attempt);
+      mergeReservation(*Round, Reservation->Attempt, Reservation->Workspace);
   Result.OtherAttemptTokens = View.OtherAttemptTokens;
   Result.PreviousRunner = View.PreviousRunner;
   if (checkBudget(View.OtherAttemptTokens, Reservation->MaxTokens,
@@ -457,7 +460,8 @@
     OnDone(std::move(Result));
     return;
   }
-  if (const std::string *Cached = Chains.find(Reservation->Previous)) {
+  if (const std::string *Cached = Chains.find(
+          ownedName(Reservation->Workspace, Reservation->Previous))) {
     Result.Chain = *Cached;
     OnDone(std::move(Result));
     return;
@@ -481,7 +485,8 @@
     const std::function<void(reserve_result)> &OnDone) {
   joined_chain View = joinChain(*Turns, Reservation->Previous);
   if (View.Missing.empty()) {
-    Chains.put(Reservation->Previous, View.Text);
+    Chains.put(ownedName(Reservation->Workspace, Reservation->Previous),
+               View.Text);
     Result.Chain = std::move(View.Text);
     OnDone(std::move(Result));
     return;
@@ -489,12 +494,15 @@
   replica_request Request;
   Request.Operation = replica_operation::Read;
   Request.Turns = {View.Missing};
-  const auto HasMissing = [Missing = View.Missing](const replica_reply &Reply) {
-    for (const turn_record &Turn : Reply.Turns)
-      if (Turn.Id == Missing)
-        return true;
-    return false;
-  };
+  Request.Workspace = Reservation->Workspace;
+  const auto HasMissing =
+      [Missing = View.Missing,
+       Owner = Reservation->Workspace](const replica_reply &Reply) {
+        for (const turn_record &Turn : Reply.Turns)
+          if (Turn.Id == Missing && mayRead(Turn.Workspace, Owner))
+            return true;
+        return false;
+      };
   const auto IsSufficient = [HasMissing](const quorum_round &Round,
                                          instant Now) {
     for (const auto &Answer : Round.Answers)
@@ -511,7 +519,8 @@
                 for (const auto &Answer : Round->Answers)
                   if (Answer)
                     for (const turn_record &Turn : Answer->Turns)
-                      Turns->emplace(Turn.Id, Turn);
+                      if (mayRead(Turn.Workspace, Reservation->Workspace))
+                        Turns->emplace(Turn.Id, Turn);
               if (!Round || !Turns->contains(Missing)) {
                 logEvent(Round ? log_level::Error : log_level::Warning,
                          "chain_incomplete",
@@ -534,10 +543,13 @@
                        milliseconds Timeout, std::function<void(bool)> OnDone) {
   replica_request Request;
   Request.Operation = replica_operation::Commit;
-  Request.Program = Turn.Program;
+  Request.Program = ownedName(Turn.Workspace, Turn.Program);
+  Request.Workspace = Turn.Workspace;
   Request.Turn = Turn;
+  Request.Turn.Program = Request.Program;
   return start(std::move(Request), Timeout, hasQuorum,
-               [this, Id = Turn.Id, Text = Chain + Turn.Input + Turn.Output,
+               [this, Id = ownedName(Turn.Workspace, Turn.Id),
+                Text = Chain + Turn.Input + Turn.Output,
                 OnDone = std::move(OnDone)](const quorum_round *Round) mutable {
                  if (Round)
                    Chains.put(Id, std::move(Text));
@@ -545,11 +557,13 @@
                });
 }
 
-void history_client::settle(std::string Program, ledger_entry Entry,
+void history_client::settle(const std::string &Workspace,
+                            const std::string &Program, ledger_entry Entry,
                             std::uint64_t RetentionMs) {
   replica_request Request;
   Request.Operation = replica_operation::Settle;
-  Request.Program = std::move(Program);
+  Request.Program = ownedName(Workspace, Program);
+  Request.Workspace = Workspace;
   Request.Entry = std::move(Entry);
   Request.RetentionMs = RetentionMs;
   // The handler owns the operation until it has finished.
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -23,6 +23,7 @@
   std::uint64_t Budget = 0;    ///< Tokens, for the whole program.
   std::uint64_t RetentionMs = 0;   ///< Retention of the reservation.
   request_signature Signature = 0; ///< See signatureOf().
+  std::string Workspace{};         ///< Owner, see ownership.h.
 };
 
 /// Result of a reservation.
@@ -105,11 +106,12 @@
   /// Records the final token count of an attempt that produced no turn. No
   /// caller waits for the result: until it is stored, the attempt counts with
   /// the maximum that it reserved.
+  /// \param Workspace owner of the program's ledger.
   /// \param Program the program.
   /// \param Entry the attempt and the tokens that it delivered.
   /// \param RetentionMs retention of the entry.
-  void settle(std::string Program, ledger_entry Entry,
-              std::uint64_t RetentionMs);
+  void settle(const std::string &Workspace, const std::string &Program,
+              ledger_entry Entry, std::uint64_t RetentionMs);
 
   /// Requests a permit from the first replica in the runner's issuer order that
   /// is not suspected.
@@ -202,7 +204,7 @@
   std::function<std::vector<suspect_notice>()> ListSuspects;
   std::function<void(const std::vector<suspect_notice> &)> OnSuspects;
   std::size_t InstanceCount = 0;
-  chain_cache Chains;
+  chain_cache Chains; ///< By ownedName() of the last turn.
 };
 
 } // namespace lentilhoist
--- a/src/history/quorum.cpp
+++ b/src/history/quorum.cpp
@@ -1,5 +1,7 @@
 #include "history/quorum.h"
 
+#include "history/ownership.h"
+
 #include <algorithm>
 
 namespace lentilhoist {
@@ -50,8 +52,11 @@
 }
 
 merged_reservation mergeReservation(const quorum_round &Round,
-                                    const std::string &Attempt) {
+                                    const std::string &Attempt,
+                                    const std::string &Owner) {
   merged_reservation Result;
+  bool Own = false;     // A replica knows the turn as one of this owner.
+  bool Foreign = false; // A replica knows a turn as one of another owner.
   std::map<std::string, ledger_entry> Entries;
   for (const auto &Answer : Round.Answers) {
     if (!Answer)
@@ -59,14 +64,28 @@
     Result.PreviousFound = Result.PreviousFound || Answer->PreviousFound;
     if (!Answer->PreviousRunner.Id.empty())
       Result.PreviousRunner = Answer->PreviousRunner;
-    Result.Turns.insert(Result.Turns.end(), Answer->Turns.begin(),
-                        Answer->Turns.end());
+    if (!mayRead(Answer->PreviousWorkspace, Owner))
+      Foreign = true;
+    else if (!Answer->PreviousWorkspace.empty())
+      Own = true;
+    for (const turn_record &Turn : Answer->Turns)
+      if (mayRead(Turn.Workspace, Owner))
+        Result.Turns.push_back(Turn);
+      else
+        Foreign = true;
     for (const ledger_entry &Entry : Answer->Ledger) {
       const auto [Found, Added] = Entries.try_emplace(Entry.Attempt, Entry);
       if (!Added && Entry.Settled && !Found->second.Settled)
         Found->second = Entry;
     }
   }
+  // A replica of an older build doesn't keep the owner, so that a turn without
+  // one may be another's.
+  Result.PreviousFound = Result.PreviousFound && (Own || !Foreign);
+  if (!Result.PreviousFound) {
+    Result.Turns.clear();
+    Result.PreviousRunner = {};
+  }
   for (const auto &[Id, Entry] : Entries)
     if (Id != Attempt)
       Result.OtherAttemptTokens += Entry.Tokens;
--- a/src/history/quorum.h
+++ b/src/history/quorum.h
@@ -68,9 +68,12 @@
 /// settled is settled.
 /// \param Round a round with a quorum.
 /// \param Attempt the reserving attempt; its own entry is not counted.
+/// \param Owner owner of the reservation, see mayRead(). Turns of others count
+/// as not found; replicas of an older build return them.
 /// \returns the merged reservation.
 merged_reservation mergeReservation(const quorum_round &Round,
-                                    const std::string &Attempt);
+                                    const std::string &Attempt,
+                                    const std::string &Owner = "");
 
 /// \param OtherAttemptTokens tokens reserved or used by the other attempts of
 /// the program.
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -41,7 +41,7 @@
   std::uint64_t Sequence = 0;   ///< Unique on the connection.
   std::uint64_t SetVersion = 0; ///< Replica set known to the sender.
   replica_operation Operation = replica_operation::Ping;
-  std::string Program;
+  std::string Program;            ///< Name of a ledger, see ownedName().
   ledger_entry Entry;             ///< Reserve, Settle.
   std::uint64_t RetentionMs = 0;  ///< Reserve, Settle: retention of the entry.
   std::string Previous;           ///< Reserve: id of the continued turn.
@@ -58,9 +58,11 @@
   std::vector<permit_request> Permits;  ///< Ping: permits to issue.
   std::vector<suspect_notice> Suspects; ///< Ping: evidence of the sender.
   request_signature Signature = 0;      ///< Reserve: of the turn's request.
+  /// Reserve, Read: turns of other owners are not returned, see mayRead().
+  std::string Workspace;
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
                  Previous, WantChain, Turn, Turns, Cursor, Set, Target,
-                 RelayAddress, Permits, Suspects, Signature)
+                 RelayAddress, Permits, Suspects, Signature, Workspace)
 };
 
 /// Token ledger of one program on a replica.
@@ -85,9 +87,10 @@
 struct replica_reply {
   std::uint64_t Sequence = 0;
   replica_status Status = replica_status::Done;
-  std::uint64_t SetVersion = 0;        ///< Newest version known to the replica.
-  std::vector<ledger_entry> Ledger;    ///< Reserve: entries of the program.
-  bool PreviousFound = false;          ///< Reserve.
+  std::uint64_t SetVersion = 0;     ///< Newest version known to the replica.
+  std::vector<ledger_entry> Ledger; ///< Reserve: entries of the program.
+  /// Reserve: the replica holds Previous, and the request may read it.
+  bool PreviousFound = false;
   std::vector<turn_record> Turns;      ///< Reserve, Read, Copy.
   std::vector<program_ledger> Ledgers; ///< Copy.
   std::uint64_t Cursor = 0; ///< Copy: position of the last item sent.
@@ -101,9 +104,10 @@
   std::vector<limit_notice> Limits;  ///< Ping: limits of runners.
   /// Ping: the newest evidence; Reserve: that about the turn's signature.
   std::vector<suspect_notice> Suspects;
+  std::string PreviousWorkspace; ///< Reserve: owner of Previous.
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
                  Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner,
-                 Permits, Limits, Suspects)
+                 Permits, Limits, Suspects, PreviousWorkspace)
 };
 
 /// \param Message the message.
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -1,5 +1,7 @@
 #include "history/replica_state.h"
 
+#include "history/ownership.h"
+
 #include <algorithm>
 #include <cassert>
 #include <string_view>
@@ -94,6 +96,13 @@
   extendChainExpiry(State, Id, Expiry);
 }
 
+/// \returns whether another workspace has stored a turn of the same ID.
+bool isHeldByOther(const replica_state &State, const turn_record &Turn) {
+  const auto Held = State.Turns.find(Turn.Id);
+  return Held != State.Turns.end() && !Held->second.Record.Workspace.empty() &&
+         Held->second.Record.Workspace != Turn.Workspace;
+}
+
 replica_change entryChange(const std::string &Program,
                            const ledger_entry &Entry,
                            std::uint64_t RetentionMs) {
@@ -118,13 +127,16 @@
   Outcome.Reply.Turns.push_back(Held.Record);
 }
 
-/// Appends a turn and those before it, up to the first that is in Appended.
-/// Damaged records may form a cycle.
+/// Appends a turn and those before it, up to the first that is in Appended or
+/// of another owner. Damaged records may form a cycle.
 void appendChain(const replica_state &State, const std::string &Last,
+                 const std::string &Owner,
                  std::unordered_set<std::string_view> &Appended,
                  replica_outcome &Outcome) {
   for (auto Found = State.Turns.find(Last);
-       Found != State.Turns.end() && Appended.insert(Found->first).second;
+       Found != State.Turns.end() &&
+       mayRead(Found->second.Record.Workspace, Owner) &&
+       Appended.insert(Found->first).second;
        Found = State.Turns.find(Found->second.Record.Previous))
     appendTurn(Found->second, Outcome);
 }
@@ -132,18 +144,30 @@
 void answerReserve(const replica_state &State, const replica_request &Request,
                    replica_outcome &Outcome) {
   replica_reply &Reply = Outcome.Reply;
-  const auto Ledger = State.Ledgers.find(Request.Program);
-  if (Ledger != State.Ledgers.end())
-    for (const auto &[Attempt, Held] : Ledger->second.Entries)
-      Reply.Ledger.push_back(Held.Entry);
+  const auto AppendLedger = [&](const std::string &Program) {
+    const auto Ledger = State.Ledgers.find(Program);
+    if (Ledger != State.Ledgers.end())
+      for (const auto &[Attempt, Held] : Ledger->second.Entries)
+        Reply.Ledger.push_back(Held.Entry);
+  };
+  AppendLedger(Request.Program);
+  // A program that is under way when workspaces come into use has drawn tokens
+  // from a ledger without an owner.
+  const std::string_view Plain = plainName(Request.Workspace, Request.Program);
+  if (Plain.size() != Request.Program.size())
+    AppendLedger(std::string(Plain));
   const auto Previous = State.Turns.find(Request.Previous);
-  Reply.PreviousFound = Previous != State.Turns.end();
-  if (Reply.PreviousFound)
-    Reply.PreviousRunner = Previous->second.Record.Runner;
+  if (Previous != State.Turns.end()) {
+    const turn_record &Turn = Previous->second.Record;
+    Reply.PreviousWorkspace = Turn.Workspace;
+    Reply.PreviousFound = mayRead(Turn.Workspace, Request.Workspace);
+    if (Reply.PreviousFound)
+      Reply.PreviousRunner = Turn.Runner;
+  }
   if (!Request.WantChain)
     return;
   std::unordered_set<std::string_view> Appended;
-  appendChain(State, Request.Previous, Appended, Outcome);
+  appendChain(State, Request.Previous, Request.Workspace, Appended, Outcome);
 }
 
 void answerCopy(const replica_state &State, const replica_request &Request,
@@ -275,7 +299,11 @@
     Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
   case replica_operation::Commit:
-    Record(turnChange(Request.Turn));
+    // Acknowledged, the turn would be lost: the first record of an ID stays.
+    if (isHeldByOther(State, Request.Turn))
+      Reply.Status = replica_status::Refused;
+    else
+      Record(turnChange(Request.Turn));
     break;
   case replica_operation::Settle:
     Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
@@ -283,7 +311,7 @@
   case replica_operation::Read: {
     std::unordered_set<std::string_view> Appended;
     for (const std::string &Id : Request.Turns)
-      appendChain(State, Id, Appended, Outcome);
+      appendChain(State, Id, Request.Workspace, Appended, Outcome);
     break;
   }
   case replica_operation::Copy:
--- a/src/history/segment_index.cpp
+++ b/src/history/segment_index.cpp
@@ -37,6 +37,7 @@
   Turn.Tokens = Change.Turn.Tokens;
   Turn.RetentionMs = Change.Turn.RetentionMs;
   Turn.Runner = Change.Turn.Runner;
+  Turn.Workspace = Change.Turn.Workspace;
   Index.Records.push_back(std::move(Record));
 }
 
--- a/src/history/turn_record.h
+++ b/src/history/turn_record.h
@@ -17,15 +17,16 @@
 struct turn_record {
   std::string Id;       ///< Id of the attempt that produced the turn.
   std::string Previous; ///< Turn that it continues; empty if it is the first.
-  std::string Program;
-  std::string Input;  ///< Request body that the caller sent.
-  std::string Output; ///< Data of each event, each followed by a line feed.
+  std::string Program;  ///< Name of its ledger, see ownedName().
+  std::string Input;    ///< Request body that the caller sent.
+  std::string Output;   ///< Data of each event, each followed by a line feed.
   std::uint64_t Tokens = 0;      ///< Number of generated tokens.
   std::uint64_t RetentionMs = 0; ///< Retention after the last use.
   /// Runner that likely has the prompt cached; used to route later turns.
   runner_incarnation Runner{};
+  std::string Workspace{}; ///< Owner, see mayRead(); empty in older records.
   MSGPACK_DEFINE(Id, Previous, Program, Input, Output, Tokens, RetentionMs,
-                 Runner)
+                 Runner, Workspace)
 };
 
 /// Tokens that one attempt takes from the budget of its program.
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2335,3 +2335,140 @@
   CHECK(Logged("ka").find("\"priority\":\"1\"") != std::string::npos);
   CHECK(Logged("kb").find("\"priority\":\"2\"") != std::string::npos);
 }
+
+TEST_CASE("turns and ledgers belong to their workspace") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{streamHead(attemptOf(Head)) +
+                             encodeChunk("id: 1\ndata: x\n\n") +
+                             std::string(LastChunk)};
+  });
+  Fixture.setRoutes(route_kind::Streaming, true);
+  Fixture.startHistory();
+  const auto Fields = [](const std::string &Key, const std::string &Previous) {
+    http_fields Result{{"X-Program-Id", "p"},
+                       {"X-Token-Usage", "10,20"},
+                       {"X-Token-Budget", "45"}};
+    if (!Key.empty())
+      Result.push_back({"Authorization", "Bearer " + Key});
+    if (!Previous.empty())
+      Result.push_back({"X-Previous-Turn", Previous});
+    return Result;
+  };
+  CHECK(Fixture.call("old", Fields("", "")).ends_with(LastChunk));
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  // A record without a workspace is readable, and what it drew counts.
+  CHECK(Fixture.call("t1", Fields("ka", "old")).ends_with(LastChunk));
+  const auto &State = Fixture.Replicas.front().State;
+  CHECK(State.Turns.at("old").Record.Workspace.empty());
+  CHECK(State.Turns.at("t1").Record.Workspace == "a");
+  SUBCASE("the cache of this instance knows the chain") {
+    CHECK(Fixture.call("x", Fields("kb", "t1")).starts_with("HTTP/1.1 404"));
+    CHECK(Fixture.arrivals() == 2);
+  }
+  SUBCASE("another instance") {
+    replica_set Set{1, 1, true, {}};
+    for (const memory_replica &Replica : Fixture.Replicas)
+      Set.Slots.push_back({"n", Replica.address(), "here", ""});
+    // The replicas run on the loop of the first instance.
+    history_client History(Fixture.Loop, "here", 1'000'000);
+    History.setReplicas(Set, "test");
+    const auto Outcome = [&](const std::string &Owner) {
+      turn_reservation Reservation;
+      Reservation.Program = "p";
+      Reservation.Attempt = "x";
+      Reservation.Previous = "t1";
+      Reservation.Budget = 1'000;
+      Reservation.Workspace = Owner;
+      std::optional<reserve_outcome> Result;
+      const auto Operation = History.reserve(
+          Reservation, seconds(2),
+          [&](reserve_result Reserved) { Result = Reserved.Outcome; });
+      Fixture.runFor(milliseconds(200));
+      return Result;
+    };
+    CHECK(Outcome("b") == reserve_outcome::UnknownTurn);
+    CHECK(Outcome("a") == reserve_outcome::Granted);
+    CHECK(Outcome("b") == reserve_outcome::UnknownTurn);
+    History.close();
+  }
+  SUBCASE("without a quorum nothing is said of a turn") {
+    for (memory_replica &Replica : Fixture.Replicas)
+      Replica.stop();
+    CHECK(Fixture.call("x", Fields("kb", "t1")).starts_with("HTTP/1.1 503"));
+  }
+  SUBCASE("the same program of another workspace has its own budget") {
+    // Ten tokens of a, ten of the time before; 20 more fit into 45 once.
+    CHECK(Fixture.call("t2", Fields("ka", "t1")).ends_with(LastChunk));
+    CHECK(Fixture.call("t3", Fields("ka", "t2")).starts_with("HTTP/1.1 402"));
+    CHECK(Fixture.call("t4", Fields("kb", "")).ends_with(LastChunk));
+    CHECK(Fixture.call("t5", Fields("kb", "t4")).ends_with(LastChunk));
+    CHECK(Fixture.call("t6", Fields("kb", "t5")).starts_with("HTTP/1.1 402"));
+  }
+  SUBCASE("a request without a key reads no workspace's turn") {
+    Fixture.setKeys({{{"ka", "a"}}}, true);
+    CHECK(Fixture.call("x", Fields("", "t1")).starts_with("HTTP/1.1 404"));
+    CHECK(Fixture.call("y", Fields("", "old")).ends_with(LastChunk));
+    CHECK(Fixture.call("z", Fields("ka", "y")).starts_with("HTTP/1.1 404"));
+  }
+}
+
+TEST_CASE("no key reaches a log line, a metric, an answer or the history") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    if (++Calls == 1)
+      return scripted_response{NotExecutedResponse};
+    return scripted_response{streamHead(attemptOf(Head)) +
+                             encodeChunk("id: 1\ndata: x\n\n") +
+                             std::string(LastChunk)};
+  });
+  Fixture.setRoutes(route_kind::Streaming, true);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"secret-known", "a"}}});
+  http_fields Known = bearer("secret-known");
+  Known.push_back({"X-Program-Id", "p"});
+  http_fields Unknown = bearer("secret-unknown");
+  std::string Answers;
+  std::string Logged;
+  {
+    output_capture Output;
+    Answers += Fixture.call("t1", Known);
+    Answers += Fixture.call("t2", Unknown);
+    Answers += Fixture.call("t3", {{"Authorization", "secret-malformed"}});
+    Known.push_back({"X-Previous-Turn", "nope"});
+    Answers += Fixture.call("t4", Known);
+    Logged = Output.text();
+  }
+  CHECK(Answers.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(Answers.find("HTTP/1.1 401") != std::string::npos);
+  CHECK(Answers.find("HTTP/1.1 404") != std::string::npos);
+  CHECK(Answers.find("secret") == std::string::npos);
+  CHECK(Logged.find("\"key_refused\"") != std::string::npos);
+  CHECK(Logged.find("\"config_age_ms\"") != std::string::npos);
+  CHECK(Logged.find("\"request_placed\"") != std::string::npos);
+  CHECK(Logged.find("secret") == std::string::npos);
+  CHECK(Fixture.Metrics.render().find("secret") == std::string::npos);
+  for (const auto &[Id, Turn] : Fixture.Replicas.front().State.Turns) {
+    msgpack::sbuffer Buffer;
+    msgpack::pack(Buffer, Turn.Record);
+    CHECK(std::string(Buffer.data(), Buffer.size()).find("secret") ==
+          std::string::npos);
+  }
+  for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
+    for (const http_request_head &Head : Runner->Heads)
+      CHECK(encodeRequest(Head, "").find("secret") == std::string::npos);
+}
+
+TEST_CASE("a request through a tunnel states the workspace and has no key") {
+  stranded_fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  http_fields Fields = bearer("ka");
+  Fields.push_back({"X-Tenant", "b"});
+  // The first ones find that there is no path, and the later ones none.
+  for (int Count = 0; Count < 5; ++Count)
+    CHECK(Fixture.call(std::to_string(Count), Fields)
+              .starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.Context.Path.State == path_state::Lost);
+  CHECK(statedWorkspaces(Fixture).count("a") == 5);
+  CHECK(Fixture.arrivals() == 5);
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -1,10 +1,13 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "core/unpack.h"
 #include "fuzz.h"
 #include "history/chain_cache.h"
 #include "history/copy_progress.h"
 #include "history/history_link.h"
+#include "history/ownership.h"
 #include "history/permit_service.h"
 #include "history/quorum.h"
+#include "history/segment_index.h"
 #include "history/segment_log.h"
 #include "history/suspect_service.h"
 #include "limit/permit_stock.h"
@@ -779,3 +782,271 @@
     decodeIndex(Bytes, Decoded);
   });
 }
+
+namespace {
+
+/// A turn's record as builds before workspaces write it.
+struct former_turn_record {
+  std::string Id;
+  std::string Previous;
+  std::string Program;
+  std::string Input;
+  std::string Output;
+  std::uint64_t Tokens = 0;
+  std::uint64_t RetentionMs = 0;
+  runner_incarnation Runner{};
+  MSGPACK_DEFINE(Id, Previous, Program, Input, Output, Tokens, RetentionMs,
+                 Runner)
+};
+
+template <typename Value> std::string pack(const Value &Given) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, Given);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// \returns a packed array without its last elements, as an older build sends
+/// it.
+std::string withoutLast(const std::string &Packed, std::uint32_t Count = 1) {
+  const auto Handle = unpackBounded(Packed);
+  const auto &Array = Handle.get().via.array;
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> Packer(Buffer);
+  Packer.pack_array(Array.size - Count);
+  for (std::uint32_t Index = 0; Index + Count < Array.size; ++Index)
+    Packer.pack(Array.ptr[Index]);
+  return {Buffer.data(), Buffer.size()};
+}
+
+/// \returns a packed array with one more element, as a newer build sends it.
+std::string withOneMore(const std::string &Packed) {
+  const auto Handle = unpackBounded(Packed);
+  const auto &Array = Handle.get().via.array;
+  msgpack::sbuffer Buffer;
+  msgpack::packer<msgpack::sbuffer> Packer(Buffer);
+  Packer.pack_array(Array.size + 1);
+  for (std::uint32_t Index = 0; Index < Array.size; ++Index)
+    Packer.pack(Array.ptr[Index]);
+  Packer.pack("later");
+  return {Buffer.data(), Buffer.size()};
+}
+
+turn_record ownedTurn(const std::string &Owner, std::string Id,
+                      std::string Previous = "") {
+  turn_record Turn = makeTurn(std::move(Id), std::move(Previous));
+  Turn.Workspace = Owner;
+  Turn.Program = ownedName(Owner, "p");
+  Turn.Runner = {"runner-7", 1'234};
+  return Turn;
+}
+
+replica_reply reserveFor(replica_state &State, const std::string &Owner,
+                         const std::string &Attempt,
+                         const std::string &Previous = "") {
+  replica_request Request;
+  Request.Operation = replica_operation::Reserve;
+  Request.SetVersion = 3;
+  Request.Workspace = Owner;
+  Request.Program = ownedName(Owner, "p");
+  Request.Entry = {Attempt, 100, false};
+  Request.RetentionMs = 60'000;
+  Request.Previous = Previous;
+  Request.WantChain = true;
+  return handleRequest(State, Request, 1, Limits, Start).Reply;
+}
+
+/// \returns the reply as a replica of an older build gives it: without owners.
+replica_reply asFormerReplica(replica_reply Reply) {
+  Reply.PreviousWorkspace.clear();
+  for (turn_record &Turn : Reply.Turns)
+    Turn.Workspace.clear();
+  return Reply;
+}
+
+} // namespace
+
+TEST_CASE("names of owners and plain names do not collide") {
+  CHECK(ownedName("", "p") == "p");
+  CHECK(ownedName("a", "p") != ownedName("ap", ""));
+  CHECK(ownedName(AnonymousOwner, "p") != ownedName("", "p"));
+  CHECK(plainName("a", ownedName("a", "p")) == "p");
+  CHECK(plainName(AnonymousOwner, ownedName(AnonymousOwner, "p")) == "p");
+  CHECK(plainName("", "p") == "p");
+  CHECK(plainName("b", ownedName("a", "p")) == ownedName("a", "p"));
+  CHECK(mayRead("", "a"));
+  CHECK(mayRead("a", ""));
+  CHECK(mayRead("a", "a"));
+  CHECK_FALSE(mayRead("a", "b"));
+  CHECK_FALSE(mayRead("a", AnonymousOwner));
+}
+
+// Guards against a rolling upgrade that loses turns of the other build.
+TEST_CASE("records and messages of the former build are read, and theirs of "
+          "this one") {
+  const former_turn_record Former{"t1",  "t0", "p", "in",
+                                  "out", 20,   60,  {"r", 7}};
+  const auto Read = unpackInPlace<turn_record>(pack(Former));
+  CHECK(Read.Id == "t1");
+  CHECK(Read.Output == "out");
+  CHECK(Read.Runner.BornMs == 7);
+  CHECK(Read.Workspace.empty());
+  const auto Back =
+      unpackInPlace<former_turn_record>(pack(ownedTurn("a", "t2", "t1")));
+  CHECK(Back.Id == "t2");
+  CHECK(Back.Previous == "t1");
+  CHECK(Back.Runner.Id == "runner-7");
+
+  replica_request Request;
+  Request.Sequence = 5;
+  Request.Program = "p";
+  Request.Signature = 9;
+  Request.Workspace = "a";
+  const std::string Packed = encodeMessage(Request).substr(4);
+  CHECK(decodeReplicaRequest(Packed).Workspace == "a");
+  const replica_request FormerRequest =
+      decodeReplicaRequest(withoutLast(Packed));
+  CHECK(FormerRequest.Signature == 9);
+  CHECK(FormerRequest.Workspace.empty());
+  CHECK(decodeReplicaRequest(withOneMore(Packed)).Workspace == "a");
+
+  replica_reply Reply;
+  Reply.Sequence = 6;
+  Reply.PreviousFound = true;
+  Reply.PreviousWorkspace = "a";
+  const std::string PackedReply = encodeMessage(Reply).substr(4);
+  CHECK(decodeReplicaReply(PackedReply).PreviousWorkspace == "a");
+  CHECK(decodeReplicaReply(withoutLast(PackedReply)).PreviousFound);
+  CHECK(decodeReplicaReply(withoutLast(PackedReply)).PreviousWorkspace.empty());
+  CHECK(decodeReplicaReply(withOneMore(PackedReply)).Sequence == 6);
+
+  // A record of the journal, whose turn is of the former format.
+  replica_change Change;
+  Change.Kind = change_kind::Turn;
+  Change.Turn = ownedTurn("a", "t3");
+  CHECK(unpackInPlace<replica_change>(pack(Change)).Turn.Workspace == "a");
+}
+
+TEST_CASE("a turn is returned to its workspace only, one without a workspace "
+          "to all") {
+  replica_state State = makeReplica();
+  commit(State, makeTurn("old", ""));
+  commit(State, ownedTurn("a", "t1", "old"));
+  commit(State, ownedTurn("a", "t2", "t1"));
+  const replica_reply Own = reserveFor(State, "a", "x1", "t2");
+  CHECK(Own.PreviousFound);
+  CHECK(Own.PreviousWorkspace == "a");
+  CHECK(Own.PreviousRunner.Id == "runner-7");
+  CHECK(Own.Turns.size() == 3);
+  for (const std::string &Other :
+       {std::string("b"), std::string(AnonymousOwner)}) {
+    const replica_reply Reply = reserveFor(State, Other, "x2", "t2");
+    CHECK_FALSE(Reply.PreviousFound);
+    CHECK(Reply.PreviousWorkspace == "a");
+    CHECK(Reply.PreviousRunner.Id.empty());
+    CHECK(Reply.Turns.empty());
+    CHECK(reserveFor(State, Other, "x3", "old").Turns.size() == 1);
+    replica_request Read;
+    Read.Operation = replica_operation::Read;
+    Read.SetVersion = 3;
+    Read.Workspace = Other;
+    Read.Turns = {"t1", "old"};
+    const replica_reply Found =
+        handleRequest(State, Read, 1, Limits, Start).Reply;
+    REQUIRE(Found.Turns.size() == 1);
+    CHECK(Found.Turns.front().Id == "old");
+  }
+  // Where no workspaces are configured, all turns are read as before.
+  CHECK(reserve(State, "x4", "t2").Turns.size() == 3);
+}
+
+TEST_CASE("a reservation compares owners itself where replicas do not") {
+  replica_state State = makeReplica();
+  commit(State, ownedTurn("a", "t1"));
+  const auto Merge = [](std::vector<replica_reply> Replies, const char *Owner) {
+    return mergeReservation(roundOf(std::move(Replies)), "x", Owner);
+  };
+  const replica_reply Other = reserveFor(State, "b", "x", "t1");
+  // A replica of an older build ignores the request's owner.
+  const replica_reply Ignoring = reserve(State, "x", "t1");
+  CHECK_FALSE(Merge({Other, Other}, "b").PreviousFound);
+  CHECK_FALSE(Merge({Ignoring, Ignoring}, "b").PreviousFound);
+  const merged_reservation Mixed =
+      Merge({asFormerReplica(Ignoring), Other}, "b");
+  CHECK_FALSE(Mixed.PreviousFound);
+  CHECK(Mixed.Turns.empty());
+  CHECK(Mixed.PreviousRunner.Id.empty());
+  const merged_reservation Own = Merge(
+      {asFormerReplica(Ignoring), reserveFor(State, "a", "x", "t1")}, "a");
+  CHECK(Own.PreviousFound);
+  CHECK(Own.Turns.size() == 2);
+  // Another workspace's turn of the same ID, on a minority of the replicas.
+  replica_state Minority = makeReplica();
+  commit(Minority, ownedTurn("b", "t1"));
+  CHECK(Merge({reserveFor(Minority, "a", "x", "t1"),
+               reserveFor(State, "a", "x", "t1")},
+              "a")
+            .PreviousFound);
+}
+
+TEST_CASE("a turn is not acknowledged if another workspace has one of its id") {
+  replica_state State = makeReplica();
+  replica_request Request;
+  Request.Operation = replica_operation::Commit;
+  Request.SetVersion = 3;
+  const auto Commit = [&](const turn_record &Turn) {
+    Request.Turn = Turn;
+    return handleRequest(State, Request, 1, Limits, Start).Reply.Status;
+  };
+  CHECK(Commit(ownedTurn("a", "t1")) == replica_status::Done);
+  CHECK(Commit(ownedTurn("b", "t1")) == replica_status::Refused);
+  CHECK(Commit(ownedTurn("a", "t1")) == replica_status::Done);
+  CHECK(State.Turns.at("t1").Record.Workspace == "a");
+  CHECK(Commit(makeTurn("old", "")) == replica_status::Done);
+  CHECK(Commit(ownedTurn("a", "old")) == replica_status::Done);
+}
+
+TEST_CASE("ledgers are kept apart by workspace") {
+  replica_state State = makeReplica();
+  reserveFor(State, "a", "1");
+  const auto Others = [&](const std::string &Owner,
+                          const std::string &Attempt) {
+    return mergeReservation(roundOf({reserveFor(State, Owner, Attempt)}),
+                            Attempt, Owner)
+        .OtherAttemptTokens;
+  };
+  CHECK(Others("b", "2") == 0);
+  CHECK(Others("a", "3") == 100);
+  CHECK(Others(std::string(AnonymousOwner), "4") == 0);
+  // A turn settles the ledger of its owner.
+  commit(State, ownedTurn("a", "1"));
+  CHECK(Others("a", "3") == 20);
+  CHECK(Others("b", "2") == 0);
+  // What a program drew before workspaces came into use still counts.
+  reserve(State, "5");
+  CHECK(Others("b", "2") == 100);
+  CHECK(Others("a", "3") == 120);
+}
+
+TEST_CASE("a copy and an index keep the owners of turns and ledgers") {
+  replica_state Source = makeReplica();
+  commit(Source, ownedTurn("a", "t1"));
+  replica_request Copy;
+  Copy.Operation = replica_operation::Copy;
+  Copy.SetVersion = 3;
+  const replica_reply Batch =
+      handleRequest(Source, Copy, 1, Limits, Start).Reply;
+  replica_state Target = makeReplica(false);
+  applyCopyBatch(Target, Batch, 1, Limits, Start);
+  CHECK_FALSE(reserveFor(Target, "b", "x", "t1").PreviousFound);
+  CHECK(reserveFor(Target, "a", "x", "t1").PreviousFound);
+  CHECK(Target.Ledgers.contains(ownedName("a", "p")));
+
+  replica_change Change;
+  Change.Kind = change_kind::Turn;
+  Change.Turn = ownedTurn("a", "t1");
+  segment_index Index;
+  addToIndex(Index, Change, {1, 0, 10});
+  segment_index Loaded;
+  REQUIRE(decodeIndex(encodeIndex(Index), Loaded));
+  CHECK(Loaded.Records.front().Change.Turn.Workspace == "a");
+}
