Bound the memory and descriptors that clients can use

Cause: an entry instance bounds what it buffers per connection only, and returns little of it to the system. Crowds of clients take more than the memory of the machine; idle connections take all descriptors.

Change: - src/admission: an account of bytes by purpose, the decision who is admitted, dropped or rejected while memory is short, and the limit on connections, as functions over plain structs with their own test. - caller_connection charges heads and whole bodies before they are read, and pauses reading until there is room. Clients without progress give way to those that wait; who waits 1.2 s gets 503 with Connection: close. Nobody gives way while nobody waits. The next pipelined request waits for a client that does not read. - edge limits connections of clients to half of the descriptors that max-fds leaves after the 200 for files. Idle connections give way first. - Large blocks are returned to the system when they are freed. - Settings in lentilhoist-clients, gauges, counters, bounded log lines. Without memory-mb or max-fds nothing changes; the limit on waiting bodies stays a quarter of the memory.

Sanitizers, the other test programs and arm64 not run.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -1,5 +1,7 @@
 #include "edge/edge.h"
 
+#include "admission/connection_limit.h"
+#include "admission/memory_account.h"
 #include "edge/drain_plan.h"
 #include "forward/caller_connection.h"
 #include "forward/crash_watch.h"
@@ -27,8 +29,9 @@
 
 /// Interval at which idle pooled connections and missing runners are expired.
 constexpr milliseconds SweepInterval{250};
-/// Active request bodies may use this fraction of the memory (1/N).
-constexpr std::size_t BodyMemoryDivisor = 4;
+/// With too many connections, so many idle ones (1/N of the limit) give way at
+/// once, since finding them takes a look at all.
+constexpr std::size_t IdleBatchDivisor = 64;
 /// The cache of recently used chains may use this fraction of the memory (1/N).
 constexpr std::size_t ChainMemoryDivisor = 10;
 /// Offset of the history relay port from the instance's first port, which
@@ -70,7 +73,16 @@
         Tunnels(Loop, endpoint(TunnelPortOffset), tunnelHost()),
         Signals(Loop, SIGTERM, SIGINT, SIGHUP), SweepTimer(Loop),
         PingTimer(Loop), BackupTimer(Loop), DrainTimer(Loop) {
-    Context.MaxBodyBytes = Settings.MemoryBytes / BodyMemoryDivisor;
+    // A body in progress may be held twice: by its request and on the way to
+    // its runner.
+    Context.Memory.Limit =
+        Settings.MemoryBytes / 100 * Settings.ClientMemoryPercent;
+    Context.MaxBodyBytes = Context.Memory.Limit;
+    Context.Gate.setLimits(
+        {Settings.ClientStallTime, Settings.ClientMemoryWait});
+    ConnectionLimit = Settings.MaxClientConnections != 0
+                          ? Settings.MaxClientConnections
+                          : clientConnectionLimit(Settings.MaxDescriptors);
     Context.RelayAddress = formatAddress(endpoint(TunnelPortOffset));
     // Without a list of relays the next ping is too far away.
     Context.OnPathLost = [this] {
@@ -314,6 +326,17 @@
                   static_cast<double>(Context.ActiveRequests));
     Metrics.gauge("lentilhoist_caller_connections",
                   static_cast<double>(Connections.size()));
+    for (std::size_t Index = 0; Index < MemoryPurposes; ++Index)
+      Metrics.gauge(std::string("lentilhoist_client_memory_bytes{purpose=\"") +
+                        memoryPurposeName(static_cast<memory_purpose>(Index)) +
+                        "\"}",
+                    static_cast<double>(Context.Memory.Bytes[Index]));
+    Metrics.gauge("lentilhoist_client_memory_limit_bytes",
+                  static_cast<double>(Context.Memory.Limit));
+    Metrics.gauge("lentilhoist_clients_waiting_for_memory",
+                  static_cast<double>(Context.Gate.waiting()));
+    Metrics.gauge("lentilhoist_caller_connection_limit",
+                  static_cast<double>(ConnectionLimit));
     Metrics.gauge("lentilhoist_request_body_bytes",
                   static_cast<double>(Context.BodyBytes));
     Metrics.gauge("lentilhoist_runner_path_lost",
@@ -330,14 +353,67 @@
   }
 
   void addConnection(asio::ip::tcp::socket Socket) {
+    // Counted until its descriptor is free, also while it lingers after the
+    // end of the connection that uses it.
+    ++*OpenSockets;
+    const std::shared_ptr<tcp_stream> Stream(
+        new tcp_stream(std::move(Socket), socket_settings{}),
+        [Count = OpenSockets](tcp_stream *Closed) {
+          std::default_delete<tcp_stream>()(Closed);
+          --*Count;
+        });
+    const accept_step Step = decideAccept(*OpenSockets, ConnectionLimit);
+    if (Step == accept_step::Close) {
+      countGivenUp("closed", 1);
+      Stream->abort();
+      return;
+    }
     auto Connection = std::make_shared<caller_connection>(
-        Context,
-        std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}),
+        Context, Stream,
         [this](caller_connection *Closed) { removeConnection(Closed); });
+    if (Step == accept_step::MakeRoom && !freeDescriptors()) {
+      Connection->refuse("connections_full");
+      return;
+    }
     Connections.insert(Connection);
     Connection->start();
   }
 
+  /// Ends connections that make the least use of their descriptors.
+  /// \returns whether there were any.
+  bool freeDescriptors() {
+    std::vector<std::shared_ptr<caller_connection>> Idle;
+    std::vector<idle_connection> States;
+    for (const auto &Connection : Connections)
+      if (Connection->idle()) {
+        Idle.push_back(Connection);
+        States.push_back(Connection->idleState());
+      }
+    const std::size_t Count =
+        std::max<std::size_t>(1, ConnectionLimit / IdleBatchDivisor);
+    const auto Chosen = chooseIdle(States, Count, readClock());
+    for (const std::size_t Index : Chosen)
+      Idle[Index]->giveUpDescriptor();
+    countGivenUp("idle", Chosen.size());
+    return !Chosen.empty() || Context.Gate.dropStalled(Count) != 0;
+  }
+
+  void countGivenUp(const char *Kind, std::size_t Count) {
+    if (Count == 0)
+      return;
+    Metrics.count(
+        std::string("lentilhoist_connections_given_up_total{kind=\"") + Kind +
+            "\"}",
+        Count);
+    if (const auto Suppressed = takeLine(GivenUpLines, readClock()))
+      logEvent(log_level::Warning, "connections_given_up",
+               {{"kind", Kind},
+                {"count", std::to_string(Count)},
+                {"open", std::to_string(*OpenSockets)},
+                {"limit", std::to_string(ConnectionLimit)},
+                {"suppressed", std::to_string(*Suppressed)}});
+  }
+
   void removeConnection(caller_connection *Closed) {
     const auto Found = Connections.find(Closed->shared_from_this());
     if (Found != Connections.end())
@@ -638,6 +714,11 @@
   /// needed.
   std::map<std::string, std::shared_ptr<history_link>> SeedLinks;
   std::set<std::shared_ptr<caller_connection>> Connections;
+  std::size_t ConnectionLimit = 0; ///< Of callers; 0: no limit.
+  /// Sockets of callers. Shared, because handlers on the event loop may own
+  /// the last of them.
+  std::shared_ptr<std::size_t> OpenSockets = std::make_shared<std::size_t>(0);
+  line_budget GivenUpLines;
   /// Zero if the registry was never unreachable.
   instant RegistryReconnectTime{};
   bool RegistryUnreachable = false;
@@ -650,6 +731,7 @@
 
 int runEdge(const instance_settings &Settings,
             const std::function<void()> &OnHangup) {
+  returnFreedMemory();
   edge Edge(Settings, OnHangup);
   return Edge.run();
 }
--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -1,10 +1,13 @@
 #include "forward/caller_connection.h"
 
+#include "core/hash.h"
 #include "log/log.h"
 #include "platform/request_headers.h"
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
+#include <optional>
 
 namespace lentilhoist {
 
@@ -14,6 +17,10 @@
 /// buffered while a request is in progress.
 constexpr std::size_t MaxPipelinedBytes = 64UL * 1024UL;
 
+/// The next pipelined request waits while more than this many bytes of earlier
+/// responses have not been taken.
+constexpr std::size_t MaxUnreadBytes = 256UL * 1024UL;
+
 /// Idle connections stay open this long past their limit. A caller may learn of
 /// a raised limit before this instance has applied the new configuration.
 constexpr milliseconds IdleTimeoutMargin{2'000};
@@ -25,6 +32,10 @@
 /// a second for a new connection.
 constexpr milliseconds FirstRequestTime{1'000};
 
+/// A body up to this size counts as small: it may use the part of the account
+/// that is kept from large ones. Ordinary requests have some kilobytes.
+constexpr std::size_t SmallBodyBytes = 64UL * 1024UL;
+
 /// Limits until the first configuration arrives.
 const caller_limits DefaultLimits;
 
@@ -44,6 +55,8 @@
     : Context(GivenContext), Stream(std::move(GivenStream)),
       OnClosed(std::move(GivenOnClosed)), Timer(GivenContext.Loop) {}
 
+caller_connection::~caller_connection() { Context.Gate.remove(this); }
+
 const caller_limits &caller_connection::limits() const {
   return Context.Routes ? Context.Routes->config().Limits : DefaultLimits;
 }
@@ -65,8 +78,20 @@
   };
   Handlers.OnDrained = [Weak] {
     const auto Self = Weak.lock();
-    if (Self && Self->Current)
+    if (!Self)
+      return;
+    Self->ResponseCharge.set(Self->Stream->pendingBytes());
+    if (Self->Current)
       Self->Current->onCallerDrained();
+    else if (std::exchange(Self->AwaitsDrain, false)) {
+      Self->Stream->pauseReading(false);
+      Self->readRequest();
+      Self->chargeHead();
+    }
+  };
+  Handlers.AllowRead = [Weak] {
+    const auto Self = Weak.lock();
+    return !Self || Self->allowRead();
   };
   LastReceived = readClock();
   Stream->setHandlers(std::move(Handlers));
@@ -82,19 +107,147 @@
       Stream->pauseReading(true);
     return;
   }
+  noteProgress(Bytes.size());
   readRequest();
+  chargeHead();
+}
+
+/// Charges what a read may add before it is made.
+bool caller_connection::allowRead() { return Closing || admit(false); }
+
+/// \param Queued whether the connection has waited for its turn.
+/// \returns whether the next read is charged; otherwise it waits.
+bool caller_connection::admit(bool Queued) {
+  const bool ForBody = ReadingBody && !Current;
+  const bool Large = ForBody && needsLargeBody();
+  const std::size_t Needed =
+      ForBody ? neededBody()
+              : Reader.headMemory() + Input.size() + tcp_stream::ReadSize;
+  memory_charge &Charge = ForBody ? BodyCharge : HeadCharge;
+  if (Context.Memory.Limit != 0 && Needed > Context.Memory.Limit && !Current) {
+    giveWay(give_way::TooLarge);
+    return false;
+  }
+  const bool InTurn = Needed <= Charge.bytes() || !Large || Queued ||
+                      !Context.Gate.largeBodiesWait();
+  if (!InTurn || !Charge.raise(Needed, Large))
+    return waitForMemory(Needed - Charge.bytes(), Large, Current != nullptr);
+  if (Large && Body.capacity() < Needed &&
+      Reader.framing() == body_framing::Length)
+    Body.reserve(Needed);
+  if (Wanted != 0) {
+    Wanted = 0;
+    // It was this process that let it wait.
+    LastReceived = LastProgress = readClock();
+    ProgressBytes = 0;
+    if (Reader.started() && !Current)
+      Context.Gate.stopWaiting(this);
+    else
+      Context.Gate.remove(this);
+  }
+  return true;
+}
+
+bool caller_connection::needsLargeBody() const {
+  return Reader.framing() == body_framing::Chunked
+             ? Body.size() + tcp_stream::ReadSize > SmallBodyBytes
+             : declaredLength(Reader.request().Fields) > SmallBodyBytes;
+}
+
+/// The length of a chunked body is not known; a large one is given room for
+/// the largest, so that it never waits with a part of it.
+std::size_t caller_connection::neededBody() const {
+  if (Reader.framing() != body_framing::Chunked)
+    return declaredLength(Reader.request().Fields);
+  const std::size_t Next = Body.size() + tcp_stream::ReadSize;
+  if (Next <= SmallBodyBytes)
+    return SmallBodyBytes;
+  const std::size_t Limit = Context.Memory.Limit;
+  // Leaves room for the heads beside the reserve.
+  const std::size_t Room = Limit == 0
+                               ? limits().MaxBodyBytes
+                               : Limit - 2 * (Limit / SmallReserveDivisor);
+  return std::max(Next, std::min(limits().MaxBodyBytes, Room));
+}
+
+bool caller_connection::waitForMemory(std::size_t Bytes, bool Large,
+                                      bool Later) {
+  if (Wanted == 0)
+    WaitingSince = readClock();
+  Wanted = Bytes;
+  WantsLarge = Large;
+  WantsLater = Later;
+  Context.Gate.startWaiting(this, Large);
+  return false;
+}
+
+receiver caller_connection::describe() const {
+  return {HeadCharge.bytes() + BodyCharge.bytes(),
+          Wanted,
+          WantsLarge,
+          WantsLater,
+          LastProgress,
+          WaitingSince};
+}
+
+void caller_connection::resume() {
+  const std::shared_ptr<caller_connection> Keep = shared_from_this();
+  if (!admit(true))
+    return;
+  sendContinue();
+  Stream->pauseReading(false);
+}
+
+void caller_connection::giveWay(give_way Reason) {
+  if (!Current && !Closing)
+    reject(503, giveWayName(Reason));
+}
+
+void caller_connection::refuse(const char *Reason) {
+  Stream->start();
+  reject(503, Reason);
+}
+
+void caller_connection::noteProgress(std::size_t Bytes) {
+  ProgressBytes += Bytes;
+  if (ProgressBytes < MinProgressBytes)
+    return;
+  ProgressBytes = 0;
+  LastProgress = LastReceived;
+}
+
+/// Replaces the charge for a read by one for what is left of it.
+void caller_connection::chargeHead() {
+  if (!Closing)
+    HeadCharge.set(Reader.headMemory() + Input.size());
+}
+
+void caller_connection::sendContinue() {
+  if (ContinueSent || !ReadingBody || Current ||
+      !sameFieldName(fieldValue(Reader.request().Fields, "Expect"),
+                     "100-continue"))
+    return;
+  ContinueSent = true;
+  Stream->write("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
 void caller_connection::readRequest() {
   if (Closing || Input.empty())
     return;
   const bool WasStarted = Reader.started();
+  if (!WasStarted && Stream->pendingBytes() > MaxUnreadBytes) {
+    AwaitsDrain = true;
+    Stream->pauseReading(true);
+    return;
+  }
   if (!WasStarted)
     Reader.setMaxHeadBytes(limits().MaxHeadBytes);
   const std::size_t Consumed = Reader.feed(Input);
   Input.erase(0, Consumed);
   if (!WasStarted && Reader.started()) {
-    RequestStart = readClock();
+    RequestStart = LastProgress = readClock();
+    ProgressBytes = 0;
+    Context.Gate.add(this);
     armTimer();
   }
   switch (Reader.error()) {
@@ -128,20 +281,25 @@
       BodyTime = std::min(BodyTime, *Traits->Deadline);
     armTimer();
   }
-  if (!ContinueSent &&
-      sameFieldName(fieldValue(Fields, "Expect"), "100-continue")) {
-    ContinueSent = true;
-    Stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+  if (!BodyStarted && !admit(false)) {
+    if (!Closing)
+      Stream->pauseReading(true);
+    return;
   }
+  sendContinue();
 }
 
 void caller_connection::startExchange() {
   Timer.cancel();
+  Context.Gate.remove(this);
+  BodyCharge.set(0); // The exchange charges it as waiting.
   const std::weak_ptr<caller_connection> Weak = weak_from_this();
   caller_sink Sink;
   Sink.Write = [Weak](std::string Bytes) {
-    if (const auto Self = Weak.lock())
+    if (const auto Self = Weak.lock()) {
       Self->Stream->write(std::move(Bytes));
+      Self->ResponseCharge.set(Self->Stream->pendingBytes());
+    }
   };
   Sink.Finish = [Weak](bool Close) {
     if (const auto Self = Weak.lock())
@@ -153,7 +311,14 @@
   };
   Sink.PendingBytes = [Weak] {
     const auto Self = Weak.lock();
-    return Self ? Self->Stream->pendingBytes() : std::size_t{0};
+    if (!Self)
+      return std::size_t{0};
+    const std::size_t Pending = Self->Stream->pendingBytes();
+    // While memory is short, a runner is read only as fast as its caller.
+    const bool Short =
+        !hasRoom(Self->Context.Memory, tcp_stream::ReadSize, true);
+    return Pending != 0 && Short ? std::numeric_limits<std::size_t>::max()
+                                 : Pending;
   };
   Current = std::make_shared<exchange>(Context, Reader.request(),
                                        std::exchange(Body, {}), RequestStart,
@@ -174,6 +339,9 @@
   Reader.reset();
   ReadingBody = false;
   ContinueSent = false;
+  Wanted = 0;
+  Context.Gate.remove(this);
+  chargeHead();
   Stream->pauseReading(false);
   armTimer();
   // Posted rather than called: many small pipelined requests would otherwise
@@ -190,13 +358,28 @@
                         Reason + "\"}");
   const auto Traits = platform::decodeCallerRequest(Reader.request());
   const std::string Attempt = Traits ? Traits->Attempt : std::string();
-  logEvent(log_level::Info, "request_rejected",
-           {{"request", Attempt},
-            {"reason", Reason},
-            {"status", std::to_string(Status)}});
+  // A crowd of clients is rejected with 503; each other line is of a client
+  // that has made an error of its own.
+  const auto Suppressed = Status == 503
+                              ? takeLine(Context.GiveWayLines, readClock())
+                              : std::optional<std::uint64_t>(0);
+  if (Suppressed)
+    logEvent(log_level::Info, "request_rejected",
+             {{"request", Attempt},
+              {"reason", Reason},
+              {"status", std::to_string(Status)},
+              {"charged_bytes",
+               std::to_string(HeadCharge.bytes() + BodyCharge.bytes())},
+              {"wanted_bytes", std::to_string(Wanted)},
+              {"account_bytes", std::to_string(chargedBytes(Context.Memory))},
+              {"suppressed", std::to_string(*Suppressed)}});
   Closing = true;
+  const milliseconds RetryDelay =
+      Status == 503
+          ? retryAfter(proxy_error::Overloaded, stableHash(Attempt, 1))
+          : milliseconds(0);
   Stream->write(encodeResponseHead(
-      platform::encodeErrorResponse(Status, Attempt, milliseconds(0)),
+      platform::encodeErrorResponse(Status, Attempt, RetryDelay),
       body_framing::Length, 0, true));
   Stream->finish();
   notifyClosed();
@@ -245,6 +428,13 @@
     closeIdle();
 }
 
+void caller_connection::giveUpDescriptor() {
+  if (Served)
+    closeIdle();
+  else
+    abort();
+}
+
 void caller_connection::closeIdle() {
   Closing = true;
   Stream->finishIdle();
@@ -262,6 +452,12 @@
   Closing = true;
   Current.reset();
   Timer.cancel();
+  Context.Gate.remove(this);
+  std::string().swap(Body);
+  std::string().swap(Input);
+  HeadCharge.set(0);
+  BodyCharge.set(0);
+  ResponseCharge.set(0);
   const auto Handler = std::exchange(OnClosed, nullptr);
   if (Handler)
     Handler(this);
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -92,9 +92,12 @@
                    std::string GivenBody, instant GivenArrival,
                    bool GivenKeepAlive, caller_sink GivenSink)
     : Context(GivenContext), Head(std::move(GivenHead)),
-      Body(std::move(GivenBody)), Arrival(GivenArrival),
-      KeepAlive(GivenKeepAlive), Sink(std::move(GivenSink)),
-      DeadlineTimer(GivenContext.Loop), StepTimer(GivenContext.Loop) {
+      Body(std::move(GivenBody)),
+      BodyCharge(Context.Memory, memory_purpose::WaitingBodies),
+      Arrival(GivenArrival), KeepAlive(GivenKeepAlive),
+      Sink(std::move(GivenSink)), DeadlineTimer(GivenContext.Loop),
+      StepTimer(GivenContext.Loop) {
+  BodyCharge.set(Body.size());
   Context.BodyBytes += Body.size();
   ++Context.ActiveRequests;
 }
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -122,6 +122,7 @@
   exchange_context &Context;
   http_request_head Head;
   std::string Body;
+  memory_charge BodyCharge;
   instant Arrival;
   bool KeepAlive;
   caller_sink Sink;
--- a/src/forward/exchange_context.h
+++ b/src/forward/exchange_context.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "admission/line_budget.h"
+#include "admission/memory_account.h"
 #include "config/route_table.h"
+#include "forward/receive_gate.h"
 #include "forward/runner_connection_pool.h"
 #include "history/history_client.h"
 #include "limit/permit_issuer.h"
@@ -62,6 +65,10 @@
   instant LastDeadline{};
   std::size_t BodyBytes = 0; ///< Total body size of requests in progress.
   std::size_t MaxBodyBytes = 0;
+  /// Bytes held for callers and other instances.
+  memory_account Memory{};
+  receive_gate Gate{Loop, Memory};
+  line_budget GiveWayLines{}; ///< Log lines of clients that give way.
   std::size_t ActiveRequests = 0;
   /// Requests whose caller has disconnected and that must not be cancelled on
   /// the runner. Keeps them alive.
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -45,7 +45,7 @@
   Request = {};
   Response = {};
   Body.clear();
-  HeadBytes = 0;
+  HeadBytes = HeadReadBytes = 0;
   InformationalResponses = 0;
   InValue = Started = HeadComplete = Complete = KeepAlive = NoBody = false;
   Framing = body_framing::Length;
@@ -82,8 +82,11 @@
   if (Used == Bytes.size())
     return Used;
   Started = true;
+  const bool InHead = !HeadComplete;
   const std::size_t Parsed = http_parser_execute(
       &Parser, &callbacks(), Bytes.data() + Used, Bytes.size() - Used);
+  if (InHead)
+    HeadReadBytes += Parsed;
   if (!HeadComplete) {
     HeadBytes += Parsed;
     if (MaxHeadBytes != 0 && HeadBytes > MaxHeadBytes)
@@ -98,6 +101,13 @@
   return Used + Parsed;
 }
 
+std::size_t http_reader::headMemory() const {
+  const http_fields &Fields =
+      Kind == http_message::Request ? Request.Fields : Response.Fields;
+  // Strings grow to twice their length.
+  return 2 * HeadReadBytes + Fields.capacity() * sizeof(http_field);
+}
+
 void http_reader::feedEnd() {
   if (Complete || Error != http_read_error::None || !Started)
     return;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -66,6 +66,8 @@
 
   /// \returns body bytes since the last call.
   std::string takeBody() { return std::exchange(Body, {}); }
+  /// \returns the memory that the head takes up, estimated from above.
+  std::size_t headMemory() const;
   std::size_t bodyBytes() const { return Body.size(); }
 
 private:
@@ -88,6 +90,7 @@
   http_response_head Response;
   std::string Body;
   std::size_t HeadBytes = 0;
+  std::size_t HeadReadBytes = 0;  ///< Of all reads with bytes of the head.
   int InformationalResponses = 0; ///< Before the final response.
   bool InValue = false;           ///< The last header callback was a value.
   bool Started = false;
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -124,6 +124,13 @@
         }
         if (Self->Paused)
           return;
+        if (const auto Keep = Self->Handlers;
+            Keep->AllowRead && !Keep->AllowRead()) {
+          // Unless it has ended our side, which reads and drops the rest.
+          if (Self->Handlers == Keep)
+            Self->Paused = true;
+          return;
+        }
         Self->ReadBuffer.resize(ReadSize);
         asio::error_code Error;
         Self->Socket.non_blocking(true, Error);
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -36,6 +36,9 @@
     std::function<void(std::string_view)> OnBytes; ///< Bytes arrived.
     std::function<void(stream_end)> OnEnd;         ///< Nothing more follows.
     std::function<void()> OnDrained;               ///< All is written.
+    /// Asked before bytes that have arrived are read: whether they may be. If
+    /// not, reading is paused. May be empty.
+    std::function<bool()> AllowRead;
   };
 
   /// \param Socket a connected socket, or a closed one for connect().
@@ -83,12 +86,13 @@
   /// \returns bytes that the system has not accepted yet, or never will.
   std::size_t pendingBytes() const { return Pending; }
 
+  static constexpr std::size_t ReadSize =
+      16UL * 1024UL; ///< Most bytes that a read takes.
+
 private:
   /// How long finish() waits for the peer's end; a peer that keeps the
   /// connection open sees a reset after that.
   static constexpr std::chrono::milliseconds LingerTime{1'000};
-  static constexpr std::size_t ReadSize =
-      16UL * 1024UL; ///< Bytes a read takes.
 
   void setOptions();
   void readSome();
--- a/src/settings/instance_settings.h
+++ b/src/settings/instance_settings.h
@@ -24,7 +24,16 @@
   bool FirstStart = false;     ///< The whole system starts with empty disks.
   std::uint32_t DisksLost = 1; ///< Disks that may be lost at the same time.
   std::size_t MemoryBytes = 0; ///< Memory limit of the process.
-  std::size_t DiskBytes = 0;   ///< Size of the disk; 0 if there is none.
+  std::size_t MaxDescriptors = 0; ///< Of the process; 0: no limit.
+  /// Part of the memory for what is held for clients, in percent.
+  unsigned ClientMemoryPercent = 25;
+  /// Connections of clients at a time; 0: derived from MaxDescriptors.
+  std::size_t MaxClientConnections = 0;
+  /// While memory is short, clients without progress for so long give way.
+  std::chrono::milliseconds ClientStallTime{500};
+  /// Longest wait of a client for memory.
+  std::chrono::milliseconds ClientMemoryWait{1'200};
+  std::size_t DiskBytes = 0; ///< Size of the disk; 0 if there is none.
   std::chrono::milliseconds TerminationGracePeriod{
       8'000}; ///< Between SIGTERM and SIGKILL.
   /// Time after the store becomes available again within which registry entries
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -855,6 +855,153 @@
   CHECK(Fixture.arrivals() == 0);
 }
 
+namespace {
+
+/// Answers each request with its attempt's ID.
+scripted_response echoAttempt(const http_request_head &Head,
+                              const std::string &) {
+  return {sealedResponse(attemptOf(Head), "<" + attemptOf(Head) + ">")};
+}
+
+/// A client that waits for memory until its gate is told otherwise.
+struct waiting_client : gated_receiver {
+  receiver describe() const override {
+    receiver Described;
+    Described.Wanted = 1'000'000;
+    Described.Large = true;
+    Described.WaitingSince = Since;
+    return Described;
+  }
+  void resume() override {}
+  void giveWay(give_way) override {}
+  instant Since = readClock();
+};
+
+constexpr std::size_t AccountLimit = 5'000'000;
+constexpr std::size_t LargestBody = 4'194'304;
+
+} // namespace
+
+// Guards against limits on clients that ordinary clients meet.
+TEST_CASE("a single request with the largest body is served while nothing else "
+          "is under way") {
+  caller_fixture Fixture(echoAttempt);
+  Fixture.Context.MaxBodyBytes = AccountLimit;
+  Fixture.Context.Memory.Limit = AccountLimit;
+  const std::string Body(LargestBody, 'x');
+  SUBCASE("delimited by its length") {
+    Fixture.Caller->write(requestText("1", Body));
+  }
+  SUBCASE("chunked") {
+    Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n" +
+                          encodeChunk(std::string(LargestBody / 2, 'x')) +
+                          encodeChunk(std::string(LargestBody / 2, 'x')) +
+                          "0\r\n\r\n");
+  }
+  Fixture.runUntil(
+      [&] { return Fixture.Received.find("<1>") != std::string::npos; });
+  Fixture.runFor(milliseconds(50));
+  CHECK(chargedBytes(Fixture.Context.Memory) == 0);
+}
+
+TEST_CASE("a large body waits unread for memory, and small requests pass") {
+  caller_fixture Fixture(echoAttempt);
+  Fixture.Context.Memory.Limit = AccountLimit;
+  Fixture.Context.Gate.setLimits({milliseconds(10'000), milliseconds(400)});
+  memory_charge Others(Fixture.Context.Memory, memory_purpose::ReceivingBodies);
+  Others.set(AccountLimit - AccountLimit / SmallReserveDivisor);
+  SUBCASE("small") {
+    Fixture.Caller->write(requestText("1", "small"));
+    Fixture.runUntil(
+        [&] { return Fixture.Received.find("<1>") != std::string::npos; });
+  }
+  SUBCASE("served once there is room") {
+    Fixture.Caller->write(requestText("1", std::string(500'000, 'x')));
+    Fixture.runFor(milliseconds(150));
+    CHECK(Fixture.arrivals() == 0);
+    CHECK(chargedBytes(Fixture.Context.Memory) < Others.bytes() + 100'000);
+    Others.set(0);
+    Fixture.runUntil(
+        [&] { return Fixture.Received.find("<1>") != std::string::npos; });
+  }
+  SUBCASE("rejected after its time") {
+    Fixture.Caller->write(requestText("1", std::string(500'000, 'x')));
+    Fixture.runUntil([&] { return !Fixture.Received.empty(); });
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 503"));
+    CHECK(Fixture.Received.find("Retry-After: ") != std::string::npos);
+    CHECK(Fixture.Received.find("Connection: close") != std::string::npos);
+    CHECK(Fixture.arrivals() == 0);
+    CHECK(Fixture.Closed);
+    CHECK(chargedBytes(Fixture.Context.Memory) == Others.bytes());
+  }
+  SUBCASE("not invited to send before there is room") {
+    Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                          "Expect: 100-continue\r\n"
+                          "Content-Length: 500000\r\n\r\n");
+    Fixture.runFor(milliseconds(150));
+    CHECK(Fixture.Received.empty());
+    Others.set(0);
+    Fixture.runUntil([&] { return !Fixture.Received.empty(); });
+    CHECK(Fixture.Received.starts_with("HTTP/1.1 100"));
+  }
+}
+
+TEST_CASE("a body that exceeds the whole account is rejected at once") {
+  caller_fixture Fixture(echoAttempt);
+  Fixture.Context.Memory.Limit = 1'000'000;
+  Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                        "Content-Length: 1000001\r\n\r\n");
+  Fixture.runUntil([&] { return !Fixture.Received.empty(); });
+  CHECK(Fixture.Received.starts_with("HTTP/1.1 503"));
+  CHECK(chargedBytes(Fixture.Context.Memory) == 0);
+}
+
+TEST_CASE("a client that stops inside its request gives way only while another "
+          "one waits for memory") {
+  caller_fixture Fixture(echoAttempt);
+  Fixture.Context.Memory.Limit = 1'000'000;
+  Fixture.Context.Gate.setLimits({milliseconds(100), milliseconds(10'000)});
+  Fixture.Caller->write("POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 1\r\n"
+                        "Content-Length: 500000\r\n\r\nstart");
+  Fixture.runFor(milliseconds(300));
+  CHECK(Fixture.Received.empty());
+  CHECK_FALSE(Fixture.Closed);
+  waiting_client Waiting;
+  Fixture.Context.Gate.startWaiting(&Waiting, true);
+  Fixture.runUntil([&] { return !Fixture.Received.empty(); });
+  Fixture.Context.Gate.remove(&Waiting);
+  CHECK(Fixture.Received.starts_with("HTTP/1.1 503"));
+  CHECK(Fixture.arrivals() == 0);
+  CHECK(chargedBytes(Fixture.Context.Memory) == 0);
+}
+
+// Guards against requests sent ahead whose responses pile up.
+TEST_CASE("a client that does not read is served no further requests") {
+  constexpr std::size_t ResponseBytes = 200'000;
+  caller_fixture Fixture(
+      [](const http_request_head &Head, const std::string &) {
+        return scripted_response{
+            sealedResponse(attemptOf(Head), std::string(ResponseBytes, 'x'))};
+      });
+  Fixture.runFor(milliseconds(20));
+  Fixture.Caller->pauseReading(true);
+  std::string Requests;
+  constexpr int Count = 400;
+  for (int Index = 0; Index < Count; ++Index)
+    Requests += requestText(std::to_string(Index), "a");
+  Fixture.Caller->write(Requests);
+  // Below the user timeout, which ends the connection.
+  Fixture.runFor(milliseconds(1'000));
+  const std::size_t Charged = chargedBytes(Fixture.Context.Memory);
+  CHECK(Fixture.arrivals() < Count);
+  CHECK(Charged < 3 * ResponseBytes);
+  Fixture.Caller->pauseReading(false);
+  Fixture.runUntil([&] { return Fixture.arrivals() == Count; });
+  Fixture.runFor(milliseconds(300));
+  CHECK(Fixture.Received.size() > Count * ResponseBytes);
+}
+
 TEST_CASE("caller disconnect cancels the request unless it is non-idempotent") {
   for (const route_kind Kind :
        {route_kind::Idempotent, route_kind::NonIdempotent}) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -48,6 +48,35 @@
   CHECK(Settings.MemoryBytes == 110UL * 1024 * 1024);
 }
 
+TEST_CASE("limits on clients are read, and deployments without them keep the "
+          "defaults") {
+  const instance_settings Defaults;
+  const auto Old = parseMachineSettings(SettingsText, "node.json");
+  CHECK(Old.MaxDescriptors == 0);
+  CHECK(Old.ClientMemoryPercent == Defaults.ClientMemoryPercent);
+  CHECK(Old.MaxClientConnections == 0);
+  std::string Text = SettingsText;
+  Text.replace(Text.find(R"("disk-mb":0)"), 11,
+               R"("disk-mb":0,"max-fds":3075)");
+  Text.pop_back();
+  const auto With = [&](const std::string &Clients) {
+    return parseMachineSettings(
+        Text + ",\"lentilhoist-clients\":" + Clients + "}", "node.json");
+  };
+  const auto New = With(R"({"memory-percent":30,"max-connections":77,
+                            "stall-ms":400,"memory-wait-ms":900})");
+  CHECK(New.MaxDescriptors == 3'075);
+  CHECK(New.ClientMemoryPercent == 30);
+  CHECK(New.MaxClientConnections == 77);
+  CHECK(New.ClientStallTime == milliseconds(400));
+  CHECK(New.ClientMemoryWait == milliseconds(900));
+  // Not this system's member.
+  CHECK(With("[1]").ClientMemoryPercent == Defaults.ClientMemoryPercent);
+  for (const char *Bad : {R"({"memory-percent":0})", R"({"memory-percent":51})",
+                          R"({"stall-ms":0})", R"({"memory-wait-ms":"x"})"})
+    CHECK_THROWS_AS(With(Bad), settings_error);
+}
+
 TEST_CASE("unusable machine settings throw an error that names the file") {
   for (const char *Text :
        {"", "{}", "[1]", R"({"node-name":1})",
