Test connections to the ports for readiness and metrics

Cause: further ports of an entry instance take descriptors as well (docs/design/overview.md, part 3).

Change: a case of crowd-test with 450 connections that stop inside a request, at each of the two ports; the port itself must still answer.

--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -267,7 +267,8 @@
 /// What a crowd does beside sending.
 struct crowd_manner {
   crowd_reads Reads = crowd_reads::All;
-  int TrickledBytes = 0; ///< Afterwards, one byte in TrickleInterval.
+  int TrickledBytes = 0;        ///< Afterwards, one byte in TrickleInterval.
+  std::uint16_t PortOffset = 0; ///< From the port for clients.
 };
 constexpr milliseconds TrickleInterval{100};
 
@@ -279,7 +280,9 @@
   const std::size_t CalmMemory = Edge.Process->peakMemory();
   const std::size_t CalmDescriptors = Edge.Process->descriptors();
   {
-    client_crowd Crowd(Edge.Port, Scripts, PieceBytes, Manner.Reads);
+    client_crowd Crowd(
+        static_cast<std::uint16_t>(Edge.Port + Manner.PortOffset), Scripts,
+        PieceBytes, Manner.Reads);
     Crowd.send(milliseconds(4'000), milliseconds(60'000));
     Crowd.trickle(TrickleInterval, Manner.TrickledBytes);
     awaitQuiet(*Edge.Process);
@@ -287,6 +290,10 @@
     CHECK(Edge.Process->alive());
     CHECK(Descriptors <= DescriptorBound);
     CHECK(Edge.answers());
+    if (Manner.PortOffset != 0)
+      CHECK(askOnce(static_cast<std::uint16_t>(Edge.Port + Manner.PortOffset),
+                    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+                .starts_with("HTTP/1.1 "));
     MESSAGE("peak " << Edge.Process->peakMemory() / 1024 << " KiB, calm "
                     << CalmMemory / 1024 << " KiB, descriptors " << Descriptors
                     << ", calm " << CalmDescriptors << ", closed "
@@ -397,3 +404,10 @@
       std::vector<client_script>(CrowdSize, {"", Requests, Requests.size()}),
       Unlimited, {.Reads = crowd_reads::None});
 }
+
+TEST_CASE("many connections to the ports for readiness and metrics leave "
+          "descriptors for others") {
+  const std::vector<client_script> Scripts(450, {"GET /metrics", "", 0});
+  SUBCASE("readiness") { checkCrowd(Scripts, Unlimited, {.PortOffset = 1}); }
+  SUBCASE("metrics") { checkCrowd(Scripts, Unlimited, {.PortOffset = 2}); }
+}
