--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2533,6 +2533,159 @@
   CHECK(Fixture.arrivals() == 1);
 }
 
+TEST_CASE("the log states the priority of the workspace") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  configuration Config = Fixture.Context.Routes->config();
+  Config.Routes.front().Priority = 2;
+  Config.Workspaces->front().Priority = 1;
+  Fixture.Context.Routes = std::make_shared<const route_table>(Config);
+  const auto Logged = [&](const std::string &Key) {
+    output_capture Output;
+    CHECK(Fixture.call("1", bearer(Key)).starts_with("HTTP/1.1 200"));
+    return Output.text();
+  };
+  CHECK(Logged("ka").find("\"priority\":\"1\"") != std::string::npos);
+  CHECK(Logged("kb").find("\"priority\":\"2\"") != std::string::npos);
+}
+
+TEST_CASE("turns and ledgers belong to their workspace") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{streamHead(attemptOf(Head)) +
+                             encodeChunk("id: 1\ndata: x\n\n") +
+                             std::string(LastChunk)};
+  });
+  Fixture.setRoutes(route_kind::Streaming, true);
+  Fixture.startHistory();
+  const auto Fields = [](const std::string &Key, const std::string &Previous) {
+    http_fields Result{{"X-Program-Id", "p"},
+                       {"X-Token-Usage", "10,20"},
+                       {"X-Token-Budget", "45"}};
+    if (!Key.empty())
+      Result.push_back({"Authorization", "Bearer " + Key});
+    if (!Previous.empty())
+      Result.push_back({"X-Previous-Turn", Previous});
+    return Result;
+  };
+  CHECK(Fixture.call("old", Fields("", "")).ends_with(LastChunk));
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  // A record without a workspace is readable, and what it drew counts.
+  CHECK(Fixture.call("t1", Fields("ka", "old")).ends_with(LastChunk));
+  const auto &State = Fixture.Replicas.front().State;
+  CHECK(State.Turns.at("old").Record.Workspace.empty());
+  CHECK(State.Turns.at("t1").Record.Workspace == "a");
+  SUBCASE("the cache of this instance knows the chain") {
+    CHECK(Fixture.call("x", Fields("kb", "t1")).starts_with("HTTP/1.1 404"));
+    CHECK(Fixture.arrivals() == 2);
+  }
+  SUBCASE("another instance") {
+    replica_set Set{1, 1, true, {}};
+    for (const memory_replica &Replica : Fixture.Replicas)
+      Set.Slots.push_back({"n", Replica.address(), "here", ""});
+    // The replicas run on the loop of the first instance.
+    history_client History(Fixture.Loop, "here", 1'000'000);
+    History.setReplicas(Set, "test");
+    const auto Outcome = [&](const std::string &Owner) {
+      turn_reservation Reservation;
+      Reservation.Program = "p";
+      Reservation.Attempt = "x";
+      Reservation.Previous = "t1";
+      Reservation.Budget = 1'000;
+      Reservation.Workspace = Owner;
+      std::optional<reserve_outcome> Result;
+      const auto Operation = History.reserve(
+          Reservation, seconds(2),
+          [&](reserve_result Reserved) { Result = Reserved.Outcome; });
+      Fixture.runFor(milliseconds(200));
+      return Result;
+    };
+    CHECK(Outcome("b") == reserve_outcome::UnknownTurn);
+    CHECK(Outcome("a") == reserve_outcome::Granted);
+    CHECK(Outcome("b") == reserve_outcome::UnknownTurn);
+    History.close();
+  }
+  SUBCASE("without a quorum nothing is said of a turn") {
+    for (memory_replica &Replica : Fixture.Replicas)
+      Replica.stop();
+    CHECK(Fixture.call("x", Fields("kb", "t1")).starts_with("HTTP/1.1 503"));
+  }
+  SUBCASE("the same program of another workspace has its own budget") {
+    // Ten tokens of a, ten of the time before; 20 more fit into 45 once.
+    CHECK(Fixture.call("t2", Fields("ka", "t1")).ends_with(LastChunk));
+    CHECK(Fixture.call("t3", Fields("ka", "t2")).starts_with("HTTP/1.1 402"));
+    CHECK(Fixture.call("t4", Fields("kb", "")).ends_with(LastChunk));
+    CHECK(Fixture.call("t5", Fields("kb", "t4")).ends_with(LastChunk));
+    CHECK(Fixture.call("t6", Fields("kb", "t5")).starts_with("HTTP/1.1 402"));
+  }
+  SUBCASE("a request without a key reads no workspace's turn") {
+    Fixture.setKeys({{{"ka", "a"}}}, true);
+    CHECK(Fixture.call("x", Fields("", "t1")).starts_with("HTTP/1.1 404"));
+    CHECK(Fixture.call("y", Fields("", "old")).ends_with(LastChunk));
+    CHECK(Fixture.call("z", Fields("ka", "y")).starts_with("HTTP/1.1 404"));
+  }
+}
+
+TEST_CASE("no key reaches a log line, a metric, an answer or the history") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    if (++Calls == 1)
+      return scripted_response{NotExecutedResponse};
+    return scripted_response{streamHead(attemptOf(Head)) +
+                             encodeChunk("id: 1\ndata: x\n\n") +
+                             std::string(LastChunk)};
+  });
+  Fixture.setRoutes(route_kind::Streaming, true);
+  Fixture.startHistory();
+  Fixture.setKeys({{{"secret-known", "a"}}});
+  http_fields Known = bearer("secret-known");
+  Known.push_back({"X-Program-Id", "p"});
+  http_fields Unknown = bearer("secret-unknown");
+  std::string Answers;
+  std::string Logged;
+  {
+    output_capture Output;
+    Answers += Fixture.call("t1", Known);
+    Answers += Fixture.call("t2", Unknown);
+    Answers += Fixture.call("t3", {{"Authorization", "secret-malformed"}});
+    Known.push_back({"X-Previous-Turn", "nope"});
+    Answers += Fixture.call("t4", Known);
+    Logged = Output.text();
+  }
+  CHECK(Answers.find("HTTP/1.1 200") != std::string::npos);
+  CHECK(Answers.find("HTTP/1.1 401") != std::string::npos);
+  CHECK(Answers.find("HTTP/1.1 404") != std::string::npos);
+  CHECK(Answers.find("secret") == std::string::npos);
+  CHECK(Logged.find("\"key_refused\"") != std::string::npos);
+  CHECK(Logged.find("\"config_age_ms\"") != std::string::npos);
+  CHECK(Logged.find("\"request_placed\"") != std::string::npos);
+  CHECK(Logged.find("secret") == std::string::npos);
+  CHECK(Fixture.Metrics.render().find("secret") == std::string::npos);
+  for (const auto &[Id, Turn] : Fixture.Replicas.front().State.Turns) {
+    msgpack::sbuffer Buffer;
+    msgpack::pack(Buffer, Turn.Record);
+    CHECK(std::string(Buffer.data(), Buffer.size()).find("secret") ==
+          std::string::npos);
+  }
+  for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
+    for (const http_request_head &Head : Runner->Heads)
+      CHECK(encodeRequest(Head, "").find("secret") == std::string::npos);
+}
+
+TEST_CASE("a request through a tunnel states the workspace and has no key") {
+  stranded_fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  http_fields Fields = bearer("ka");
+  Fields.push_back({"X-Tenant", "b"});
+  // The first ones find that there is no path, and the later ones none.
+  for (int Count = 0; Count < 5; ++Count)
+    CHECK(Fixture.call(std::to_string(Count), Fields)
+              .starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.Context.Path.State == path_state::Lost);
+  CHECK(statedWorkspaces(Fixture).count("a") == 5);
+  CHECK(Fixture.arrivals() == 5);
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
 // Guards against a workspace that takes capacity beyond its quota, and against
 // 429 without the time at which the rate allows the request.
 TEST_CASE("a request over its workspace's quota gets 429 at once, others are "
@@ -2681,293 +2834,137 @@
   Progress.PermitUntil = later(Now, microseconds(1));
   CHECK(hasPermit(Fixture.Context, "a", Quota, Progress, Now));
   CHECK(hasPermit(Fixture.Context, "a", {}, Progress, later(Now, seconds(9))));
+}
 
-  // Guards against a runner that resets part of its connections and is used
-  // like the others, and against a result that is recorded for the wrong
-  // runner.
-  TEST_CASE("a runner that breaks off part of its requests is ejected, and the "
-            "other one serves") {
-    int FirstCalls = 0;
-    fixture Fixture([&](const http_request_head &Head, const std::string &) {
-      const bool First =
-          fieldValue(Head.Fields, "X-Expect-Instance") == "first";
-      if (First && ++FirstCalls % 2 == 0)
-        return scripted_response{"", false, true};
-      return scripted_response{sealedResponse(attemptOf(Head), "done")};
-    });
-    const auto FirstView = [&]() -> runner_view & {
-      return Fixture.Context.Runners.Runners.at("first");
-    };
-    for (int Call = 0; Call < 200 && !FirstView().Ejected; ++Call) {
-      CAPTURE(Call);
-      // Requests that don't overlap would all go to one of two equal runners.
-      const char *Busy = Call % 2 == 0 ? "second" : "first";
-      Fixture.Context.Runners.Runners.at(Busy).Outstanding += 2;
-      CHECK(bodyOf(Fixture.call("a" + std::to_string(Call))) == "done");
-      Fixture.Context.Runners.Runners.at(Busy).Outstanding -= 2;
-      Fixture.runFor(milliseconds(30));
-    }
-    CHECK(FirstView().Ejected);
-    CHECK(standingOf(FirstView(), readClock()) == runner_standing::Ejected);
-    CHECK_FALSE(Fixture.Context.Runners.Runners.at("second").Ejected);
-    const int Before = FirstCalls;
-    for (int Call = 0; Call < 10; ++Call)
-      CHECK(bodyOf(Fixture.call("b" + std::to_string(Call))) == "done");
-    CHECK(FirstCalls == Before);
-  }
-
-  // Guards against refusals for load and server errors held against a runner.
-  TEST_CASE("refusals for load and answered errors are no faults of a runner") {
-    int Calls = 0;
-    fixture Fixture([&](const http_request_head &Head, const std::string &) {
-      if (++Calls % 2 == 1)
-        return scripted_response{
-            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
-            attemptOf(Head) +
-            "\r\nX-Server-Load: 4,1,4\r\nContent-Length: 0\r\n\r\n"};
+// Guards against a runner that resets part of its connections and is used like
+// the others, and against a result that is recorded for the wrong runner.
+TEST_CASE("a runner that breaks off part of its requests is ejected, and the "
+          "other one serves") {
+  int FirstCalls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    const bool First = fieldValue(Head.Fields, "X-Expect-Instance") == "first";
+    if (First && ++FirstCalls % 2 == 0)
+      return scripted_response{"", false, true};
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  const auto FirstView = [&]() -> runner_view & {
+    return Fixture.Context.Runners.Runners.at("first");
+  };
+  for (int Call = 0; Call < 200 && !FirstView().Ejected; ++Call) {
+    CAPTURE(Call);
+    // Requests that don't overlap would all go to one of two equal runners.
+    const char *Busy = Call % 2 == 0 ? "second" : "first";
+    Fixture.Context.Runners.Runners.at(Busy).Outstanding += 2;
+    CHECK(bodyOf(Fixture.call("a" + std::to_string(Call))) == "done");
+    Fixture.Context.Runners.Runners.at(Busy).Outstanding -= 2;
+    Fixture.runFor(milliseconds(30));
+  }
+  CHECK(FirstView().Ejected);
+  CHECK(standingOf(FirstView(), readClock()) == runner_standing::Ejected);
+  CHECK_FALSE(Fixture.Context.Runners.Runners.at("second").Ejected);
+  const int Before = FirstCalls;
+  for (int Call = 0; Call < 10; ++Call)
+    CHECK(bodyOf(Fixture.call("b" + std::to_string(Call))) == "done");
+  CHECK(FirstCalls == Before);
+}
+
+// Guards against refusals for load and server errors held against a runner.
+TEST_CASE("refusals for load and answered errors are no faults of a runner") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    if (++Calls % 2 == 1)
       return scripted_response{
-          "HTTP/1.1 500 Error\r\nX-Attempt-Id: " + attemptOf(Head) +
-          "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
-    });
-    for (int Call = 0; Call < 10; ++Call)
-      CHECK(Fixture.call(std::to_string(Call)).starts_with("HTTP/1.1 500"));
-    for (const auto &[Id, State] : Fixture.Context.Runners.Outliers.Runners) {
-      CAPTURE(Id);
-      CHECK(countFaults(State) == 0);
-      CHECK_FALSE(State.Ejected);
-    }
-  }
-
-  TEST_CASE("a runner that refuses as full while it reports free slots has a "
-            "fault") {
-    fixture Fixture([&](const http_request_head &Head, const std::string &) {
-      if (fieldValue(Head.Fields, "X-Expect-Instance") == "first")
-        return scripted_response{
-            "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
-            attemptOf(Head) +
-            "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
-      return scripted_response{sealedResponse(attemptOf(Head), "done")};
-    });
-    Fixture.Context.Runners.Runners.at("second").Outstanding = 2;
-    CHECK(bodyOf(Fixture.call("1")) == "done");
-    const auto &States = Fixture.Context.Runners.Outliers.Runners;
-    REQUIRE(States.contains("first"));
-    CHECK(countFaults(States.at("first")) == 1);
-    CHECK(countFaults(States.at("second")) == 0);
-  }
-
-  // Guards against resends that multiply the requests of an overloaded service.
-  TEST_CASE(
-      "the budget bounds resends when all requests fail, and never denies "
-      "those of single failures") {
-    constexpr int Rate = 50;
-    constexpr int Time = 60;
-    const instant Start{seconds(100), milliseconds(0)};
-    const auto at = [&](int Request) {
-      return later(Start, microseconds(1'000'000) * Request / Rate);
-    };
-    retry_budget Overload;
-    int Resends = 0;
-    for (int Request = 0; Request < Rate * Time; ++Request) {
-      recordRequest(Overload, at(Request));
-      for (int Try = 0; Try < 8 && takeResend(Overload, at(Request)); ++Try)
-        ++Resends;
-    }
-    CHECK(Resends <= ResendsPerRequest * Rate * Time + ResendsPerSecond * Time +
-                         MaxStoredResends);
-    // A runner of five fails all requests until it is known.
-    retry_budget Failures;
-    for (int Request = 0; Request < Rate * Time; ++Request) {
-      recordRequest(Failures, at(Request));
-      if (Request % 5 == 0)
-        REQUIRE(takeResend(Failures, at(Request)));
-    }
-    // An instance with hardly any request, and all requests of a runner that
-    // ends at once.
-    retry_budget Idle;
-    for (int Request = 0; Request < 100; ++Request) {
-      recordRequest(Idle, Start);
-      REQUIRE(takeResend(Idle, Start));
-    }
-    CHECK(Idle.Resends < MaxStoredResends);
-    recordRequest(Idle, later(Start, seconds(3'600)));
-    CHECK(Idle.Resends == MaxStoredResends);
-  }
-
-  TEST_CASE("a request that the budget does not let resend is answered "
-            "truthfully") {
-    bool Break = false;
-    fixture Fixture([&](const http_request_head &, const std::string &) {
-      return Break ? scripted_response{"", false, true}
-                   : scripted_response{NotExecutedResponse};
-    });
-    const auto Exhaust = [&] {
-      Fixture.Context.Resends.Resends = -100;
-      Fixture.Context.Resends.RefilledAt = readClock();
-    };
-    Exhaust();
-    // It has surely not run.
-    const std::string Refused = Fixture.call("1");
-    CHECK(Refused.starts_with("HTTP/1.1 503"));
-    CHECK(Refused.find("Retry-After") != std::string::npos);
-    CHECK(Fixture.arrivals() == 1);
-    Break = true;
-    Exhaust();
-    // It may have run.
-    CHECK(Fixture.call("2").starts_with("HTTP/1.1 502"));
-    CHECK(Fixture.arrivals() == 2);
-  }
-
-  TEST_CASE("the log states the priority of the workspace") {
-    fixture Fixture(answer);
-    Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
-    configuration Config = Fixture.Context.Routes->config();
-    Config.Routes.front().Priority = 2;
-    Config.Workspaces->front().Priority = 1;
-    Fixture.Context.Routes = std::make_shared<const route_table>(Config);
-    const auto Logged = [&](const std::string &Key) {
-      output_capture Output;
-      CHECK(Fixture.call("1", bearer(Key)).starts_with("HTTP/1.1 200"));
-      return Output.text();
-    };
-    CHECK(Logged("ka").find("\"priority\":\"1\"") != std::string::npos);
-    CHECK(Logged("kb").find("\"priority\":\"2\"") != std::string::npos);
-  }
-
-  TEST_CASE("turns and ledgers belong to their workspace") {
-    fixture Fixture([](const http_request_head &Head, const std::string &) {
-      return scripted_response{streamHead(attemptOf(Head)) +
-                               encodeChunk("id: 1\ndata: x\n\n") +
-                               std::string(LastChunk)};
-    });
-    Fixture.setRoutes(route_kind::Streaming, true);
-    Fixture.startHistory();
-    const auto Fields = [](const std::string &Key,
-                           const std::string &Previous) {
-      http_fields Result{{"X-Program-Id", "p"},
-                         {"X-Token-Usage", "10,20"},
-                         {"X-Token-Budget", "45"}};
-      if (!Key.empty())
-        Result.push_back({"Authorization", "Bearer " + Key});
-      if (!Previous.empty())
-        Result.push_back({"X-Previous-Turn", Previous});
-      return Result;
-    };
-    CHECK(Fixture.call("old", Fields("", "")).ends_with(LastChunk));
-    Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
-    // A record without a workspace is readable, and what it drew counts.
-    CHECK(Fixture.call("t1", Fields("ka", "old")).ends_with(LastChunk));
-    const auto &State = Fixture.Replicas.front().State;
-    CHECK(State.Turns.at("old").Record.Workspace.empty());
-    CHECK(State.Turns.at("t1").Record.Workspace == "a");
-    SUBCASE("the cache of this instance knows the chain") {
-      CHECK(Fixture.call("x", Fields("kb", "t1")).starts_with("HTTP/1.1 404"));
-      CHECK(Fixture.arrivals() == 2);
-    }
-    SUBCASE("another instance") {
-      replica_set Set{1, 1, true, {}};
-      for (const memory_replica &Replica : Fixture.Replicas)
-        Set.Slots.push_back({"n", Replica.address(), "here", ""});
-      // The replicas run on the loop of the first instance.
-      history_client History(Fixture.Loop, "here", 1'000'000);
-      History.setReplicas(Set, "test");
-      const auto Outcome = [&](const std::string &Owner) {
-        turn_reservation Reservation;
-        Reservation.Program = "p";
-        Reservation.Attempt = "x";
-        Reservation.Previous = "t1";
-        Reservation.Budget = 1'000;
-        Reservation.Workspace = Owner;
-        std::optional<reserve_outcome> Result;
-        const auto Operation = History.reserve(
-            Reservation, seconds(2),
-            [&](reserve_result Reserved) { Result = Reserved.Outcome; });
-        Fixture.runFor(milliseconds(200));
-        return Result;
-      };
-      CHECK(Outcome("b") == reserve_outcome::UnknownTurn);
-      CHECK(Outcome("a") == reserve_outcome::Granted);
-      CHECK(Outcome("b") == reserve_outcome::UnknownTurn);
-      History.close();
-    }
-    SUBCASE("without a quorum nothing is said of a turn") {
-      for (memory_replica &Replica : Fixture.Replicas)
-        Replica.stop();
-      CHECK(Fixture.call("x", Fields("kb", "t1")).starts_with("HTTP/1.1 503"));
-    }
-    SUBCASE("the same program of another workspace has its own budget") {
-      // Ten tokens of a, ten of the time before; 20 more fit into 45 once.
-      CHECK(Fixture.call("t2", Fields("ka", "t1")).ends_with(LastChunk));
-      CHECK(Fixture.call("t3", Fields("ka", "t2")).starts_with("HTTP/1.1 402"));
-      CHECK(Fixture.call("t4", Fields("kb", "")).ends_with(LastChunk));
-      CHECK(Fixture.call("t5", Fields("kb", "t4")).ends_with(LastChunk));
-      CHECK(Fixture.call("t6", Fields("kb", "t5")).starts_with("HTTP/1.1 402"));
-    }
-    SUBCASE("a request without a key reads no workspace's turn") {
-      Fixture.setKeys({{{"ka", "a"}}}, true);
-      CHECK(Fixture.call("x", Fields("", "t1")).starts_with("HTTP/1.1 404"));
-      CHECK(Fixture.call("y", Fields("", "old")).ends_with(LastChunk));
-      CHECK(Fixture.call("z", Fields("ka", "y")).starts_with("HTTP/1.1 404"));
-    }
-  }
-
-  TEST_CASE("no key reaches a log line, a metric, an answer or the history") {
-    int Calls = 0;
-    fixture Fixture([&](const http_request_head &Head, const std::string &) {
-      if (++Calls == 1)
-        return scripted_response{NotExecutedResponse};
-      return scripted_response{streamHead(attemptOf(Head)) +
-                               encodeChunk("id: 1\ndata: x\n\n") +
-                               std::string(LastChunk)};
-    });
-    Fixture.setRoutes(route_kind::Streaming, true);
-    Fixture.startHistory();
-    Fixture.setKeys({{{"secret-known", "a"}}});
-    http_fields Known = bearer("secret-known");
-    Known.push_back({"X-Program-Id", "p"});
-    http_fields Unknown = bearer("secret-unknown");
-    std::string Answers;
-    std::string Logged;
-    {
-      output_capture Output;
-      Answers += Fixture.call("t1", Known);
-      Answers += Fixture.call("t2", Unknown);
-      Answers += Fixture.call("t3", {{"Authorization", "secret-malformed"}});
-      Known.push_back({"X-Previous-Turn", "nope"});
-      Answers += Fixture.call("t4", Known);
-      Logged = Output.text();
-    }
-    CHECK(Answers.find("HTTP/1.1 200") != std::string::npos);
-    CHECK(Answers.find("HTTP/1.1 401") != std::string::npos);
-    CHECK(Answers.find("HTTP/1.1 404") != std::string::npos);
-    CHECK(Answers.find("secret") == std::string::npos);
-    CHECK(Logged.find("\"key_refused\"") != std::string::npos);
-    CHECK(Logged.find("\"config_age_ms\"") != std::string::npos);
-    CHECK(Logged.find("\"request_placed\"") != std::string::npos);
-    CHECK(Logged.find("secret") == std::string::npos);
-    CHECK(Fixture.Metrics.render().find("secret") == std::string::npos);
-    for (const auto &[Id, Turn] : Fixture.Replicas.front().State.Turns) {
-      msgpack::sbuffer Buffer;
-      msgpack::pack(Buffer, Turn.Record);
-      CHECK(std::string(Buffer.data(), Buffer.size()).find("secret") ==
-            std::string::npos);
-    }
-    for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
-      for (const http_request_head &Head : Runner->Heads)
-        CHECK(encodeRequest(Head, "").find("secret") == std::string::npos);
+          "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+          attemptOf(Head) +
+          "\r\nX-Server-Load: 4,1,4\r\nContent-Length: 0\r\n\r\n"};
+    return scripted_response{
+        "HTTP/1.1 500 Error\r\nX-Attempt-Id: " + attemptOf(Head) +
+        "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+  });
+  for (int Call = 0; Call < 10; ++Call)
+    CHECK(Fixture.call(std::to_string(Call)).starts_with("HTTP/1.1 500"));
+  for (const auto &[Id, State] : Fixture.Context.Runners.Outliers.Runners) {
+    CAPTURE(Id);
+    CHECK(countFaults(State) == 0);
+    CHECK_FALSE(State.Ejected);
   }
+}
 
-  TEST_CASE("a request through a tunnel states the workspace and has no key") {
-    stranded_fixture Fixture(answer);
-    Fixture.setKeys({{{"ka", "a"}}});
-    http_fields Fields = bearer("ka");
-    Fields.push_back({"X-Tenant", "b"});
-    // The first ones find that there is no path, and the later ones none.
-    for (int Count = 0; Count < 5; ++Count)
-      CHECK(Fixture.call(std::to_string(Count), Fields)
-                .starts_with("HTTP/1.1 200"));
-    CHECK(Fixture.Context.Path.State == path_state::Lost);
-    CHECK(statedWorkspaces(Fixture).count("a") == 5);
-    CHECK(Fixture.arrivals() == 5);
-    CHECK_FALSE(anyRunnerHasKey(Fixture));
-  }
+TEST_CASE("a runner that refuses as full while it reports free slots has a "
+          "fault") {
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    if (fieldValue(Head.Fields, "X-Expect-Instance") == "first")
+      return scripted_response{
+          "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nX-Attempt-Id: " +
+          attemptOf(Head) +
+          "\r\nX-Server-Load: 0,0,4\r\nContent-Length: 0\r\n\r\n"};
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  Fixture.Context.Runners.Runners.at("second").Outstanding = 2;
+  CHECK(bodyOf(Fixture.call("1")) == "done");
+  const auto &States = Fixture.Context.Runners.Outliers.Runners;
+  REQUIRE(States.contains("first"));
+  CHECK(countFaults(States.at("first")) == 1);
+  CHECK(countFaults(States.at("second")) == 0);
+}
+
+// Guards against resends that multiply the requests of an overloaded service.
+TEST_CASE("the budget bounds resends when all requests fail, and never denies "
+          "those of single failures") {
+  constexpr int Rate = 50;
+  constexpr int Time = 60;
+  const instant Start{seconds(100), milliseconds(0)};
+  const auto at = [&](int Request) {
+    return later(Start, microseconds(1'000'000) * Request / Rate);
+  };
+  retry_budget Overload;
+  int Resends = 0;
+  for (int Request = 0; Request < Rate * Time; ++Request) {
+    recordRequest(Overload, at(Request));
+    for (int Try = 0; Try < 8 && takeResend(Overload, at(Request)); ++Try)
+      ++Resends;
+  }
+  CHECK(Resends <= ResendsPerRequest * Rate * Time + ResendsPerSecond * Time +
+                       MaxStoredResends);
+  // A runner of five fails all requests until it is known.
+  retry_budget Failures;
+  for (int Request = 0; Request < Rate * Time; ++Request) {
+    recordRequest(Failures, at(Request));
+    if (Request % 5 == 0)
+      REQUIRE(takeResend(Failures, at(Request)));
+  }
+  // An instance with hardly any request, and all requests of a runner that
+  // ends at once.
+  retry_budget Idle;
+  for (int Request = 0; Request < 100; ++Request) {
+    recordRequest(Idle, Start);
+    REQUIRE(takeResend(Idle, Start));
+  }
+  CHECK(Idle.Resends < MaxStoredResends);
+  recordRequest(Idle, later(Start, seconds(3'600)));
+  CHECK(Idle.Resends == MaxStoredResends);
+}
+
+TEST_CASE("a request that the budget does not let resend is answered "
+          "truthfully") {
+  bool Break = false;
+  fixture Fixture([&](const http_request_head &, const std::string &) {
+    return Break ? scripted_response{"", false, true}
+                 : scripted_response{NotExecutedResponse};
+  });
+  const auto Exhaust = [&] {
+    Fixture.Context.Resends.Resends = -100;
+    Fixture.Context.Resends.RefilledAt = readClock();
+  };
+  Exhaust();
+  // It has surely not run.
+  const std::string Refused = Fixture.call("1");
+  CHECK(Refused.starts_with("HTTP/1.1 503"));
+  CHECK(Refused.find("Retry-After") != std::string::npos);
+  CHECK(Fixture.arrivals() == 1);
+  Break = true;
+  Exhaust();
+  // It may have run.
+  CHECK(Fixture.call("2").starts_with("HTTP/1.1 502"));
+  CHECK(Fixture.arrivals() == 2);
+}
