Keep the keys of callers out of replicas' backups

Cause: replicas store the configuration, since it now has keys, on their disks and send it to instances that start while the store is unavailable.

Change: a replica replaces the keys by digests (BLAKE2b, the same in every process) before it keeps the configuration; decodeConfig reads these as well. A configuration in which keys can't be found is not kept, and the former backup stays. Segments written by an older build contain keys until they are deleted.

The new test of the replica was not run on the former code.

--- a/src/config/api_key.cpp
+++ b/src/config/api_key.cpp
@@ -44,6 +44,25 @@
   return keyedDigest(portableDigest(Key));
 }
 
+std::string formatDigest(const key_digest &Digest) {
+  std::string Text(Digest.size() * 2 + 1, '\0');
+  sodium_bin2hex(Text.data(), Text.size(), Digest.data(), Digest.size());
+  Text.pop_back();
+  return Text;
+}
+
+std::optional<key_digest> parseDigest(const std::string &Text) {
+  key_digest Digest;
+  std::size_t Length = 0;
+  const char *End = nullptr;
+  if (Text.size() != Digest.size() * 2 ||
+      sodium_hex2bin(Digest.data(), Digest.size(), Text.data(), Text.size(),
+                     nullptr, &Length, &End) != 0 ||
+      Length != Digest.size() || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Digest;
+}
+
 bool sameDigest(const key_digest &Left, const key_digest &Right) {
   return sodium_memcmp(Left.data(), Right.data(), Left.size()) == 0;
 }
--- a/src/config/api_key.h
+++ b/src/config/api_key.h
@@ -24,6 +24,14 @@
 /// \returns the digest that keys are compared by.
 key_digest digestOfKey(std::string_view Key);
 
+/// \param Digest a portable digest.
+/// \returns its text form, hexadecimal digits.
+std::string formatDigest(const key_digest &Digest);
+
+/// \param Text what formatDigest() has returned.
+/// \returns the digest, or nothing if the text is malformed.
+std::optional<key_digest> parseDigest(const std::string &Text);
+
 /// Compares in constant time.
 /// \param Left a digest.
 /// \param Right another.
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -9,6 +9,7 @@
 #include "metrics/metrics.h"
 #include "net/address.h"
 #include "net/text_server.h"
+#include "platform/config_decoder.h"
 #include "quarantine/suspect_archive.h"
 #include "replica/replica_store.h"
 #include "store/store_pulse.h"
@@ -250,22 +251,52 @@
                                                Kind, Timing);
     store_watch::handlers Handlers;
     Handlers.OnList = [this, Kind](const std::vector<store_item> &Items) {
-      auto &Objects = Backups[Kind];
-      Objects.clear();
+      const auto Former = std::exchange(Backups[Kind], {});
       for (const store_item &Item : Items)
-        Objects[Item.Name] = Item.Spec;
+        keepBackup(Kind, Item, Former);
     };
     Handlers.OnEvent = [this, Kind](const store_event &Event) {
       if (Event.Removed)
         Backups[Kind].erase(Event.Item.Name);
       else
-        Backups[Kind][Event.Item.Name] = Event.Item.Spec;
+        keepBackup(Kind, Event.Item, Backups[Kind]);
     };
     Handlers.OnAvailability = [](bool) {};
     Watch->start(std::move(Handlers));
     return Watch;
   }
 
+  /// Keeps an object without the keys of callers. An object that may contain
+  /// keys that cannot be found is not kept; its former content stays.
+  /// \param Former objects of the kind that were kept before.
+  void keepBackup(const std::string &Kind, const store_item &Item,
+                  const std::map<std::string, std::string> &Former) {
+    if (Kind != platform::ConfigKind) {
+      Backups[Kind][Item.Name] = Item.Spec;
+      return;
+    }
+    if (auto Spec = platform::removeKeys(Item.Spec)) {
+      Backups[Kind][Item.Name] = std::move(*Spec);
+      return;
+    }
+    logEvent(
+        log_level::Error, "configuration_not_backed_up",
+        {{"object", Item.Name}, {"revision", std::to_string(Item.Revision)}});
+    if (const auto Found = Former.find(Item.Name); Found != Former.end()) {
+      Backups[Kind][Item.Name] = std::string(Found->second);
+      return;
+    }
+    const auto Stored = Store.state().Backups.find(Kind);
+    if (Stored == Store.state().Backups.end())
+      return;
+    const store_backup &Backup = Stored->second;
+    for (std::size_t Index = 0; Index < Backup.Names.size(); ++Index)
+      if (Backup.Names[Index] == Item.Name)
+        // A former build has stored it with its keys.
+        if (auto Spec = platform::removeKeys(Backup.Specs[Index]))
+          Backups[Kind][Item.Name] = std::move(*Spec);
+  }
+
   void watchStore() {
     Pulse = std::make_shared<store_pulse>(Loop, Settings.StoreAddress,
                                           pulse_settings{});
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -682,3 +682,55 @@
   CHECK(fieldValue(Passed, "Authorization") == "Bearer secret");
   CHECK(fieldValue(Passed, "X-Tenant") == "other");
 }
+
+TEST_CASE("a configuration without keys admits the same callers") {
+  const std::string Text = withTenants(R"([
+    {"name":"a","api-keys":["secret-1","shared"],"priority":1,"later":[1.5]},
+    {"name":"b","api-keys":["shared",3,""],"rate-per-s":2.5,"burst":7},
+    {"name":"","api-keys":["secret-claimed"]},
+    {"name":"c","api-keys":["secret-claimed","secret-3"]}])");
+  const auto Stored = removeKeys(Text);
+  REQUIRE(Stored);
+  CHECK(Stored->find("secret") == std::string::npos);
+  CHECK(Stored->find("shared") == std::string::npos);
+  const auto Config = decodeConfig(*Stored);
+  REQUIRE(Config);
+  const route_table Table(*Config);
+  const auto Owner = [&](const std::string &Key) {
+    const workspace *Found = Table.keys().find(digestOfKey(Key));
+    return Found ? Found->Name : std::string("none");
+  };
+  CHECK(Owner("secret-1") == "a");
+  CHECK(Owner("secret-3") == "c");
+  CHECK(Owner("shared") == "none");
+  CHECK(Owner("secret-claimed") == "none");
+  // What is stored is no key itself.
+  CHECK(Owner(formatDigest(portableDigest("secret-1"))) == "none");
+  CHECK(Config->Workspaces->front().Priority == 1);
+  CHECK(Config->Workspaces->at(1).RatePerSecond == 2.5);
+  // Replicas compare backups, so the text must be the same each time.
+  CHECK(removeKeys(Text) == Stored);
+  CHECK(removeKeys(*Stored) == Stored);
+  const std::string Without = R"({"version":1, "routes":[],"services":[]})";
+  CHECK(removeKeys(Without) == Without);
+  for (const char *Unreadable : {"{", "[]", R"({"tenants":"secret"})"})
+    CHECK_FALSE(removeKeys(Unreadable));
+  // An entry that is none must not keep the others from being backed up.
+  const auto Rest = decodeConfig(
+      removeKeys(withTenants(R"(["secret",{"name":"a","api-keys":["k"]}])"))
+          .value_or(""));
+  REQUIRE(Rest);
+  CHECK(Rest->Workspaces->size() == 1);
+  CHECK(Rest->WorkspaceFaults.Entries == 1);
+}
+
+TEST_CASE("parseDigest reads what formatDigest writes, and nothing else") {
+  const key_digest Digest = portableDigest("k");
+  const std::string Text = formatDigest(Digest);
+  CHECK(Text.size() == 64);
+  CHECK(parseDigest(Text) == Digest);
+  CHECK_FALSE(parseDigest(Text.substr(1)));
+  CHECK_FALSE(parseDigest(Text + "0"));
+  CHECK_FALSE(parseDigest(std::string(64, 'g')));
+  CHECK_FALSE(parseDigest(""));
+}
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -9,6 +9,7 @@
 #include <csignal>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <fstream>
 #include <sys/resource.h>
 
 using namespace lentilhoist;
@@ -526,3 +527,50 @@
     Replica.join();
   }
 }
+
+// Guards against keys of callers on the disk: replicas keep copies of the
+// configuration.
+TEST_CASE("a replica's backup of the configuration has no keys") {
+  const temporary_folder Folder;
+  watched_store Store;
+  instance_settings Settings;
+  Settings.Name = "replica";
+  Settings.Domain = "here";
+  Settings.Address = "127.0.0.1";
+  const int Port = freePorts(2);
+  Settings.ReplicaAddress = "127.0.0.1:" + std::to_string(Port);
+  Settings.FirstPort = static_cast<std::uint16_t>(Port + 1);
+  Settings.StoreAddress = Store.address();
+  Settings.DataFolder = Folder.Path.string();
+  Settings.MemoryBytes = 100'000'000;
+  Settings.DiskBytes = DiskBytes;
+  const auto AnyFileHas = [&](const std::string &Text) {
+    for (const auto &Entry :
+         std::filesystem::recursive_directory_iterator(Folder.Path)) {
+      if (!Entry.is_regular_file())
+        continue;
+      std::ifstream File(Entry.path(), std::ios::binary);
+      const std::string Content{std::istreambuf_iterator<char>(File), {}};
+      if (Content.find(Text) != std::string::npos)
+        return true;
+    }
+    return false;
+  };
+  const auto Await = [](const std::function<bool()> &Condition) {
+    const auto Start = std::chrono::steady_clock::now();
+    while (!Condition() &&
+           std::chrono::steady_clock::now() - Start < seconds(15))
+      std::this_thread::sleep_for(milliseconds(20));
+    return Condition();
+  };
+  std::thread Replica([&] { runReplica(Settings, [] {}); });
+  CHECK(Await([&] { return Store.isWatched(platform::ConfigKind); }));
+  Store.setSpec(R"({"version":7,"routes":[],"services":[],
+    "tenants":[{"name":"customer","api-keys":["secret"]}]})");
+  Store.change(platform::ConfigKind);
+  CHECK(Await([&] { return AnyFileHas("customer"); }));
+  CHECK_FALSE(AnyFileHas("secret"));
+  pthread_kill(Replica.native_handle(), SIGTERM);
+  Replica.join();
+  CHECK_FALSE(AnyFileHas("secret"));
+}
--- a/tests/watched_store.h
+++ b/tests/watched_store.h
@@ -85,6 +85,11 @@
     });
   }
 
+  /// \param Given spec of the objects that change from now on, JSON text.
+  void setSpec(const std::string &Given) {
+    post([this, Given] { Spec = Given; });
+  }
+
   /// \returns whether a call of the process's watch has shown that it knows the
   /// last change of a kind.
   bool knowsLastChange(const std::string &Kind) {
@@ -237,8 +242,8 @@
     if (Changes[Poll.Kind] > Poll.From)
       Events = R"({"removed":false,"object":{"metadata":{"name":"other",)"
                R"("revision":)" +
-               std::to_string(Changes[Poll.Kind]) +
-               R"(},"spec":{},"status":null}})";
+               std::to_string(Changes[Poll.Kind]) + R"(},"spec":)" + Spec +
+               R"(,"status":null}})";
     respond(*Poll.Caller, 200,
             R"({"events":[)" + Events + R"(],"store-revision":)" +
                 std::to_string(Revision) + "}");
@@ -258,6 +263,7 @@
   std::vector<std::shared_ptr<poll>> Polls;
   store_fault Fault = store_fault::None;
   std::int64_t Revision = 5;
+  std::string Spec = "{}";
   std::map<std::string, std::int64_t> Changes; ///< Last revision, by kind.
 
   std::mutex Mutex; ///< Guards what follows, which tests read.
