Leave no copy of a key with the reader of a connection

Cause: the exchange overwrites the caller's key after the lookup, but the connection's reader kept a copy of the head until the response had ended.

Change: the connection moves the head to the exchange.

--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -155,7 +155,8 @@
     const auto Self = Weak.lock();
     return Self ? Self->Stream->pendingBytes() : std::size_t{0};
   };
-  Current = std::make_shared<exchange>(Context, Reader.request(),
+  // The reader keeps no copy of the caller's key.
+  Current = std::make_shared<exchange>(Context, Reader.takeRequest(),
                                        std::exchange(Body, {}), RequestStart,
                                        Reader.keepAlive(), std::move(Sink));
   const auto Keep = Current;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -64,6 +64,9 @@
   const http_request_head &request() const { return Request; }
   const http_response_head &response() const { return Response; }
 
+  /// \returns the head of a complete request; request() is empty afterwards.
+  http_request_head takeRequest() { return std::exchange(Request, {}); }
+
   /// \returns body bytes since the last call.
   std::string takeBody() { return std::exchange(Body, {}); }
   std::size_t bodyBytes() const { return Body.size(); }
