--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -320,7 +320,8 @@
     return Pending != 0 && Short ? std::numeric_limits<std::size_t>::max()
                                  : Pending;
   };
-  Current = std::make_shared<exchange>(Context, Reader.request(),
+  // The reader keeps no copy of the caller's key.
+  Current = std::make_shared<exchange>(Context, Reader.takeRequest(),
                                        std::exchange(Body, {}), RequestStart,
                                        Reader.keepAlive(), std::move(Sink));
   const auto Keep = Current;
