Let a replica that decides on quotas stand alone beside older builds

While replicas are upgraded, one that decides on quotas was asked as a stand-in for those of the older build, and gave each workspace a small part of its rate: in forward-test, "replicas of a build without quotas" got 503 for the third request. Replicas that issue nothing no longer count in the order. A test now covers permits through a relay.

Also adds isOverShare() and names local functions as the style asks.

--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -375,7 +375,7 @@
 
 history_client::quota_way
 history_client::selectIssuer(const std::string &Workspace, instant Now) {
-  const auto isActive = [Now](const std::map<std::string, instant> &Marks,
+  const auto IsActive = [Now](const std::map<std::string, instant> &Marks,
                               const std::string &Address) {
     const auto Found = Marks.find(Address);
     return Found != Marks.end() && Found->second.Steady > Now.Steady;
@@ -384,18 +384,19 @@
   const std::vector<std::size_t> Order = issuerOrder(Set, Workspace);
   for (const std::size_t Slot : Order) {
     Way.Issuer = Set.Slots[Slot].Address;
-    if (!isActive(WithoutQuotas, Way.Issuer)) {
-      history_link &Direct = link(Way.Issuer);
-      if (!Direct.isSuspected(Now)) {
-        Way.Link = &Direct;
-        break;
-      }
-      if (!isActive(UnreachedByRelays, Way.Issuer))
-        Way.Link = selectRelay(Now);
-      Way.Relayed = Way.Link != nullptr;
-      if (Way.Relayed)
-        break;
+    // It issues nothing, so that the next one doesn't stand in for it.
+    if (IsActive(WithoutQuotas, Way.Issuer))
+      continue;
+    history_link &Direct = link(Way.Issuer);
+    if (!Direct.isSuspected(Now)) {
+      Way.Link = &Direct;
+      break;
     }
+    if (!IsActive(UnreachedByRelays, Way.Issuer))
+      Way.Link = selectRelay(Now);
+    Way.Relayed = Way.Link != nullptr;
+    if (Way.Relayed)
+      break;
     ++Way.Position;
   }
   const bool Changed = FormerSet.Established &&
--- a/src/limit/quota.h
+++ b/src/limit/quota.h
@@ -65,12 +65,12 @@
 /// \param Quota an active quota.
 /// \returns requests a second, for all stand-ins together.
 inline double standInRate(const quota &Quota) {
-  const auto toSeconds = [](auto Time) {
+  const auto ToSeconds = [](auto Time) {
     return std::chrono::duration<double>(Time).count();
   };
-  const double Window = toSeconds(QuotaWindow);
+  const double Window = ToSeconds(QuotaWindow);
   const double Issued =
-      Window + toSeconds(QuotaPermitLife) + toSeconds(QuotaArrivalDelay);
+      Window + ToSeconds(QuotaPermitLife) + ToSeconds(QuotaArrivalDelay);
   double Left = (Quota.PerSecond * Window + Quota.Burst) * (1 + QuotaOverrun) +
                 QuotaSlack;
   Left -= Quota.PerSecond * Issued + quotaCapacity(Quota);
--- a/src/limit/quota_stock.cpp
+++ b/src/limit/quota_stock.cpp
@@ -93,14 +93,14 @@
   Stock.Tokens = Reply.Tokens;
   Stock.Demand = Reply.Demand;
   Stock.DemandAt = Now;
-  const auto milli = [](std::uint64_t Value) {
+  const auto Milli = [](std::uint64_t Value) {
     return milliseconds(
         static_cast<std::int64_t>(std::min<std::uint64_t>(Value, 3'600'000)));
   };
   if (Reply.Verdict == quota_verdict::Refused) {
     Stock.RefusedVersion = Reply.Version;
-    Stock.RefusedUntil = later(Now, milli(Reply.DelayMs));
-    Stock.RetryAt = later(Now, milli(Reply.RetryMs));
+    Stock.RefusedUntil = later(Now, Milli(Reply.DelayMs));
+    Stock.RetryAt = later(Now, Milli(Reply.RetryMs));
     ++Stock.Refused;
     return;
   }
@@ -158,6 +158,15 @@
   return Label;
 }
 
+bool isOverShare(const quota_stock &Stock, const quota &Quota, double Part,
+                 instant Now) {
+  const bool Known = Stock.DemandAt.Steady.count() != 0 &&
+                     Now.Steady - Stock.DemandAt.Steady < QuotaDemandLife;
+  if (!Known || !Quota.active() || Stock.Demand <= Quota.PerSecond)
+    return false;
+  return Part >= std::max(Quota.PerSecond / Stock.Demand, MinOrdinaryPart);
+}
+
 bool addOwnPermit(quota_stock &Stock, const quota &Quota, std::size_t Instances,
                   double Phase, instant Now) {
   const double PerSecond =
--- a/src/limit/quota_stock.h
+++ b/src/limit/quota_stock.h
@@ -116,6 +116,23 @@
 std::vector<std::string> largestWorkspaces(const quota_table &Table,
                                            std::size_t Count);
 
+/// The issuer's figure of a workspace's demand says nothing after this time.
+inline constexpr seconds QuotaDemandLife{2};
+/// Least part of a workspace's requests that are never over its share. It is
+/// served at least a quarter as often as all workspaces together.
+inline constexpr double MinOrdinaryPart = 0.3;
+
+/// Decides which requests of a workspace wait behind those of others while
+/// there is too little capacity: what it sends beyond its rate. All instances
+/// have the demand from the same issuer, so that they decide alike.
+/// \param Stock the stock.
+/// \param Quota the quota in force.
+/// \param Part from 0 up to 1, evenly spread over the requests.
+/// \param Now the current time.
+/// \returns whether the request is one of those.
+bool isOverShare(const quota_stock &Stock, const quota &Quota, double Part,
+                 instant Now);
+
 /// Adds a permit while no issuer can be reached, if this instance's share of
 /// the rate allows one: as if all instances were in the same state.
 /// \param Stock the stock; updated.
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1317,6 +1317,41 @@
     CHECK(Outcome == reserve_outcome::Unavailable);
     CHECK_FALSE(RelayingClient.available(readClock()));
   }
+  // Guards against a part of the rate where the first issuer can be reached,
+  // and against a replica that is asked for ever.
+  SUBCASE("permits of workspaces come from the first issuer through the "
+          "relay, until it does not reach it") {
+    std::optional<quota_answer> Answer;
+    const auto ask = [&] {
+      Answer.reset();
+      const auto Sent = IsolatedClient.requestQuota(
+          {"w", 1, 50.0, 10.0, 0, 0, 0, false},
+          [&](const quota_answer &Given) { Answer = Given; });
+      const auto Start = readClock();
+      while (Sent && !Answer && readClock().Steady - Start.Steady < seconds(1))
+        runFor(milliseconds(5));
+      return Sent;
+    };
+    const auto First = ask();
+    REQUIRE(First);
+    CHECK(First->Address.ends_with(std::to_string(RelayAddress.port())));
+    CHECK(First->Position == 0);
+    REQUIRE(Answer);
+    REQUIRE(Answer->Reply);
+    CHECK(Answer->Reply->Verdict == quota_verdict::Granted);
+    CHECK(Answer->Issuer == Set.Slots[issuerOrder(Set, "w").front()].Address);
+    for (memory_replica &Replica : Replicas)
+      Replica.FirstIgnored = 0;
+    reserve("t2"); // The relay now suspects all replicas.
+    std::uint32_t Position = 0;
+    int Asked = 0;
+    for (auto Sent = ask(); Sent && Asked < 10; Sent = ask(), ++Asked) {
+      CHECK(Sent->Position >= Position);
+      Position = Sent->Position;
+      CHECK((!Answer || !Answer->Reply));
+    }
+    CHECK(Asked <= 4);
+  }
   IsolatedClient.close();
   RelayingClient.close();
 }
@@ -2450,7 +2485,7 @@
   Fixture.setQuota(20, 10);
   CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
   CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
-  // One that decides is asked, as a stand-in.
+  // One that decides is asked, as if it were alone.
   Fixture.Replicas.back().DecidesQuotas = true;
   Fixture.runFor(milliseconds(3'100));
   CHECK(Fixture.call("3", bearer("ka")).starts_with("HTTP/1.1 200"));
