Let requests beyond a workspace's share wait behind others

A workspace that sends many times its rate filled the engines' queues for all others. If the issuer counts more demand than the rate, the part of the workspace's requests beyond it is admitted like those of the lowest priority; at least 30% are treated like others' requests, so that it is not starved. Plain services have no admission limit and are not covered.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -335,6 +335,7 @@
   Query.Excluded = TriedRunners;
   Query.Priority = Route->Priority;
   Query.Rank = permitRank();
+  Query.OverShare = isOverWorkspaceShare(Now);
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
   if (!Placement.PermitRunner.empty())
@@ -378,6 +379,7 @@
         formatRate(Context.Runners.Runners.at(Placement.Runner)
                        .Permits.Limit.PerSecond)},
        {"priority", std::to_string(Route->Priority)},
+       {"over_share", Query.OverShare ? "true" : "false"},
        {"quarantine", quarantineVerdictName(Quarantine)},
        {"program_left_ms", Traits.ProgramTimeLeft
                                ? std::to_string(Traits.ProgramTimeLeft->count())
@@ -390,6 +392,17 @@
   return quotaOf(Workspace, KeyRoutes ? KeyRoutes->config().Version : 0);
 }
 
+bool exchange::isOverWorkspaceShare(instant Now) {
+  const quota Limit = workspaceQuota();
+  if (!Limit.active())
+    return false;
+  constexpr std::uint64_t Steps = 1'000'000;
+  const double Part =
+      static_cast<double>(stableHash(Traits.Attempt, 2) % Steps) / Steps;
+  return isOverShare(findStock(Context.Quotas, Workspace->Name, Now), Limit,
+                     Part, Now);
+}
+
 /// Takes a permit of the workspace for the next send.
 /// \returns false if there is none; the request then waits for one or is
 /// answered.
@@ -401,8 +414,13 @@
       Context, Workspace->Name, Limit, QuotaProgress, holdTimeLeft(Now),
       Traits.Attempt, [Weak = weak_from_this()](const quota_reply &Reply) {
         const auto Self = Weak.lock();
-        if (!Self || Self->Stage != stage::Holding)
+        if (!Self)
+          return;
+        if (Self->Stage != stage::Holding) { // It has got another permit.
+          Self->QuotaProgress.Sent.reset();
+          Self->QuotaProgress.RetryAt = {};
           return;
+        }
         applyQuotaAnswer(Self->QuotaProgress, Reply, readClock());
         Self->StepTimer.cancel();
         Self->place();
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -86,6 +86,7 @@
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
   quota workspaceQuota() const;
+  bool isOverWorkspaceShare(instant Now);
   bool takeQuota(instant Now);
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
--- a/src/placement/admission.cpp
+++ b/src/placement/admission.cpp
@@ -32,8 +32,11 @@
   const bool Late =
       Query.ProgramTimeLeft && Query.ProgramTimeLeft->count() <= 0;
   if (Query.RateLimited)
-    return Slots * (Query.ProgramStarted && !Late ? StartedPerSlotIfLimited
-                                                  : OtherPerSlotIfLimited);
+    return Slots * (Query.ProgramStarted && !Late && !Query.OverShare
+                        ? StartedPerSlotIfLimited
+                        : OtherPerSlotIfLimited);
+  if (Query.OverShare)
+    return Slots * MinPerSlot;
   if (Late)
     return Slots * LatePerSlot;
   double PerSlot = UrgentPerSlot - ReductionPerPriority * Query.Priority;
--- a/src/placement/admission.h
+++ b/src/placement/admission.h
@@ -17,6 +17,9 @@
   /// Runners of the service limit their rate, so that the others carry more
   /// than their part for as long as that lasts.
   bool RateLimited = false;
+  /// Its workspace sends more than its rate, and this is one of the requests
+  /// beyond; see isOverShare().
+  bool OverShare = false;
 };
 
 /// Computes the admission limit by trunk reservation: requests that are more
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -77,7 +77,8 @@
                     {Query.Priority,
                      !Request.PreviousTurn.empty() ||
                          (RateLimited && Query.Rank == permit_rank::UnderWay),
-                     Request.ProgramTimeLeft, Runner.Entry.Slots, RateLimited});
+                     Request.ProgramTimeLeft, Runner.Entry.Slots, RateLimited,
+                     Query.OverShare});
     // A slot becomes free when a request of the batch ends.
     if (ExcessRequests > 0)
       Cost.Total += ExcessRequests / Slots * StepMs * Output;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -20,6 +20,7 @@
   permit_rank Rank = permit_rank::New;
   /// Prefer the runner with the fewest requests: this one may end it.
   bool Isolate = false;
+  bool OverShare = false; ///< See admission_query.
 };
 
 /// The selected runner and the estimates behind the selection.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,8 +1,14 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "limit/quota_stock.h"
 #include "placement/admission.h"
 #include "placement/placement.h"
 
+#include <algorithm>
+#include <array>
+#include <deque>
 #include <doctest/doctest.h>
+#include <random>
+#include <vector>
 
 using namespace lentilhoist;
 
@@ -322,3 +328,110 @@
   Fixture.at("b").Outstanding = 10;
   CHECK(Fixture.place() == "a");
 }
+
+// Guards against a workspace that delays others by sending many times its rate,
+// and against one that is starved because it does.
+TEST_CASE("requests beyond a workspace's share wait behind those of others") {
+  admission_query Query;
+  Query.Slots = 10;
+  Query.ProgramStarted = true;
+  Query.OverShare = true;
+  CHECK(admissionLimit(Query) == doctest::Approx(11));
+  Query.RateLimited = true;
+  CHECK(admissionLimit(Query) == doctest::Approx(5));
+
+  quota_stock Stock;
+  const quota Quota{1, 10, 0};
+  const instant Now{seconds(50), milliseconds(0)};
+  CHECK_FALSE(isOverShare(Stock, Quota, 0.99, Now));
+  Stock.Demand = 20;
+  Stock.DemandAt = Now;
+  CHECK(isOverShare(Stock, Quota, 0.5, Now));
+  CHECK_FALSE(isOverShare(Stock, Quota, 0.49, Now));
+  CHECK_FALSE(isOverShare(Stock, Quota, 0.99, later(Now, QuotaDemandLife)));
+  Stock.Demand = 10;
+  CHECK_FALSE(isOverShare(Stock, Quota, 0.99, Now));
+  Stock.Demand = 1'000;
+  CHECK_FALSE(isOverShare(Stock, Quota, 0.29, Now));
+}
+
+namespace {
+
+/// Nine workspaces that send their usual rate and one that sends 8.4 times as
+/// much, at an engine of 12 slots and 40 requests a second.
+struct share_run {
+  double Light = 0; ///< Part of the requests of the nine that were served.
+  double Heavy = 0;
+  double All = 0;
+};
+
+share_run runShares(double LightPerSecond, bool Shares) {
+  struct waiting {
+    bool Heavy = false;
+    double Part = 0;
+    int GivesUpMs = 0;
+  };
+  const double HeavyPerSecond = LightPerSecond * 8.4;
+  const quota Quota{1, LightPerSecond * 1.6, 0};
+  std::mt19937_64 Random(7);
+  std::uniform_real_distribution<double> Uniform(0, 1);
+  std::vector<waiting> Held;
+  std::deque<int> Ends; // Of requests at the engine, by its 12 slots in turn.
+  quota_stock Stock;
+  Stock.Demand = HeavyPerSecond;
+  std::array<int, 2> Offered{};
+  std::array<int, 2> Served{};
+  for (int Ms = 0; Ms < 60'000; ++Ms) {
+    const instant Now{milliseconds(1'000 + Ms), milliseconds(0)};
+    Stock.DemandAt = Now;
+    while (!Ends.empty() && Ends.front() <= Ms)
+      Ends.pop_front();
+    for (const bool Heavy : {false, true})
+      if (Uniform(Random) <
+          (Heavy ? HeavyPerSecond : 9 * LightPerSecond) / 1'000) {
+        ++Offered[Heavy];
+        Held.push_back({Heavy, Uniform(Random), Ms + 1'600});
+      }
+    // Held requests look again for room in any order.
+    std::shuffle(Held.begin(), Held.end(), Random);
+    std::erase_if(Held, [&](const waiting &Request) {
+      if (Request.GivesUpMs <= Ms)
+        return true;
+      admission_query Query;
+      Query.Slots = 12;
+      Query.OverShare = Shares && Request.Heavy &&
+                        isOverShare(Stock, Quota, Request.Part, Now);
+      if (static_cast<double>(Ends.size()) >= admissionLimit(Query))
+        return false;
+      const int Start = Ends.size() < 12 ? Ms : Ends[Ends.size() - 12];
+      Ends.push_back(Start + 300);
+      ++Served[Request.Heavy];
+      return true;
+    });
+  }
+  const auto part = [](int Some, int Total) {
+    return static_cast<double>(Some) / Total;
+  };
+  return {part(Served[0], Offered[0]), part(Served[1], Offered[1]),
+          part(Served[0] + Served[1], Offered[0] + Offered[1])};
+}
+
+} // namespace
+
+// The bound of a quarter is that of docs/design/overview.md.
+TEST_CASE("a workspace above its share is served a quarter as often as all, "
+          "and others are not delayed") {
+  // At 4 a second, the nine alone need nine tenths of the engine.
+  const share_run Before = runShares(4, false);
+  const share_run After = runShares(4, true);
+  MESSAGE("light " << Before.Light << " to " << After.Light << ", heavy "
+                   << Before.Heavy << " to " << After.Heavy);
+  CHECK(After.Light > Before.Light);
+  for (const double LightPerSecond : {2.0, 4.0, 6.0, 10.0}) {
+    const share_run Run = runShares(LightPerSecond, true);
+    CAPTURE(LightPerSecond);
+    CAPTURE(Run.Heavy);
+    CAPTURE(Run.All);
+    CHECK(Run.Heavy >= Run.All / 4);
+  }
+}
