--- a/bench/platform_bench.cpp
+++ b/bench/platform_bench.cpp
@@ -1,9 +1,13 @@
 /// Measures the slopes of the platform's daemons for docs/CAPACITY.md.
 #include "bench/measure.h"
+#include "history/permit_service.h"
 #include "history/quorum.h"
 #include "history/segment_log.h"
+#include "limit/quota_issuer.h"
+#include "limit/quota_stock.h"
 #include "placement/placement.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace {
@@ -162,11 +166,106 @@
   printFit("placement", "us", Points);
 }
 
+replica_set makeSet() {
+  replica_set Set{1, 2, true, {}};
+  for (int Index = 0; Index < 5; ++Index)
+    Set.Slots.push_back(
+        {"n", fmt::format("10.0.0.{}:7379", Index + 1), "d", ""});
+  return Set;
+}
+
+/// Processor time and memory of quotas by the number of workspaces: of the
+/// instance, messages included, and of the issuer.
+void quotaSection() {
+  fmt::print("quotas: workspaces, B a workspace at the instance, B at the "
+             "issuer, us a request with a message at the instance, us at the "
+             "issuer, us without a message (median of batches of 500)\n");
+  const replica_set Set = makeSet();
+  for (const std::size_t Count : {100UL, 1'000UL, 10'000UL}) {
+    std::vector<std::string> Names;
+    for (std::size_t Index = 0; Index < Count; ++Index)
+      Names.push_back(fmt::format("workspace-{:06d}", Index));
+    const quota Quota{1, 1'000, 1'000};
+    double Before = heapMegabytes();
+    quota_table Table;
+    for (const std::string &Name : Names)
+      findStock(Table, Name, Now).Issuer = Set.Slots[0].Address;
+    const double AtInstance = heapMegabytes() - Before;
+    Before = heapMegabytes();
+    quota_issuer Issuer;
+    for (const std::string &Name : Names) {
+      quota_stock Empty;
+      issueQuota(Issuer, makeQuotaRequest(Empty, Name, Quota, false, Now), Now);
+    }
+    const double AtIssuer = heapMegabytes() - Before;
+    std::vector<double> WithMessage;
+    std::vector<double> Issuing;
+    std::vector<double> Alone;
+    constexpr std::size_t Batch = 500;
+    for (std::size_t Round = 0; Round < 200; ++Round) {
+      const instant Time = later(Now, milliseconds(Round));
+      std::vector<std::string> Requests;
+      double Start = cpuSeconds();
+      for (std::size_t Index = 0; Index < Batch; ++Index) {
+        const std::string &Name = Names[(Round * Batch + Index * 7) % Count];
+        quota_stock &Stock = findStock(Table, Name, Time);
+        noteRequest(Stock, Time);
+        takePermit(Stock, Time);
+        refuseKnown(Stock, Quota, Time);
+        issuerOrder(Set, Name);
+        replica_request Message;
+        Message.Quotas.push_back(
+            makeQuotaRequest(Stock, Name, Quota, false, Time));
+        Requests.push_back(encodeMessage(Message));
+      }
+      double Spent = cpuSeconds() - Start;
+      Start = cpuSeconds();
+      std::vector<std::string> Replies;
+      for (const std::string &Bytes : Requests) {
+        const replica_request Request = decodeReplicaRequest(Bytes.substr(4));
+        replica_reply Reply;
+        answerQuotaRequests(Issuer, Request, Reply, Time);
+        Replies.push_back(encodeMessage(Reply));
+      }
+      Issuing.push_back((cpuSeconds() - Start) * 1e6 / Batch);
+      Start = cpuSeconds();
+      for (std::size_t Index = 0; Index < Batch; ++Index) {
+        const std::string &Name = Names[(Round * Batch + Index * 7) % Count];
+        const replica_reply Reply =
+            decodeReplicaReply(Replies[Index].substr(4));
+        quota_stock &Stock = findStock(Table, Name, Time);
+        applyQuotaReply(Stock, Reply.Quotas.front(), Time, Time);
+        takePermit(Stock, Time);
+      }
+      Spent += cpuSeconds() - Start;
+      WithMessage.push_back(Spent * 1e6 / Batch);
+      Start = cpuSeconds();
+      for (std::size_t Index = 0; Index < Batch; ++Index) {
+        quota_stock &Stock =
+            findStock(Table, Names[(Round * Batch + Index * 7) % Count], Time);
+        noteRequest(Stock, Time);
+        takePermit(Stock, Time);
+        refuseKnown(Stock, Quota, Time);
+      }
+      Alone.push_back((cpuSeconds() - Start) * 1e6 / Batch);
+    }
+    const auto median = [](std::vector<double> &Values) {
+      std::sort(Values.begin(), Values.end());
+      return Values[Values.size() / 2];
+    };
+    const double PerWorkspace = 1e6 / static_cast<double>(Count);
+    fmt::print("  {:6} {:6.0f} {:6.0f} {:8.2f} {:8.2f} {:8.2f}\n", Count,
+               AtInstance * PerWorkspace, AtIssuer * PerWorkspace,
+               median(WithMessage), median(Issuing), median(Alone));
+  }
+}
+
 } // namespace
 
 int main() {
   replicaSection();
   journalSection();
   placementSection();
+  quotaSection();
   return 0;
 }
