--- a/src/net/text_server.cpp
+++ b/src/net/text_server.cpp
@@ -1,5 +1,7 @@
 #include "net/text_server.h"
 
+#include "log/log.h"
+
 #include <asio/steady_timer.hpp>
 
 namespace lentilhoist {
@@ -8,6 +10,8 @@
 
 /// A connection is closed after this time whatever has been asked.
 constexpr std::chrono::seconds ConnectionLife{30};
+/// Least time between two log lines on connections closed for others.
+constexpr std::chrono::seconds LineInterval{1};
 constexpr std::size_t MaxHead = 8UL * 1024UL;
 
 /// One connection; its handlers own it until it ends.
@@ -70,12 +74,31 @@
     : Handler(std::make_shared<handler>(std::move(GivenHandler))),
       Listener(Loop, Address, "texts",
                [this, &Loop](asio::ip::tcp::socket Socket) {
-                 std::make_shared<text_connection>(
-                     Loop,
-                     std::make_shared<tcp_stream>(std::move(Socket),
-                                                  socket_settings{}),
-                     Handler)
-                     ->start();
+                 add(Loop, std::move(Socket));
                }) {}
 
+void text_server::add(asio::io_context &Loop, asio::ip::tcp::socket Socket) {
+  std::erase_if(Streams, [](const std::weak_ptr<tcp_stream> &Weak) {
+    const auto Stream = Weak.lock();
+    return !Stream || Stream->closed();
+  });
+  if (Streams.size() >= MaxTextConnections) {
+    if (const auto Oldest = Streams.front().lock())
+      Oldest->close();
+    Streams.pop_front();
+    ++ClosedForOthers;
+    const instant Now = readClock();
+    if (Now.Steady - LastLine.Steady >= LineInterval) {
+      LastLine = Now;
+      logEvent(log_level::Warning, "text_connections_closed",
+               {{"port", std::to_string(Listener.port())},
+                {"closed", std::to_string(ClosedForOthers)}});
+    }
+  }
+  const auto Stream =
+      std::make_shared<tcp_stream>(std::move(Socket), socket_settings{});
+  Streams.push_back(Stream);
+  std::make_shared<text_connection>(Loop, Stream, Handler)->start();
+}
+
 } // namespace lentilhoist
