--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "forward/runner_leaving.h"
+#include "history/ownership.h"
 #include "log/log.h"
 #include "log/log_limit.h"
 #include "net/frame.h"
@@ -93,9 +94,12 @@
                    std::string GivenBody, instant GivenArrival,
                    bool GivenKeepAlive, caller_sink GivenSink)
     : Context(GivenContext), Head(std::move(GivenHead)),
-      Body(std::move(GivenBody)), Arrival(GivenArrival),
-      KeepAlive(GivenKeepAlive), Sink(std::move(GivenSink)),
-      DeadlineTimer(GivenContext.Loop), StepTimer(GivenContext.Loop) {
+      Body(std::move(GivenBody)),
+      BodyCharge(Context.Memory, memory_purpose::WaitingBodies),
+      Arrival(GivenArrival), KeepAlive(GivenKeepAlive),
+      Sink(std::move(GivenSink)), DeadlineTimer(GivenContext.Loop),
+      StepTimer(GivenContext.Loop) {
+  BodyCharge.set(Body.size());
   Context.BodyBytes += Body.size();
   ++Context.ActiveRequests;
 }
@@ -179,6 +183,8 @@
   }
   if (!checkKey())
     return;
+  if (Key)
+    Owner = Workspace ? Workspace->Name : std::string(AnonymousOwner);
   Service = chooseTarget(*Route, stableHash(Traits.Attempt));
   Signature = signatureOf(Head.Method, fieldValue(Head.Fields, "Host"),
                           Head.Target, Body);
@@ -278,6 +284,7 @@
       Traits.TokenBudget.value_or(std::numeric_limits<std::uint64_t>::max());
   Reservation.RetentionMs = ledgerRetentionMs();
   Reservation.Signature = Signature;
+  Reservation.Workspace = Owner;
   Reserved = true;
   const milliseconds Limit = std::min(ReserveTimeout, timeLeft(readClock()));
   History =
@@ -296,6 +303,7 @@
   logEvent(log_level::Info, "turn_reserved",
            {{"request", Traits.Attempt},
             {"program", Traits.Program},
+            {"workspace", Workspace ? Workspace->Name : "none"},
             {"outcome", reserveOutcomeName(Result.Outcome)},
             {"others_tokens", std::to_string(Result.OtherAttemptTokens)},
             {"most_tokens", std::to_string(Traits.MaxOutputTokens)},
@@ -349,6 +357,7 @@
   Query.Excluded = TriedRunners;
   Query.Priority = priorityOf(*Route, Workspace);
   Query.Rank = permitRank();
+  Query.OverShare = isOverWorkspaceShare(Now);
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
   if (!Placement.PermitRunner.empty())
@@ -392,6 +401,7 @@
         formatRate(Context.Runners.Runners.at(Placement.Runner)
                        .Permits.Limit.PerSecond)},
        {"priority", std::to_string(Query.Priority)},
+       {"over_share", Query.OverShare ? "true" : "false"},
        {"quarantine", quarantineVerdictName(Quarantine)},
        {"program_left_ms", Traits.ProgramTimeLeft
                                ? std::to_string(Traits.ProgramTimeLeft->count())
@@ -404,6 +414,17 @@
   return quotaOf(Workspace, KeyRoutes ? KeyRoutes->config().Version : 0);
 }
 
+bool exchange::isOverWorkspaceShare(instant Now) {
+  const quota Limit = workspaceQuota();
+  if (!Limit.active())
+    return false;
+  constexpr std::uint64_t Steps = 1'000'000;
+  const double Part =
+      static_cast<double>(stableHash(Traits.Attempt, 2) % Steps) / Steps;
+  return isOverShare(findStock(Context.Quotas, Workspace->Name, Now), Limit,
+                     Part, Now);
+}
+
 /// Takes a permit of the workspace for the next send.
 /// \returns false if there is none; the request then waits for one or is
 /// answered.
@@ -415,8 +436,13 @@
       Context, Workspace->Name, Limit, QuotaProgress, holdTimeLeft(Now),
       Traits.Attempt, [Weak = weak_from_this()](const quota_reply &Reply) {
         const auto Self = Weak.lock();
-        if (!Self || Self->Stage != stage::Holding)
+        if (!Self)
+          return;
+        if (Self->Stage != stage::Holding) { // It has got another permit.
+          Self->QuotaProgress.Sent.reset();
+          Self->QuotaProgress.RetryAt = {};
           return;
+        }
         applyQuotaAnswer(Self->QuotaProgress, Reply, readClock());
         Self->StepTimer.cancel();
         Self->place();
@@ -888,6 +914,7 @@
   Turn.Tokens = EventCount * (Engine ? Engine->TokensPerEvent : 1);
   Turn.RetentionMs = static_cast<std::uint64_t>(Route->Retention.count());
   Turn.Runner = {RunnerId, RunnerBornMs};
+  Turn.Workspace = Owner;
   Reserved = false; // The commit settles the tokens.
   History = Context.History.commit(
       Turn, Chain, CommitTimeout, [Weak = weak_from_this()](bool Durable) {
@@ -1158,7 +1185,7 @@
   Reserved = false;
   const std::uint64_t Tokens =
       EventCount * (Engine ? Engine->TokensPerEvent : 1);
-  Context.History.settle(Traits.Program, {Traits.Attempt, Tokens, true},
+  Context.History.settle(Owner, Traits.Program, {Traits.Attempt, Tokens, true},
                          ledgerRetentionMs());
 }
 
@@ -1191,6 +1218,7 @@
   logEvent(log_level::Info, "request_done",
            {{"request", Traits.Attempt},
             {"program", Traits.Program},
+            {"workspace", Workspace ? Workspace->Name : "none"},
             {"route", RouteName},
             {"result", Result},
             {"status", std::to_string(Status)},
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -87,6 +87,7 @@
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
   quota workspaceQuota() const;
+  bool isOverWorkspaceShare(instant Now);
   bool takeQuota(instant Now);
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
@@ -131,6 +132,7 @@
   exchange_context &Context;
   http_request_head Head;
   std::string Body;
+  memory_charge BodyCharge;
   instant Arrival;
   bool KeepAlive;
   caller_sink Sink;
@@ -145,6 +147,9 @@
   std::optional<sent_key> Key;
   /// The caller's workspace, part of KeyRoutes; null without one.
   const workspace *Workspace = nullptr;
+  /// Owner of what the request stores, see ownership.h. Stays as it was when
+  /// the request reserved.
+  std::string Owner;
   std::string Service;
   std::optional<engine_traits> Engine;
   request_signature Signature = 0;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -64,8 +64,13 @@
   const http_request_head &request() const { return Request; }
   const http_response_head &response() const { return Response; }
 
+  /// \returns the head of a complete request; request() is empty afterwards.
+  http_request_head takeRequest() { return std::exchange(Request, {}); }
+
   /// \returns body bytes since the last call.
   std::string takeBody() { return std::exchange(Body, {}); }
+  /// \returns the memory that the head takes up, estimated from above.
+  std::size_t headMemory() const;
   std::size_t bodyBytes() const { return Body.size(); }
 
 private:
@@ -88,6 +93,7 @@
   http_response_head Response;
   std::string Body;
   std::size_t HeadBytes = 0;
+  std::size_t HeadReadBytes = 0;  ///< Of all reads with bytes of the head.
   int InformationalResponses = 0; ///< Before the final response.
   bool InValue = false;           ///< The last header callback was a value.
   bool Started = false;
