Learn the speed of runners from their responses and reports

Cause: placement uses the rates of a single data sheet. Deployments have other rates, runners of different speed, and runners that slow down for moments.

Change: placement/runner_speed learns base rates of a service (prefill, step, plain work) and a factor of each runner with age and spread. A runner that was not observed gets the mean of its failure domain, if domains differ consistently, or of its service; before any observation the constants apply. The reported slowdown applies for 450 ms and then gives way to the usual one. The state is part of runner_view and runner_directory. Nothing uses it yet.

Three speeds by domain are learned within 25% in 15 s, also for a runner that was never used.

--- a/src/placement/runner_directory.cpp
+++ b/src/placement/runner_directory.cpp
@@ -41,6 +41,24 @@
 
 } // namespace
 
+namespace {
+
+/// Summarizes the speeds of a service's runners if that is due.
+service_speed &updatedSpeed(runner_directory &Directory,
+                            const std::string &Service, instant Now) {
+  service_speed &Speed = Directory.Speeds[Service];
+  if (!summaryDue(Speed, Now))
+    return Speed;
+  std::vector<group_member> Members;
+  for (auto &[Id, Runner] : Directory.Runners)
+    if (Runner.Entry.Service == Service)
+      Members.push_back({Runner.Entry.Domain, &Runner.Speed});
+  summarizeSpeeds(Speed, Members, Now);
+  return Speed;
+}
+
+} // namespace
+
 bool upsertRunner(runner_directory &Directory, const runner_entry &Entry) {
   Directory.Missing.erase(Entry.Id);
   const auto [Found, Added] = Directory.Runners.try_emplace(Entry.Id);
@@ -130,6 +148,10 @@
   Runner.Load = Load;
   Runner.LoadReceivedAt = Now;
   Runner.OutstandingAtReport = Runner.Outstanding;
+  if (Load.Slowdown) {
+    recordSlowdown(Runner.Speed, *Load.Slowdown, Now);
+    updatedSpeed(Directory, Runner.Entry.Service, Now);
+  }
   if (Runner.Entry.Slots <= 0)
     return;
   service_load &Service = Directory.ServiceLoads[Runner.Entry.Service];
@@ -144,6 +166,18 @@
   Service.Time = Now;
 }
 
+void recordWork(runner_directory &Directory, runner_view &Runner,
+                const work_observation &Work, instant Now) {
+  recordWork(updatedSpeed(Directory, Runner.Entry.Service, Now), Runner.Speed,
+             Runner.Entry.Domain, Work, Now);
+}
+
+const service_speed *findSpeed(const runner_directory &Directory,
+                               const std::string &Service) {
+  const auto Found = Directory.Speeds.find(Service);
+  return Found == Directory.Speeds.end() ? nullptr : &Found->second;
+}
+
 void recordRefusal(runner_view &Runner, instant Now) {
   Runner.RefusedUntil = later(Now, RefusalBackoff);
 }
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -4,6 +4,7 @@
 #include "forward/request_traits.h"
 #include "limit/permit_stock.h"
 #include "placement/runner_entry.h"
+#include "placement/runner_speed.h"
 
 #include <map>
 #include <optional>
@@ -25,6 +26,7 @@
   instant RefusedUntil{}; ///< End of the backoff after a refusal due to load.
   instant FailedUntil{};  ///< End of the backoff after a failure.
   permit_stock Permits;   ///< The runner's limit and permits to send to it.
+  runner_speed Speed;     ///< How fast it did its work.
   int ConsecutiveFailures = 0;
   bool Leaving = false; ///< It has said in a response that it leaves.
   /// Time of last use of the prompt parts, sessions and affinity keys that this
@@ -52,6 +54,7 @@
 struct runner_directory {
   std::map<std::string, runner_view> Runners;
   std::map<std::string, service_load> ServiceLoads; ///< By service.
+  std::map<std::string, service_speed> Speeds;      ///< By service.
   /// Runners absent from the registry that may still register again, with the
   /// time at which they are removed.
   std::map<std::string, instant> Missing;
@@ -136,6 +139,21 @@
 void recordLoad(runner_directory &Directory, runner_view &Runner,
                 const load_report &Load, instant Now);
 
+/// Records what an answered request showed of the speed of its runner, and
+/// updates what is known of the runner's service.
+/// \param Directory the directory.
+/// \param Runner the runner; must belong to \p Directory.
+/// \param Work the observation.
+/// \param Now the current time.
+void recordWork(runner_directory &Directory, runner_view &Runner,
+                const work_observation &Work, instant Now);
+
+/// \param Directory the directory.
+/// \param Service a service.
+/// \returns what was observed of its runners together; null if nothing.
+const service_speed *findSpeed(const runner_directory &Directory,
+                               const std::string &Service);
+
 /// Records a refusal due to load and starts a short backoff.
 /// \param Runner the runner.
 /// \param Now the current time.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -2,7 +2,11 @@
 #include "placement/admission.h"
 #include "placement/placement.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <random>
 
 using namespace lentilhoist;
 
@@ -48,6 +52,96 @@
 
 } // namespace
 
+namespace {
+
+/// Runners whose durations are known, as a source of observations.
+class speed_world {
+public:
+  explicit speed_world(std::uint64_t Seed) : Random(Seed) {}
+
+  void add(const std::string &Id, const std::string &Domain, double Speed) {
+    upsertRunner(Directory, makeEntry(Id, Domain));
+    Speeds[Id] = Speed;
+  }
+
+  /// 15% of the time a runner takes 2.5 times its usual duration, redrawn every
+  /// 600 ms.
+  double noiseOf(const std::string &Id) {
+    if (!Noisy)
+      return 1;
+    constexpr std::int64_t PeriodUs = 600'000;
+    const auto Key = std::pair(Id, Now.Steady.count() / PeriodUs);
+    const auto [Found, Added] = Noise.try_emplace(Key, 1);
+    if (Added && std::uniform_real_distribution<double>()(Random) < 0.15)
+      Found->second = 2.5;
+    return Found->second;
+  }
+
+  double multipleOf(const std::string &Id) {
+    return Speeds.at(Id) * noiseOf(Id);
+  }
+
+  /// Records a request that a runner has answered without a queue.
+  void observe(const std::string &Id) {
+    runner_view &Runner = Directory.Runners.at(Id);
+    if (Reports)
+      recordLoad(Directory, Runner, {0, 0, 4, Reports(Id)}, Now);
+    const double Multiple = multipleOf(Id);
+    const double Scatter =
+        std::uniform_real_distribution<double>(0.9, 1.1)(Random);
+    work_observation Work;
+    Work.UncachedTokens =
+        std::uniform_real_distribution<double>(100, 2'000)(Random);
+    Work.FirstEventMs = Multiple * Scatter *
+                        (40 + Work.UncachedTokens / TruePrefillTokensPerMs);
+    Work.TokenMs = Multiple * Scatter * TrueStepMs;
+    Work.ActualMs = Work.FirstEventMs + 70 * Work.TokenMs;
+    Work.ExpectedMs = Work.ActualMs / Scatter;
+    recordWork(Directory, Runner, Work, Now);
+  }
+
+  /// Each runner answers a request a second.
+  void observeAll(int Seconds, const std::set<std::string> &Except = {}) {
+    for (int Second = 0; Second < Seconds; ++Second)
+      for (const auto &[Id, Speed] : Speeds) {
+        Now = later(Now, microseconds(1'000'000 / Speeds.size()));
+        if (!Except.contains(Id))
+          observe(Id);
+      }
+  }
+
+  speed_estimate estimate(const std::string &Id) const {
+    const runner_view &Runner = Directory.Runners.at(Id);
+    return estimateSpeed(findSpeed(Directory, "llm"), Runner.Speed,
+                         Runner.Entry.Domain, Now);
+  }
+
+  runner_directory Directory;
+  instant Now = Start;
+  bool Noisy = true;
+  /// Slowdown that a runner reports; empty if none does.
+  std::function<double(const std::string &)> Reports;
+  double TruePrefillTokensPerMs = 75.8;
+  double TrueStepMs = 2.31;
+
+private:
+  std::mt19937_64 Random;
+  std::map<std::string, double> Speeds;
+  std::map<std::pair<std::string, std::int64_t>, double> Noise;
+};
+
+/// Three failure domains of machines of the speeds 0.7, 0.7 and 1.7.
+void addThreeSpeeds(speed_world &World, int PerDomain) {
+  for (int Index = 0; Index < PerDomain; ++Index) {
+    const std::string Number = std::to_string(Index);
+    World.add("a" + Number, "here", 0.7);
+    World.add("b" + Number, "there", 0.7);
+    World.add("c" + Number, "slow", 1.7);
+  }
+}
+
+} // namespace
+
 TEST_CASE("placement prefers the runner that has the prompt prefix cached") {
   fixture Fixture;
   recordContent(Fixture.at("b"), Fixture.Request, Start);
@@ -322,3 +416,141 @@
   Fixture.at("b").Outstanding = 10;
   CHECK(Fixture.place() == "a");
 }
+
+// Guards against requests to slow machines that only the constants of another
+// deployment describe.
+TEST_CASE("speeds that differ by failure domain are learned, and apply to a "
+          "runner that was never used") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    speed_world World(Seed);
+    addThreeSpeeds(World, 5);
+    World.observeAll(15, {"b4", "c4"});
+    const double Fast = World.estimate("a0").multiple();
+    CHECK(World.estimate("c0").multiple() / Fast ==
+          doctest::Approx(1.7 / 0.7).epsilon(0.25));
+    CHECK(World.estimate("c4").multiple() / Fast ==
+          doctest::Approx(1.7 / 0.7).epsilon(0.25));
+    CHECK(World.estimate("b4").multiple() / Fast ==
+          doctest::Approx(1).epsilon(0.25));
+    CHECK(World.estimate("c4").Source == speed_source::Domain);
+    CHECK(World.estimate("c4").FactorAge.count() == -1);
+  }
+}
+
+// Guards against differences that are only noise, which would draw requests
+// away from equal runners.
+TEST_CASE("noise makes equal runners hardly differ") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    speed_world World(Seed);
+    for (int Index = 0; Index < 15; ++Index)
+      World.add(std::to_string(Index), std::to_string(Index % 3), 1);
+    for (int Second = 0; Second < 30; ++Second) {
+      World.observeAll(1);
+      double Least = 10;
+      double Most = 0;
+      for (int Index = 0; Index < 15; ++Index) {
+        const double Factor = World.estimate(std::to_string(Index)).Factor;
+        Least = std::min(Least, Factor);
+        Most = std::max(Most, Factor);
+      }
+      CHECK(Most / Least < 1.25);
+    }
+  }
+}
+
+// Guards against a single slow machine that is hidden by the equal ones around
+// it.
+TEST_CASE("one slow runner among equal ones is found") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    speed_world World(Seed);
+    World.Noisy = false;
+    for (int Index = 0; Index < 15; ++Index)
+      World.add(std::to_string(Index), std::to_string(Index % 3),
+                Index == 7 ? 3 : 1);
+    World.observeAll(15);
+    CHECK(World.estimate("7").Factor > 2);
+    CHECK(World.estimate("8").Factor < 1.2);
+    CHECK(World.estimate("8").Factor > 0.8);
+  }
+}
+
+// Guards against the constants of one data sheet on other hardware.
+TEST_CASE("base rates are the constants until they are learned") {
+  const base_rates Constants = baseRates(nullptr);
+  CHECK(Constants.PrefillTokensPerMs == doctest::Approx(122));
+  CHECK(Constants.StepMs == doctest::Approx(2.92));
+  CHECK(Constants.PlainMs == doctest::Approx(45));
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 15; ++Index)
+    World.add(std::to_string(Index), std::to_string(Index % 3), 1);
+  World.observeAll(30);
+  const base_rates Learned = baseRates(findSpeed(World.Directory, "llm"));
+  CHECK(Learned.StepMs == doctest::Approx(2.31).epsilon(0.05));
+  CHECK(Learned.PrefillTokensPerMs == doctest::Approx(75.8).epsilon(0.2));
+  CHECK(Learned.StepMsPerRequest < Constants.StepMsPerRequest);
+}
+
+// Guards against counting a machine's speed twice, or not at all: it is not
+// known whether the reported slowdown includes it.
+TEST_CASE("the speed is the same whether reports include it or not") {
+  for (const bool Includes : {false, true}) {
+    CAPTURE(Includes);
+    speed_world World(1);
+    addThreeSpeeds(World, 5);
+    World.Reports = [&](const std::string &Id) {
+      return Includes ? World.multipleOf(Id) : World.noiseOf(Id);
+    };
+    World.observeAll(20);
+    World.Now = later(World.Now, seconds(1));
+    CHECK(World.estimate("c0").multiple() / World.estimate("a0").multiple() ==
+          doctest::Approx(1.7 / 0.7).epsilon(0.25));
+  }
+}
+
+// Guards against a slowdown that is believed after it has passed.
+TEST_CASE("a reported slowdown applies at once and ages fast") {
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", 1);
+  World.Reports = [](const std::string &) { return 1.0; };
+  World.observeAll(10);
+  recordLoad(World.Directory, World.Directory.Runners.at("0"), {0, 0, 4, 2.5},
+             World.Now);
+  CHECK(World.estimate("0").Slowdown == doctest::Approx(2.5).epsilon(0.05));
+  CHECK(World.estimate("1").Slowdown == doctest::Approx(1).epsilon(0.1));
+  World.Now = later(World.Now, milliseconds(225));
+  CHECK(World.estimate("0").Slowdown < 2);
+  CHECK(World.estimate("0").SlowdownAge == milliseconds(225));
+  World.Now = later(World.Now, milliseconds(400));
+  CHECK(World.estimate("0").Slowdown < 1.25);
+}
+
+// Guards against estimates that stay in force after the reports have stopped.
+TEST_CASE("when observations stop, a runner's estimate returns to the usual") {
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", Index == 0 ? 3 : 1);
+  World.observeAll(15);
+  CHECK(World.estimate("0").Factor > 1.8);
+  World.observeAll(60, {"0"});
+  CHECK(World.estimate("0").Factor < 1.3);
+}
+
+TEST_CASE("a new incarnation of a runner starts without observations") {
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", Index == 0 ? 3 : 1);
+  World.observeAll(15);
+  runner_entry Entry = makeEntry("0", "here");
+  Entry.BornMs = 2;
+  upsertRunner(World.Directory, Entry);
+  CHECK(World.estimate("0").FactorAge.count() == -1);
+  CHECK(World.estimate("0").Factor < 1.3);
+}
