Place requests by expected completion time at learned rates

Cause: the cost of a runner used constants of one data sheet and counted requests, not time. Instances with the same reports chose the same runner; the busiest runner got 3.9 times the mean.

Change: placeRequest computes start, prefill, decoding and queue from the service's learned rates, times the runner's factor and slowdown. The queue that admission allows is the same in time for slow and fast runners. A perturbation by request and runner of up to two requests ahead spreads equal choices. One of 32 requests may explore a failure domain of which nothing is known. An exchange observes first event, time between events and duration (forward/send_timing). The model of engines knows speeds by domain and slow moments. request_placed logs the expected time and the runner's speed.

--- a/src/experiment/engine_model.cpp
+++ b/src/experiment/engine_model.cpp
@@ -89,7 +89,7 @@
     if (Item.Unread == 0)
       Generating.push_back(&Item);
   }
-  Step.End = later(Now, microseconds(std::llround(Ms * 1e3)));
+  Step.End = later(Now, microseconds(std::llround(Ms * Multiple * 1e3)));
   for (item *Item : Generating) {
     if (++Item->Made == 1)
       Step.FirstToken.push_back(Item->Work.Id);
--- a/src/experiment/engine_model.h
+++ b/src/experiment/engine_model.h
@@ -62,6 +62,9 @@
   /// \returns the step; without an end if there is nothing to do.
   engine_step step(instant Now);
 
+  /// \param Value duration of steps as a multiple of the usual one.
+  void setMultiple(double Value) { Multiple = Value; }
+
   /// \returns whether a step would do something.
   bool busy() const { return !Running.empty() || !Waiting.empty(); }
 
@@ -98,6 +101,7 @@
   load_report loadNow() const;
 
   engine_model_settings Settings;
+  double Multiple = 1;
   std::vector<item> Running;
   std::deque<item> Waiting;
   std::list<std::string> Uses; ///< Kept parts, most recently used first.
--- a/src/experiment/experiment.cpp
+++ b/src/experiment/experiment.cpp
@@ -1,6 +1,8 @@
 #include "experiment/experiment.h"
 
+#include "core/hash.h"
 #include "forward/retry_policy.h"
+#include "forward/send_timing.h"
 #include "placement/placement.h"
 
 #include <algorithm>
@@ -59,6 +61,7 @@
   bool Sent = false;
   bool Over = false;
   std::set<std::string> Tried;
+  send_timing Timing;
 };
 using turn_ptr = std::shared_ptr<turn>;
 
@@ -67,8 +70,9 @@
 class simulation {
 public:
   simulation(const scenario &GivenScenario, experiment_policy GivenPolicy,
-             std::uint64_t Seed)
-      : Scenario(GivenScenario), Policy(GivenPolicy), Random(Seed) {
+             std::uint64_t GivenSeed)
+      : Scenario(GivenScenario), Policy(GivenPolicy), Seed(GivenSeed),
+        Random(GivenSeed) {
     for (int Index = 0; Index < Scenario.Engines; ++Index)
       Engines.emplace_back(Scenario.Engine);
     Stepping.resize(Engines.size());
@@ -241,7 +245,7 @@
     return Directories[Turn.Instance];
   }
 
-  std::string choose(const turn &Turn) {
+  std::string choose(turn &Turn) {
     runner_directory &Directory = directory(Turn);
     switch (Policy) {
     case experiment_policy::Product:
@@ -253,10 +257,13 @@
       Question.Engine =
           engine_traits{Scenario.Engine.Slots, Scenario.Engine.MemoryTokens, 1};
       Question.Excluded = Turn.Tried;
+      Question.Spread = stableHash(Turn.Traits.Attempt, Seed);
       Question.Priority = Policy == experiment_policy::Product
                               ? Turn.Program->Kind->Priority
                               : NoRankPriority;
       const placement_result Placed = placeRequest(Directory, Question, Now);
+      Turn.Timing = startTiming(Placed, Scenario.Engine.Slots,
+                                Turn.Traits.PromptTokens, Question.Engine, Now);
       return Placed.InBackoff ? "" : Placed.Runner;
     }
     case experiment_policy::LeastOutstanding: {
@@ -333,10 +340,32 @@
     startStep(Turn->Engine);
   }
 
+  /// \returns the duration of work at an engine, as a multiple.
+  double multipleOf(std::size_t Engine) const {
+    double Multiple = 1;
+    if (!Scenario.DomainTimes.empty())
+      Multiple = Scenario.DomainTimes[Engine % Scenario.DomainTimes.size()];
+    const slow_moments &Slow = Scenario.SlowMoments;
+    if (Slow.Share <= 0)
+      return Multiple;
+    // Periods of engines begin at different times.
+    const std::int64_t Length = microseconds(Slow.Period).count();
+    const auto Offset =
+        static_cast<std::int64_t>(stableHash(std::to_string(Engine), Seed) %
+                                  static_cast<std::uint64_t>(Length));
+    const std::int64_t Period = (Now.Steady.count() + Offset) / Length;
+    const std::uint64_t Draw =
+        stableHash(fmt::format("{}/{}", Engine, Period), Seed);
+    constexpr std::uint64_t Parts = 10'000;
+    const double Part = static_cast<double>(Draw % Parts) / Parts;
+    return Part < Slow.Share ? Multiple * Slow.Times : Multiple;
+  }
+
   void startStep(std::size_t Engine) {
     if (Stepping[Engine] || !Engines[Engine].busy())
       return;
     Stepping[Engine] = true;
+    Engines[Engine].setMultiple(multipleOf(Engine));
     const engine_step Step = Engines[Engine].step(Now);
     after(Step.End.Steady - Now.Steady, [this, Engine, Step] {
       Stepping[Engine] = false;
@@ -353,10 +382,14 @@
     if (Found == OnEngine.end())
       return;
     const turn_ptr Turn = Found->second;
-    const load_report Load = Engines[Turn->Engine].report(Now);
+    load_report Load = Engines[Turn->Engine].report(Now);
+    if (Scenario.ReportSlowdown)
+      Load.Slowdown = multipleOf(Turn->Engine);
     after(oneWay(*Turn), [this, Turn, Load] {
-      if (!Turn->Over)
-        recordLoad(directory(*Turn), view(*Turn), Load, Now);
+      if (Turn->Over)
+        return;
+      recordEvents(Turn->Timing, 1, Now);
+      recordLoad(directory(*Turn), view(*Turn), Load, Now);
     });
   }
 
@@ -366,9 +399,19 @@
       return;
     const turn_ptr Turn = Found->second;
     OnEngine.erase(Found);
+    after(oneWay(*Turn), [this, Turn] { observe(*Turn); });
     after(oneWay(*Turn) + Scenario.Way, [this, Turn] { finish(Turn); });
   }
 
+  void observe(turn &Turn) {
+    if (Turn.Over || !Scenario.LearnSpeeds)
+      return;
+    recordEvents(Turn.Timing,
+                 static_cast<std::uint64_t>(Turn.Traits.OutputHint), Now);
+    recordWork(directory(Turn), view(Turn),
+               observedWork(Turn.Timing, view(Turn).Load, true, Now), Now);
+  }
+
   runner_view &view(const turn &Turn) {
     return directory(Turn).Runners.at(
         entryOf(static_cast<int>(Turn.Engine)).Id);
@@ -448,6 +491,7 @@
 
   const scenario &Scenario;
   experiment_policy Policy;
+  std::uint64_t Seed;
   std::mt19937_64 Random;
   instant Now{};
   std::priority_queue<event> Events;
--- a/src/experiment/scenario.cpp
+++ b/src/experiment/scenario.cpp
@@ -56,6 +56,18 @@
   Root.number("same_instance", 0, 1, Scenario.SameInstance);
   Root.time("cross_domain", microseconds(0), seconds(1), Scenario.CrossDomain);
   Root.time("way", microseconds(0), seconds(1), Scenario.Way);
+  Root.flag("report_slowdown", Scenario.ReportSlowdown);
+  Root.flag("learn_speeds", Scenario.LearnSpeeds);
+  for (table_reader &Table : Root.tables("domain")) {
+    Table.number("times", 0.01, 100, Scenario.DomainTimes.emplace_back(1));
+    Table.finish();
+  }
+  table_reader Slow = Root.table("slow_moments");
+  Slow.number("share", 0, 1, Scenario.SlowMoments.Share);
+  Slow.number("times", 0.01, 100, Scenario.SlowMoments.Times);
+  Slow.time("period", milliseconds(1), seconds(600),
+            Scenario.SlowMoments.Period);
+  Slow.finish();
   table_reader Engine = Root.table("engine");
   Engine.whole("slots", 1, 10'000, Scenario.Engine.Slots);
   Engine.whole("queue", 0, 100'000, Scenario.Engine.QueueLimit);
--- a/src/experiment/scenario.h
+++ b/src/experiment/scenario.h
@@ -31,6 +31,13 @@
   double Times = 1;
 };
 
+/// Slow moments of engines: each is slow for a random part of the periods.
+struct slow_moments {
+  double Share = 0; ///< Of the periods.
+  double Times = 1; ///< Duration of work in them, as a multiple.
+  std::chrono::milliseconds Period{600};
+};
+
 /// An installation and its traffic.
 struct scenario {
   std::string Name = "scenario";
@@ -42,7 +49,12 @@
   std::chrono::microseconds CrossDomain{4'400}; ///< One way.
   std::chrono::microseconds InDomain{200};
   std::chrono::milliseconds Way{64}; ///< A turn, besides the engine.
-  double SameInstance = 0.9; ///< Share of turns that come where the last did.
+  /// Duration of work by failure domain, as a multiple; 1 for all if empty.
+  std::vector<double> DomainTimes;
+  slow_moments SlowMoments;
+  bool ReportSlowdown = false; ///< Load reports state the present multiple.
+  bool LearnSpeeds = true;     ///< Instances learn the speed of engines.
+  double SameInstance = 0.9;   ///< Share of turns that come where the last did.
   std::vector<program_kind> Kinds;
   std::vector<traffic_burst> Bursts;
 };
--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -48,6 +48,8 @@
 constexpr milliseconds MinLedgerRetention{60'000};
 /// Time limit of a request if neither the caller nor the route sets one.
 constexpr milliseconds DefaultTimeout{30'000};
+/// Separates the spread of placements from other uses of the attempt's hash.
+constexpr std::uint64_t PlacementSeed = 2;
 /// The address now belongs to another runner.
 constexpr int StatusMisdirected = 421;
 /// Reason of a failed send whose response was delimited and is not complete.
@@ -281,6 +283,7 @@
   Query.Excluded = TriedRunners;
   Query.Priority = Route->Priority;
   Query.Rank = permitRank();
+  Query.Spread = stableHash(Traits.Attempt, PlacementSeed);
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
   if (!Placement.PermitRunner.empty())
@@ -315,6 +318,12 @@
        {"runner", Placement.Runner},
        {"candidates", std::to_string(Placement.Candidates)},
        {"cost_ms", formatTruncated(Placement.CostMs)},
+       {"expected_ms", formatTruncated(Placement.ExpectedMs)},
+       {"queue_ms", formatTruncated(Placement.QueueMs)},
+       {"speed_percent", formatTruncated(Placement.Speed.Factor * 100)},
+       {"speed_source", speedSourceName(Placement.Speed.Source)},
+       {"slowdown_percent", formatTruncated(Placement.Speed.Slowdown * 100)},
+       {"slowdown_age_ms", std::to_string(Placement.Speed.SlowdownAge.count())},
        {"load", formatTruncated(Placement.Load)},
        {"load_age_ms", std::to_string(Placement.LoadAge.count())},
        {"kept_tokens", std::to_string(Placement.CachedTokens)},
@@ -327,6 +336,9 @@
                                ? std::to_string(Traits.ProgramTimeLeft->count())
                                : "none"},
        {"time_left_ms", std::to_string(timeLeft(Now).count())}});
+  Timing = startTiming(Placement,
+                       Context.Runners.Runners.at(Placement.Runner).Entry.Slots,
+                       Traits.PromptTokens, Engine, Now);
   send(Placement.Runner);
 }
 
@@ -602,6 +614,19 @@
     startRelaying();
 }
 
+/// Updates the estimates of the runner's speed.
+/// \param Complete whether the whole response has arrived.
+void exchange::observeSpeed(bool Complete) {
+  runner_view *View = currentRunner();
+  const bool Success = !RunnerResponse.NotExecuted &&
+                       (!Complete || Reader.response().Status / 100 == 2);
+  if (!View || !Success)
+    return;
+  const instant Now = readClock();
+  recordWork(Context.Runners, *View,
+             observedWork(Timing, RunnerResponse.Load, Complete, Now), Now);
+}
+
 void exchange::recordRateLimit(runner_view &View, instant Now) {
   // The runner that answers is not the one that was meant.
   if (Reader.response().Status == StatusMisdirected)
@@ -677,6 +702,8 @@
       Output += '\n';
     }
   });
+  if (EventStream)
+    recordEvents(Timing, EventCount, readClock());
   ResponseBytes += Length;
   Sink.Write(encodeChunk(Ready));
   ResponseBody.erase(0, Length);
@@ -702,6 +729,7 @@
   }
   if (runner_view *View = currentRunner())
     recordSuccess(*View);
+  observeSpeed(true);
   if (recordCompletion(Context.Suspects, Signature, Now))
     shareSuspects(Context, {Signature});
   // A runner that responds early leaves part of the request body unsent, so
@@ -853,6 +881,10 @@
 void exchange::onTimeout() {
   if (Stage == stage::Done || Stage == stage::Committing)
     return;
+  // On a lost path, the silence says nothing of the runner.
+  const bool Sent = Stage == stage::Awaiting || Stage == stage::Relaying;
+  if (Sent && Context.Path.State == path_state::Open)
+    observeSpeed(false);
   if (ResponseStarted) {
     abortResponse("timed_out");
     return;
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -6,6 +6,7 @@
 #include "forward/permit_client.h"
 #include "forward/request_traits.h"
 #include "forward/retry_policy.h"
+#include "forward/send_timing.h"
 #include "net/event_parser.h"
 #include "net/http_reader.h"
 #include "net/response_end.h"
@@ -96,6 +97,7 @@
   void onRunnerEnd(stream_end End);
   void onConnectFailed();
   void onResponseHead();
+  void observeSpeed(bool Complete);
   void recordRateLimit(runner_view &View, instant Now);
   void onResponseBody();
   bool isResponseTooLarge() const;
@@ -177,6 +179,7 @@
   bool ClosePromised = false;
   std::size_t ResponseBytes = 0;
   instant SentAt{}; ///< When the runner was selected.
+  send_timing Timing;
   instant FirstByte{};
   instant ReservedAt{};
   instant ResponseCompletedAt{};
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -1,5 +1,6 @@
 #include "placement/placement.h"
 
+#include "core/hash.h"
 #include "placement/admission.h"
 
 #include <algorithm>
@@ -9,24 +10,27 @@
 
 namespace {
 
-/// Prefill rate of the engines, from the deployments' data sheet.
-constexpr double PrefillTokensPerMs = 122.0;
-/// Increase of the step duration per request in the batch, from the data sheet.
-constexpr double StepMsPerRequest = 0.0355;
-/// Base duration of a decoding step, from the data sheet.
-constexpr double StepMs = 2.92;
 /// Generated tokens assumed without a hint from the caller: seven events of ten
 /// tokens.
 constexpr double DefaultOutputTokens = 70;
-/// Mean request duration at a plain service, used to estimate the queueing
-/// delay at a full runner. Durations in the data sheet range from 20 to 80 ms.
-constexpr double ServiceDurationMs = 45;
 /// Two transfers between failure domains take 11 ms; the rest accounts for the
 /// cost of the traffic.
 constexpr double CrossDomainPenaltyMs = 16;
-/// Time that a runner saves if it handled the object recently: half of the
-/// work.
-constexpr double AffinitySavingMs = 20;
+/// Part of the work that a runner saves if it handled the object recently:
+/// 20 of 45 ms.
+constexpr double AffinitySaving = 20.0 / 45.0;
+/// Cost of a request at a plain service that has free slots.
+constexpr double PlainLoadMs = 1;
+/// Requests that other instances may add to a runner before this one hears of
+/// it. Costs that differ by less are near-equal.
+constexpr double UnseenRequests = 2;
+/// One of so many requests may go to a failure domain of which nothing is known
+/// as if it were near. Without it, an instance in a slow domain that is never
+/// full does not learn that others are faster.
+constexpr std::uint64_t ExplorationInterval = 32;
+/// Bounds of a runner's factor where it determines how many requests may queue.
+constexpr double MinQueueFactor = 0.5;
+constexpr double MaxQueueFactor = 2;
 /// Cost of each request beside one that may end the runner.
 constexpr double IsolationMsPerRequest = 100;
 /// Ranks runners in backoff after all others.
@@ -38,6 +42,9 @@
 struct runner_cost {
   double Total = 0;
   double Load = 0;
+  double ExpectedMs = 0;
+  double QueueMs = 0;
+  speed_estimate Speed;
   std::int64_t CachedTokens = 0;
   bool InBackoff = false;
   bool Full = false;
@@ -57,41 +64,100 @@
   return DefaultOutputTokens;
 }
 
+/// Limits the queue at a runner to the same time for slow and fast runners.
+/// \returns number of requests up to which a runner takes another one.
+double queueLimit(double Limit, double Slots, double Factor) {
+  if (Limit <= Slots)
+    return Limit;
+  return Slots +
+         (Limit - Slots) / std::clamp(Factor, MinQueueFactor, MaxQueueFactor);
+}
+
+/// \returns a number from 0 to 1 that differs between requests and runners.
+double perturbation(const std::string &Runner, std::uint64_t Spread) {
+  constexpr int MantissaBits = 53;
+  return std::ldexp(
+      static_cast<double>(stableHash(Runner, Spread) >> (64 - MantissaBits)),
+      -MantissaBits);
+}
+
+/// Adds the expected time of a request at an engine.
+/// \returns cost of one more request that is ahead of it.
+double addEngineTime(runner_cost &Cost, const runner_view &Runner,
+                     const request_traits &Request, const base_rates &Rates) {
+  const double Slots = Runner.Entry.Slots;
+  const double Multiple = Cost.Speed.multiple();
+  Cost.CachedTokens = cachedPrefixTokens(Runner, Request);
+  const double UncachedTokens = static_cast<double>(
+      std::max<std::int64_t>(0, Request.PromptTokens - Cost.CachedTokens));
+  const double Output = outputTokens(Request);
+  const double Batch = std::min(Cost.Load, Slots);
+  const double WorkMs =
+      Rates.StartMs + UncachedTokens / Rates.PrefillTokensPerMs +
+      Output * (Rates.StepMs + Batch * Rates.StepMsPerRequest);
+  // A slot becomes free when a request of the batch ends.
+  const double Excess = std::max(0.0, Cost.Load - Slots + 1);
+  const double SlotMs = Rates.StepMs * Output / Slots;
+  Cost.QueueMs = Excess * SlotMs * Multiple;
+  Cost.ExpectedMs = WorkMs * Multiple + Cost.QueueMs;
+  return Multiple * (Excess > 0 ? SlotMs : Rates.StepMsPerRequest * Output);
+}
+
+/// Adds the expected time of a request at a plain service.
+/// \returns cost of one more request that is ahead of it.
+double addPlainTime(runner_cost &Cost, const runner_view &Runner,
+                    const request_traits &Request, const base_rates &Rates) {
+  const double Slots = Runner.Entry.Slots;
+  const double Multiple = Cost.Speed.multiple();
+  const double Excess = std::max(0.0, Cost.Load - Slots + 1);
+  Cost.QueueMs = Excess / Slots * Rates.PlainMs * Multiple;
+  double WorkMs = Rates.PlainMs;
+  if (!Request.AffinityKey.empty() &&
+      Runner.RecentContent.contains(Request.AffinityKey))
+    WorkMs -= AffinitySaving * Rates.PlainMs;
+  Cost.ExpectedMs = WorkMs * Multiple + Cost.QueueMs;
+  return PlainLoadMs + (Excess > 0 ? Rates.PlainMs / Slots * Multiple : 0);
+}
+
+/// \returns the expected cost of the way to a runner.
+double pathCost(const runner_cost &Cost, const runner_view &Runner,
+                const placement_query &Query) {
+  double Ms = 0;
+  const bool Explores =
+      Query.Spread % ExplorationInterval == 1 && !Cost.Speed.DomainObserved;
+  if (Runner.Entry.Domain != Query.Domain && !Explores)
+    Ms += CrossDomainPenaltyMs;
+  return Ms;
+}
+
 runner_cost computeCost(const runner_directory &Directory,
                         const runner_view &Runner, const placement_query &Query,
+                        const service_speed *Service, const base_rates &Rates,
                         bool RateLimited, instant Now) {
   runner_cost Cost;
   Cost.Load = estimateLoad(Directory, Runner, Now);
+  Cost.Speed = estimateSpeed(Service, Runner.Speed, Runner.Entry.Domain, Now);
   const request_traits &Request = *Query.Request;
-  const double Slots = Runner.Entry.Slots;
-  const double ExcessRequests = Cost.Load - Slots + 1;
+  double NextRequestMs = 0;
   if (Query.Engine) {
-    Cost.CachedTokens = cachedPrefixTokens(Runner, Request);
-    const double UncachedTokens = static_cast<double>(
-        std::max<std::int64_t>(0, Request.PromptTokens - Cost.CachedTokens));
-    const double Output = outputTokens(Request);
-    Cost.Total += UncachedTokens / PrefillTokensPerMs;
-    Cost.Total += std::min(Cost.Load, Slots) * StepMsPerRequest * Output;
-    Cost.Full = Cost.Load >=
-                admissionLimit(
-                    {Query.Priority,
-                     !Request.PreviousTurn.empty() ||
-                         (RateLimited && Query.Rank == permit_rank::UnderWay),
-                     Request.ProgramTimeLeft, Runner.Entry.Slots, RateLimited});
-    // A slot becomes free when a request of the batch ends.
-    if (ExcessRequests > 0)
-      Cost.Total += ExcessRequests / Slots * StepMs * Output;
+    NextRequestMs = addEngineTime(Cost, Runner, Request, Rates);
+    const double Limit = admissionLimit(
+        {Query.Priority,
+         !Request.PreviousTurn.empty() ||
+             (RateLimited && Query.Rank == permit_rank::UnderWay),
+         Request.ProgramTimeLeft, Runner.Entry.Slots, RateLimited});
+    Cost.Full =
+        Cost.Load >= queueLimit(Limit, Runner.Entry.Slots, Cost.Speed.Factor);
+    Cost.Total = Cost.ExpectedMs;
   } else {
-    if (ExcessRequests > 0)
-      Cost.Total += ExcessRequests / Slots * ServiceDurationMs;
+    NextRequestMs = addPlainTime(Cost, Runner, Request, Rates);
     // Balances requests among runners that all have free slots.
-    Cost.Total += Cost.Load;
-    if (!Request.AffinityKey.empty() &&
-        Runner.RecentContent.contains(Request.AffinityKey))
-      Cost.Total -= AffinitySavingMs;
+    Cost.Total = Cost.ExpectedMs + Cost.Load * PlainLoadMs;
   }
-  if (Runner.Entry.Domain != Query.Domain)
-    Cost.Total += CrossDomainPenaltyMs;
+  Cost.Total += pathCost(Cost, Runner, Query);
+  if (Query.Spread != 0)
+    Cost.Total += perturbation(Runner.Entry.Id, Query.Spread) * UnseenRequests *
+                  NextRequestMs;
   if (Query.Isolate)
     Cost.Total = Cost.Load * IsolationMsPerRequest;
   Cost.InBackoff = Runner.RefusedUntil.Steady > Now.Steady ||
@@ -157,6 +223,8 @@
                            takesRequests(Runner) &&
                            isRecent(Runner.Permits.Limit, Now);
                   });
+  const service_speed *Service = findSpeed(Directory, Query.Service);
+  const base_rates Rates = baseRates(Service);
   permit_candidate Needed;
   permit_candidate Spare;
   std::size_t Full = 0;
@@ -165,8 +233,8 @@
         Query.Excluded.contains(Id))
       continue;
     ++Best.Candidates;
-    const runner_cost Cost =
-        computeCost(Directory, Runner, Query, Best.RateLimited, Now);
+    const runner_cost Cost = computeCost(Directory, Runner, Query, Service,
+                                         Rates, Best.RateLimited, Now);
     if (Cost.Full) {
       ++Full;
       continue;
@@ -185,6 +253,9 @@
     Best.Runner = Id;
     Best.CostMs = Cost.Total;
     Best.Load = Cost.Load;
+    Best.ExpectedMs = Cost.ExpectedMs;
+    Best.QueueMs = Cost.QueueMs;
+    Best.Speed = Cost.Speed;
     Best.CachedTokens = Cost.CachedTokens;
     Best.InBackoff = Cost.InBackoff;
     Best.LoadAge = Runner.Load ? std::chrono::duration_cast<milliseconds>(
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -20,13 +20,20 @@
   permit_rank Rank = permit_rank::New;
   /// Prefer the runner with the fewest requests: this one may end it.
   bool Isolate = false;
+  /// Spreads requests that are placed at the same moment over runners of nearly
+  /// equal cost; 0 for none.
+  std::uint64_t Spread = 0;
 };
 
 /// The selected runner and the estimates behind the selection.
 struct placement_result {
-  std::string Runner; ///< ID; empty if no candidate admits the request.
-  double CostMs = 0;  ///< Estimated delay with penalties, in milliseconds.
-  double Load = 0;    ///< Estimated requests at the runner.
+  std::string Runner;    ///< ID; empty if no candidate admits the request.
+  double CostMs = 0;     ///< Estimated delay with penalties, in milliseconds.
+  double Load = 0;       ///< Estimated requests at the runner.
+  double ExpectedMs = 0; ///< Time until the response is complete.
+  /// Part of ExpectedMs spent in the runner's queue.
+  double QueueMs = 0;
+  speed_estimate Speed;          ///< Estimate of the runner's speed.
   std::int64_t CachedTokens = 0; ///< Prompt tokens that need no prefill.
   std::size_t Candidates = 0;    ///< Eligible runners, full ones included.
   bool InBackoff = false;        ///< Even the best candidate is in backoff.
@@ -58,7 +65,8 @@
 std::int64_t cachedPrefixTokens(const runner_view &Runner,
                                 const request_traits &Request);
 
-/// Selects the runner with the lowest estimated delay.
+/// Selects the runner with the lowest expected completion time, with a penalty
+/// for other failure domains.
 /// \param Directory the runner directory.
 /// \param Query the request and its service; its Request must not be null.
 /// \param Now the current time.
--- a/src/placement/runner_speed.cpp
+++ b/src/placement/runner_speed.cpp
@@ -190,6 +190,15 @@
   return {Usual + Share * (meanOf(Own) - Usual), (1 - Share) * Between, Share};
 }
 
+/// Reduces the difference from what is usual by the uncertainty: a difference
+/// within it is not acted upon.
+double certainLog(const log_estimate &Estimate, double Usual) {
+  const double Difference = Estimate.Value - Usual;
+  const double Certain =
+      std::max(0.0, std::abs(Difference) - std::sqrt(Estimate.Variance));
+  return Usual + std::copysign(Certain, Difference);
+}
+
 /// A member of a group while it is computed.
 struct member_mean {
   const std::string *Domain = nullptr;
@@ -408,11 +417,7 @@
   const speed_group &Reports = Service ? Service->Reported : None;
   const log_estimate Factor = combine(Factors, Speed.Factor, Domain, Now);
   Estimate.Spread = std::sqrt(Factor.Variance);
-  // A difference that is within the uncertainty is not acted upon.
-  const double Usual = usualLog(Factors, Domain);
-  const double Difference = Factor.Value - Usual;
-  const double Certain = std::max(0.0, std::abs(Difference) - Estimate.Spread);
-  Estimate.Factor = std::exp(Usual + std::copysign(Certain, Difference));
+  Estimate.Factor = std::exp(certainLog(Factor, usualLog(Factors, Domain)));
   const auto Observed = Factors.Observed.find(Domain);
   Estimate.DomainObserved = Observed != Factors.Observed.end() &&
                             Observed->second >= MinDomainRunners;
@@ -425,7 +430,8 @@
   else if (Factors.Runners > 0)
     Estimate.Source = speed_source::Service;
   const double Typical =
-      std::exp(combine(Reports, Speed.Reported, Domain, Now).Value);
+      std::exp(certainLog(combine(Reports, Speed.Reported, Domain, Now),
+                          usualLog(Reports, Domain)));
   Estimate.Slowdown = Typical;
   if (Speed.Slowdown) {
     Estimate.SlowdownAge = ageOf(Speed.SlowdownAt, Now);
--- a/tests/experiment_test.cpp
+++ b/tests/experiment_test.cpp
@@ -159,16 +159,58 @@
         0.7 * meanOf(Scenario, experiment_policy::RoundRobin, Read));
 }
 
+// Guards against estimates that serve uneven engines no better than constants.
+TEST_CASE("with engines of three speeds, learned speeds earn more") {
+  scenario Scenario = smallScenario(1);
+  Scenario.DomainTimes = {0.7, 0.7, 1.7};
+  Scenario.SlowMoments = {0.15, 2.5, std::chrono::milliseconds(600)};
+  Scenario.LearnSpeeds = false;
+  const double Constants =
+      meanOf(Scenario, experiment_policy::Product, earnedShare);
+  Scenario.LearnSpeeds = true;
+  const double Learned =
+      meanOf(Scenario, experiment_policy::Product, earnedShare);
+  Scenario.ReportSlowdown = true;
+  const double Reported =
+      meanOf(Scenario, experiment_policy::Product, earnedShare);
+  CAPTURE(Constants);
+  CAPTURE(Learned);
+  CAPTURE(Reported);
+  CHECK(Learned > Constants + 0.05);
+  CHECK(Reported > Constants + 0.05);
+}
+
+// Guards against estimates that chase noise among equal engines.
+TEST_CASE("with equal engines that are slow at times, learned speeds lose "
+          "little") {
+  scenario Scenario = smallScenario(1.6);
+  Scenario.SlowMoments = {0.15, 2.5, std::chrono::milliseconds(600)};
+  Scenario.LearnSpeeds = false;
+  const double Constants =
+      meanOf(Scenario, experiment_policy::Product, earnedShare);
+  Scenario.LearnSpeeds = true;
+  const double Learned =
+      meanOf(Scenario, experiment_policy::Product, earnedShare);
+  CAPTURE(Constants);
+  CAPTURE(Learned);
+  CHECK(Learned > Constants - 0.03);
+}
+
 TEST_CASE("a scenario is read, and what is wrong in it is named") {
   const auto Path =
       std::filesystem::temp_directory_path() / "lentilhoist-scenario.toml";
   const auto Write = [&](const char *Text) { std::ofstream(Path) << Text; };
   Write("name = \"n\"\nengines = 3\n[[kind]]\nname = \"k\"\nturns = 2\n"
-        "[[burst]]\nat = 1\nfor = 2\ntimes = 3\n");
+        "[[burst]]\nat = 1\nfor = 2\ntimes = 3\n"
+        "[[domain]]\ntimes = 0.7\n[[domain]]\ntimes = 1.7\n"
+        "[slow_moments]\nshare = 0.15\ntimes = 2.5\nperiod = \"600ms\"\n");
   const scenario Scenario = readScenario(Path.string());
   CHECK(Scenario.Engines == 3);
   CHECK(Scenario.Kinds.at(0).Turns == doctest::Approx(2));
   CHECK(Scenario.Bursts.at(0).Times == doctest::Approx(3));
+  CHECK(Scenario.DomainTimes == std::vector<double>{0.7, 1.7});
+  CHECK(Scenario.SlowMoments.Share == doctest::Approx(0.15));
+  CHECK(Scenario.SlowMoments.Period == std::chrono::milliseconds(600));
   for (const char *Wrong :
        {"name = ", "name = \"n\"\n", "name = \"n\"\nengine = 3\n",
         "name = \"n\"\nengines = -1\n[[kind]]\nname = \"k\"\n",
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2044,3 +2044,47 @@
             }
           }
 }
+
+// Guards against speeds learned from times that tell nothing of the runner:
+// waits in a queue, single events, and responses that were cut off early.
+TEST_CASE("a send's times give an observation of the runner's speed") {
+  const auto At = [](int Ms) { return later({}, microseconds(Ms * 1'000)); };
+  placement_result Placed;
+  Placed.ExpectedMs = 200;
+  Placed.CachedTokens = 400;
+  Placed.Load = 2;
+  SUBCASE("engine") {
+    const engine_traits Engine{4, 100'000, 10};
+    send_timing Timing = startTiming(Placed, 4, 1'000, Engine, At(0));
+    recordEvents(Timing, 2, At(50));
+    recordEvents(Timing, 2, At(60));
+    CHECK(observedWork(Timing, std::nullopt, true, At(60)).TokenMs < 0);
+    recordEvents(Timing, 7, At(200));
+    auto Work = observedWork(Timing, load_report{3, 1, 4}, true, At(210));
+    CHECK(Work.UncachedTokens == doctest::Approx(600));
+    CHECK(Work.FirstEventMs == doctest::Approx(50));
+    CHECK(Work.TokenMs == doctest::Approx(3));
+    CHECK(Work.Batch == doctest::Approx(2));
+    CHECK(Work.PlainMs < 0);
+    CHECK(Work.ExpectedMs == doctest::Approx(200));
+    CHECK(Work.ActualMs == doctest::Approx(210));
+    Work = observedWork(Timing, std::nullopt, false, At(210));
+    CHECK(Work.ActualMs < 0);
+    CHECK(Work.TokenMs == doctest::Approx(3));
+    Placed.Load = 4;
+    Timing = startTiming(Placed, 4, 1'000, Engine, At(0));
+    recordEvents(Timing, 1, At(500));
+    CHECK(observedWork(Timing, std::nullopt, true, At(600)).FirstEventMs < 0);
+  }
+  SUBCASE("plain service") {
+    send_timing Timing = startTiming(Placed, 4, 0, std::nullopt, At(0));
+    CHECK(observedWork(Timing, std::nullopt, true, At(30)).PlainMs ==
+          doctest::Approx(30));
+    CHECK(observedWork(Timing, std::nullopt, false, At(30)).PlainMs < 0);
+    CHECK(observedWork(Timing, std::nullopt, false, At(300)).PlainMs ==
+          doctest::Approx(300));
+    Placed.Load = 4;
+    Timing = startTiming(Placed, 4, 0, std::nullopt, At(0));
+    CHECK(observedWork(Timing, std::nullopt, true, At(30)).PlainMs < 0);
+  }
+}
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "core/hash.h"
 #include "placement/admission.h"
 #include "placement/placement.h"
 
@@ -554,3 +555,142 @@
   CHECK(World.estimate("0").FactorAge.count() == -1);
   CHECK(World.estimate("0").Factor < 1.3);
 }
+
+// Guards against an instance that stays with the slow machines of its own
+// failure domain.
+TEST_CASE("placement prefers fast runners of another failure domain to slow "
+          "ones nearby") {
+  fixture Fixture;
+  speed_world World(1);
+  addThreeSpeeds(World, 5);
+  Fixture.Query.Domain = "slow";
+  const auto Place = [&] {
+    return placeRequest(World.Directory, Fixture.Query, World.Now);
+  };
+  CHECK(Place().Runner.front() == 'c');
+  World.observeAll(15);
+  const auto Placed = Place();
+  CHECK(Placed.Runner.front() != 'c');
+  // 70 tokens and 2,440 of a prompt, at 0.7 times the usual duration; the slow
+  // moments add a fifth.
+  const double WorkMs = 40 + 2'440 / 75.8 + 70 * 2.31;
+  CHECK(Placed.ExpectedMs > 0.7 * WorkMs);
+  CHECK(Placed.ExpectedMs < 0.7 * WorkMs * 1.6);
+}
+
+// Guards against queues of the same length, and thus of very different
+// durations, at fast and slow runners.
+TEST_CASE("a slow runner takes a shorter queue than a fast one") {
+  fixture Fixture;
+  speed_world World(1);
+  World.Noisy = false;
+  addThreeSpeeds(World, 5);
+  World.observeAll(15);
+  const auto LimitOf = [&](const char *Id) {
+    for (int Load = 0; Load < 100; ++Load) {
+      for (auto &[Other, Runner] : World.Directory.Runners)
+        Runner.Outstanding = Other == Id ? Load : 100;
+      if (placeRequest(World.Directory, Fixture.Query, World.Now).Full)
+        return Load;
+    }
+    return 100;
+  };
+  CHECK(LimitOf("a0") > LimitOf("c0"));
+  CHECK(LimitOf("c0") > 4);
+}
+
+// Guards against requests that leave a cached prompt because of noise.
+TEST_CASE("noise does not draw requests away from a cached prefix") {
+  fixture Fixture;
+  int Stayed = 0;
+  constexpr int Seeds = 40;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    speed_world World(Seed);
+    for (int Index = 0; Index < 15; ++Index)
+      World.add(std::to_string(Index), "here", 1);
+    World.observeAll(20);
+    recordContent(World.Directory.Runners.at("7"), Fixture.Request, World.Now);
+    Fixture.Query.Spread = Seed;
+    Stayed +=
+        placeRequest(World.Directory, Fixture.Query, World.Now).Runner == "7";
+  }
+  CHECK(Stayed >= Seeds * 9 / 10);
+}
+
+// Guards against a herd: instances that have the same reports all send to the
+// runner that looks best.
+TEST_CASE("instances that place at the same moment use many runners") {
+  constexpr int Instances = 79;
+  constexpr int Runners = 66;
+  fixture Fixture;
+  runner_directory Directory;
+  for (int Index = 0; Index < Runners; ++Index) {
+    const std::string Id = std::to_string(Index);
+    upsertRunner(Directory, makeEntry(Id, "here"));
+  }
+  const auto Count = [&] {
+    std::map<std::string, int> Placed;
+    for (int Instance = 0; Instance < Instances; ++Instance) {
+      Fixture.Query.Spread = stableHash(std::to_string(Instance));
+      ++Placed[placeRequest(Directory, Fixture.Query, Start).Runner];
+    }
+    return Placed;
+  };
+  const auto Most = [](const std::map<std::string, int> &Placed) {
+    int Number = 0;
+    for (const auto &[Id, Times] : Placed)
+      Number = std::max(Number, Times);
+    return Number;
+  };
+  SUBCASE("all runners are idle") {
+    const auto Placed = Count();
+    CHECK(Placed.size() >= Runners / 2);
+    CHECK(Most(Placed) <= 6);
+  }
+  SUBCASE("one runner is idle, the others have a request") {
+    for (auto &[Id, Runner] : Directory.Runners)
+      recordLoad(Directory, Runner, {Id == "7" ? 0 : 1, 0, 4}, Start);
+    CHECK(Most(Count()) < Instances * 2 / 3);
+  }
+  SUBCASE("one runner has a shorter queue than the others") {
+    for (auto &[Id, Runner] : Directory.Runners)
+      recordLoad(Directory, Runner, {4, Id == "7" ? 0 : 1, 4}, Start);
+    CHECK(Most(Count()) < Instances * 2 / 3);
+  }
+  SUBCASE("a difference of several requests decides") {
+    for (auto &[Id, Runner] : Directory.Runners)
+      recordLoad(Directory, Runner, {Id == "7" ? 0 : 4, 0, 4}, Start);
+    CHECK(Count()["7"] == Instances);
+  }
+  SUBCASE("the same inputs give the same runners") {
+    CHECK(Count() == Count());
+  }
+}
+
+// Guards against an instance in a slow failure domain that never learns that
+// others are faster, as its own runners have room.
+TEST_CASE("a few requests explore a failure domain of which nothing is known") {
+  fixture Fixture;
+  speed_world World(1);
+  addThreeSpeeds(World, 5);
+  Fixture.Query.Domain = "slow";
+  std::set<std::string> Others;
+  for (const char *Domain : {"a", "b"})
+    for (int Index = 0; Index < 5; ++Index)
+      Others.insert(Domain + std::to_string(Index));
+  const auto CountOutside = [&] {
+    int Outside = 0;
+    for (int Request = 0; Request < 1'000; ++Request) {
+      Fixture.Query.Spread = stableHash(std::to_string(Request));
+      Outside += placeRequest(World.Directory, Fixture.Query, World.Now)
+                     .Runner.front() != 'c';
+    }
+    return Outside;
+  };
+  World.observeAll(10, Others);
+  const int Explored = CountOutside();
+  CHECK(Explored >= 5);
+  CHECK(Explored <= 60);
+  World.observeAll(10);
+  CHECK(CountOutside() == 1'000);
+}
