Admit turns of begun programs as such on routes without history

Cause: on streaming routes that keep no history a later turn names no previous turn, so admission treated it as a new program.

Change: OtherAttemptTokens above 0 says that the program has begun; the placement query passes that to admission.

Result: placement-test passes; its new test fails without the field.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -285,6 +285,7 @@
   Query.Rank = permitRank();
   Query.Spread = stableHash(Traits.Attempt, PlacementSeed);
   Query.Connected = Context.Pool.idleAddresses(!Relay.empty(), Now);
+  Query.ProgramStarted = OtherAttemptTokens > 0;
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
   if (!Placement.PermitRunner.empty())
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -153,7 +153,7 @@
     NextRequestMs = addEngineTime(Cost, Runner, Request, Rates);
     const double Limit = admissionLimit(
         {Query.Priority,
-         !Request.PreviousTurn.empty() ||
+         !Request.PreviousTurn.empty() || Query.ProgramStarted ||
              (RateLimited && Query.Rank == permit_rank::UnderWay),
          Request.ProgramTimeLeft, Runner.Entry.Slots, RateLimited});
     Cost.Full =
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -22,6 +22,7 @@
   permit_rank Rank = permit_rank::New;
   /// Prefer the runner with the fewest requests: this one may end it.
   bool Isolate = false;
+  bool ProgramStarted = false; ///< Earlier requests of the program are known.
   /// Spreads requests that are placed at the same moment over runners of nearly
   /// equal cost; 0 for none.
   std::uint64_t Spread = 0;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -695,6 +695,18 @@
   CHECK(CountOutside() == 1'000);
 }
 
+// Guards against a later turn that waits like a new program because its route
+// keeps no history and it names no previous turn.
+TEST_CASE("a turn without a previous one is admitted as under way if its "
+          "program has begun") {
+  fixture Fixture;
+  for (const char *Id : {"a", "b", "far"})
+    Fixture.at(Id).Outstanding = 7;
+  CHECK(placeRequest(Fixture.Directory, Fixture.Query, Start).Full);
+  Fixture.Query.ProgramStarted = true;
+  CHECK_FALSE(placeRequest(Fixture.Directory, Fixture.Query, Start).Full);
+}
+
 // Guards against a price of connections that outweighs load, and against new
 // connections where an open one serves as well.
 TEST_CASE("a runner with an idle connection is preferred among near-equal "
