Reject requests that certainly cannot finish in time

Cause: a request with 78 ms left was sent to an engine whose turn takes 300 ms.

Change: placement/deadline_admission compares the time left with the earliest completion at the best runner of the service: the expected time times the ratio of actual to expected times that lies two standard deviations below the mean. Below it the request gets 503 (no_time, not run) with the queue's time in Retry-After, instead of being sent or held. Without 20 recent observations, or after a send that may have run, nothing changes.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -287,6 +287,8 @@
   Query.Connected = Context.Pool.idleAddresses(!Relay.empty(), Now);
   Query.ProgramStarted = OtherAttemptTokens > 0;
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
+  if (rejectLate(Placement, Now))
+    return;
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
   if (!Placement.PermitRunner.empty())
     requestPermit(Placement.PermitRunner,
@@ -345,6 +347,28 @@
   send(Placement.Runner);
 }
 
+/// Rejects a request that certainly cannot finish in time.
+bool exchange::rejectLate(const placement_result &Placement, instant Now) {
+  // A request that may have run is not answered as not run.
+  if (Sends.MayHaveRun > 0 ||
+      !cannotFinish(Placement.Completion, timeLeft(Now)))
+    return false;
+  const milliseconds Room =
+      roomExpectedIn(Placement.Completion, stableHash(Traits.Attempt, 1));
+  logEvent(log_level::Info, "request_too_late",
+           {{"request", Traits.Attempt},
+            {"service", Service},
+            {"time_left_ms", std::to_string(timeLeft(Now).count())},
+            {"earliest_ms", formatTruncated(Placement.Completion.EarliestMs)},
+            {"expected_ms", formatTruncated(Placement.Completion.ExpectedMs)},
+            {"queue_ms", formatTruncated(Placement.Completion.QueueMs)},
+            {"candidates", std::to_string(Placement.Candidates)},
+            {"refusals", std::to_string(Sends.NotRun)},
+            {"retry_in_ms", std::to_string(Room.count())}});
+  respondWithError(proxy_error::NoTime, Room);
+  return true;
+}
+
 /// Decides whether the next send goes through a relay.
 /// \returns false if there is neither a path nor a relay; the request is then
 /// held or answered.
@@ -915,11 +939,13 @@
   return true;
 }
 
-void exchange::respondWithError(proxy_error Reason) {
+void exchange::respondWithError(proxy_error Reason,
+                                std::optional<milliseconds> RoomIn) {
   const int Status = statusOf(Reason, Sends);
   const std::uint64_t Hash = stableHash(Traits.Attempt, 1);
   const milliseconds RetryDelay =
-      Status == 503 ? retryAfter(Reason, Hash) : milliseconds(0);
+      Status == 503 ? RoomIn.value_or(retryAfter(Reason, Hash))
+                    : milliseconds(0);
   const bool Close = promiseClose();
   const std::string Text =
       std::string("{\"error\":\"") + proxyErrorName(Reason) + "\"}\n";
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -15,6 +15,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -83,6 +84,7 @@
   bool rejectQuarantined(const quarantine_decision &Decision);
   void recordPreviousRunner(const runner_incarnation &Life, instant Now);
   void place();
+  bool rejectLate(const placement_result &Placement, instant Now);
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
   void onPermit(permit_outcome Outcome);
@@ -108,7 +110,8 @@
   void commit();
   void onSendFailed(send_outcome Outcome, const char *Reason,
                     bool RunnerFailed = true);
-  void respondWithError(proxy_error Reason);
+  void respondWithError(proxy_error Reason,
+                        std::optional<milliseconds> RoomIn = std::nullopt);
   void onTimeout();
   bool promiseClose();
   bool rejectIfStopping(instant Now);
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -94,6 +94,8 @@
     return "timed_out";
   case proxy_error::Overloaded:
     return "overloaded";
+  case proxy_error::NoTime:
+    return "no_time";
   case proxy_error::Stopping:
     return "stopping";
   }
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -59,6 +59,7 @@
   RunnerFailed,       ///< The last send failed and may have been executed.
   TimedOut,           ///< The caller's or the route's deadline passed.
   Overloaded,         ///< The limit on buffered request bodies is reached.
+  NoTime,             ///< It certainly cannot finish before its deadline.
   Stopping,           ///< This process may exit before the request ends.
 };
 
--- a/src/placement/placement.cpp
+++ b/src/placement/placement.cpp
@@ -238,13 +238,17 @@
   permit_candidate Needed;
   permit_candidate Spare;
   std::size_t Full = 0;
+  const completion_range Range = completionRange(Service, Now);
   for (const auto &[Id, Runner] : Directory.Runners) {
-    if (Runner.Entry.Service != Query.Service || !takesRequests(Runner) ||
-        Query.Excluded.contains(Id))
+    if (Runner.Entry.Service != Query.Service || !takesRequests(Runner))
       continue;
-    ++Best.Candidates;
     const runner_cost Cost = computeCost(Directory, Runner, Query, Service,
                                          Rates, Best.RateLimited, Now);
+    // Runners that were tried are tried again after a wait.
+    offerRunner(Best.Completion, Cost.ExpectedMs, Cost.QueueMs, Range);
+    if (Query.Excluded.contains(Id))
+      continue;
+    ++Best.Candidates;
     if (Cost.Full) {
       ++Full;
       continue;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/route.h"
+#include "placement/deadline_admission.h"
 #include "placement/runner_directory.h"
 
 #include <set>
@@ -51,6 +52,9 @@
   /// one. If a runner was selected, only if a spare permit for a better one
   /// should be requested. Empty if there is none.
   std::string PermitRunner;
+  /// When the request could be complete at any runner of the service, also one
+  /// that does not admit it now.
+  completion_estimate Completion{};
   milliseconds LoadAge{-1}; ///< Age of the load report; -1 if there was none.
 };
 
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2088,3 +2088,32 @@
     CHECK(observedWork(Timing, std::nullopt, true, At(30)).PlainMs < 0);
   }
 }
+
+// Guards against requests that are sent although they cannot be answered in
+// time: one with 78 ms left went to an engine whose turn takes 300 ms.
+TEST_CASE("a request without time for its runner is rejected as not run") {
+  fixture Fixture([](const http_request_head &Head, const std::string &) {
+    return scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  Fixture.setRoutes(route_kind::NonIdempotent, false);
+  const http_fields Short{{"X-Deadline-Ms", "78"}};
+  // Nothing is known yet.
+  CHECK(Fixture.call("1", Short).starts_with("HTTP/1.1 200"));
+  const std::size_t Arrivals = Fixture.arrivals();
+  work_observation Work;
+  Work.FirstEventMs = 90;
+  Work.TokenMs = 3;
+  Work.PlainMs = 300;
+  Work.ExpectedMs = 300;
+  Work.ActualMs = 300;
+  for (int Request = 0; Request < 30; ++Request)
+    for (auto &[Id, Runner] : Fixture.Context.Runners.Runners)
+      recordWork(Fixture.Context.Runners, Runner, Work, readClock());
+  const std::string Response = Fixture.call("2", Short);
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  CHECK(Response.find("no_time") != std::string::npos);
+  CHECK(Fixture.arrivals() == Arrivals);
+  CHECK(Fixture.call("3", {{"X-Deadline-Ms", "2000"}})
+            .starts_with("HTTP/1.1 200"));
+}
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -734,3 +734,50 @@
   Fixture.Query.Spread = 0;
   CHECK(placeRequest(Directory, Fixture.Query, Start).Runner == "0");
 }
+
+// Guards against requests that occupy an engine although their caller gives up
+// long before it can answer, and against rejections on a guess.
+TEST_CASE("a request that certainly cannot finish in time is recognized") {
+  fixture Fixture;
+  Fixture.Request.PromptTokens = 0;
+  speed_world World(1);
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", 1);
+  const auto Place = [&] {
+    return placeRequest(World.Directory, Fixture.Query, World.Now).Completion;
+  };
+  // A turn takes 40 + 70 x 2.31 ms, with slow moments.
+  CHECK_FALSE(cannotFinish(Place(), milliseconds(1)));
+  World.observeAll(30);
+  CHECK(Place().Known);
+  CHECK(cannotFinish(Place(), milliseconds(30)));
+  CHECK_FALSE(cannotFinish(Place(), milliseconds(210)));
+  CHECK(Place().ExpectedMs == doctest::Approx(250).epsilon(0.3));
+  SUBCASE("a runner that was tried counts, as it may be tried again") {
+    for (int Index = 0; Index < 6; ++Index)
+      Fixture.Query.Excluded.insert(std::to_string(Index));
+    CHECK(Place().Known);
+    CHECK_FALSE(cannotFinish(Place(), milliseconds(210)));
+  }
+  SUBCASE("full runners: the queue counts, and tells when to return") {
+    const completion_estimate Idle = Place();
+    for (auto &[Id, Runner] : World.Directory.Runners)
+      Runner.Outstanding = 24;
+    CHECK(placeRequest(World.Directory, Fixture.Query, World.Now).Full);
+    const completion_estimate Full = Place();
+    CHECK(Full.EarliestMs > 2 * Idle.EarliestMs);
+    CHECK(cannotFinish(Full, milliseconds(210)));
+    CHECK(roomExpectedIn(Full, 0) > milliseconds(500));
+    CHECK(roomExpectedIn(Full, 0) <= milliseconds(2'000));
+    CHECK(roomExpectedIn(Idle, 0) == milliseconds(150));
+    CHECK(roomExpectedIn(Idle, 149) == milliseconds(299));
+  }
+  SUBCASE("observations that are too old decide nothing") {
+    World.Now = later(World.Now, seconds(60));
+    CHECK_FALSE(cannotFinish(Place(), milliseconds(1)));
+  }
+  SUBCASE("no runner, no decision") {
+    World.Directory.Runners.clear();
+    CHECK_FALSE(cannotFinish(Place(), milliseconds(1)));
+  }
+}
