Show learned speeds, and describe current performance of a runner

Cause: learned rates decide placement, and operators need to see them.

Result: the edge library builds; edge-test was not run.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -290,7 +290,12 @@
   nlohmann::ordered_json runners() {
     const instant Now = readClock();
     nlohmann::ordered_json Rows = nlohmann::ordered_json::array();
-    for (const auto &[Id, Runner] : Context.Runners.Runners)
+    for (const auto &[Id, Runner] : Context.Runners.Runners) {
+      const service_speed *Service =
+          findSpeed(Context.Runners, Runner.Entry.Service);
+      const speed_estimate Speed =
+          estimateSpeed(Service, Runner.Speed, Runner.Entry.Domain, Now);
+      const base_rates Rates = baseRates(Service);
       Rows.push_back(
           {{"runner", Id},
            {"service", Runner.Entry.Service},
@@ -305,7 +310,18 @@
            {"load_age_ms", Runner.Load ? ageMs(Runner.LoadReceivedAt) : -1},
            {"limit_per_second", Runner.Permits.Limit.PerSecond},
            {"permits", Runner.Permits.Permits.size()},
-           {"failures_in_row", Runner.ConsecutiveFailures}});
+           {"failures_in_row", Runner.ConsecutiveFailures},
+           {"speed_source", speedSourceName(Speed.Source)},
+           {"factor", Speed.Factor},
+           {"factor_spread", Speed.Spread},
+           {"factor_age_ms", Speed.FactorAge.count()},
+           {"slowdown", Speed.Slowdown},
+           {"slowdown_age_ms", Speed.SlowdownAge.count()},
+           {"prefill_tokens_per_ms",
+            Rates.PrefillTokensPerMs / Speed.multiple()},
+           {"step_ms", Rates.StepMs * Speed.multiple()},
+           {"plain_ms", Rates.PlainMs * Speed.multiple()}});
+    }
     return {{"instance", Settings.Name}, {"runners", Rows}};
   }
 
@@ -326,9 +342,24 @@
                   Context.Routes
                       ? static_cast<double>(Context.Routes->config().Version)
                       : -1);
+    renderSpeeds();
     return {200, Metrics.render()};
   }
 
+  /// Sets the gauges of learned rates, one of each for a service.
+  void renderSpeeds() {
+    for (const auto &[Name, Speed] : Context.Runners.Speeds) {
+      const std::string Label = "{service=\"" + Name + "\"}";
+      const base_rates Rates = baseRates(&Speed);
+      Metrics.gauge("lentilhoist_prefill_tokens_per_ms" + Label,
+                    Rates.PrefillTokensPerMs);
+      Metrics.gauge("lentilhoist_step_ms" + Label, Rates.StepMs);
+      Metrics.gauge("lentilhoist_plain_ms" + Label, Rates.PlainMs);
+      Metrics.gauge("lentilhoist_observed_runners" + Label,
+                    Speed.Factor.Runners);
+    }
+  }
+
   void addConnection(asio::ip::tcp::socket Socket) {
     auto Connection = std::make_shared<caller_connection>(
         Context,
