--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -50,6 +50,8 @@
 constexpr milliseconds MinLedgerRetention{60'000};
 /// Time limit of a request if neither the caller nor the route sets one.
 constexpr milliseconds DefaultTimeout{30'000};
+/// Separates the spread of placements from other uses of the attempt's hash.
+constexpr std::uint64_t PlacementSeed = 2;
 /// The address now belongs to another runner.
 constexpr int StatusMisdirected = 421;
 /// Reason of a failed send whose response was delimited and is not complete.
@@ -358,7 +360,12 @@
   Query.Priority = priorityOf(*Route, Workspace);
   Query.Rank = permitRank();
   Query.OverShare = isOverWorkspaceShare(Now);
+  Query.Spread = stableHash(Traits.Attempt, PlacementSeed);
+  Query.Connected = Context.Pool.idleAddresses(!Relay.empty(), Now);
+  Query.ProgramStarted = OtherAttemptTokens > 0;
   const placement_result Placement = placeRequest(Context.Runners, Query, Now);
+  if (rejectLate(Placement, Now))
+    return;
   const bool Selected = !Placement.Runner.empty() && !Placement.InBackoff;
   if (!Placement.PermitRunner.empty())
     requestPermit(Placement.PermitRunner,
@@ -394,6 +401,13 @@
        {"runner", Placement.Runner},
        {"candidates", std::to_string(Placement.Candidates)},
        {"cost_ms", formatTruncated(Placement.CostMs)},
+       {"expected_ms", formatTruncated(Placement.ExpectedMs)},
+       {"queue_ms", formatTruncated(Placement.QueueMs)},
+       {"speed_percent", formatTruncated(Placement.Speed.Factor * 100)},
+       {"speed_source", speedSourceName(Placement.Speed.Source)},
+       {"slowdown_percent", formatTruncated(Placement.Speed.Slowdown * 100)},
+       {"slowdown_age_ms", std::to_string(Placement.Speed.SlowdownAge.count())},
+       {"connected", Placement.Connected ? "true" : "false"},
        {"load", formatTruncated(Placement.Load)},
        {"load_age_ms", std::to_string(Placement.LoadAge.count())},
        {"kept_tokens", std::to_string(Placement.CachedTokens)},
@@ -407,6 +421,9 @@
                                ? std::to_string(Traits.ProgramTimeLeft->count())
                                : "none"},
        {"time_left_ms", std::to_string(timeLeft(Now).count())}});
+  Timing = startTiming(Placement,
+                       Context.Runners.Runners.at(Placement.Runner).Entry.Slots,
+                       Traits.PromptTokens, Engine, Now);
   send(Placement.Runner);
 }
 
@@ -467,6 +484,28 @@
   return false;
 }
 
+/// Rejects a request that certainly cannot finish in time.
+bool exchange::rejectLate(const placement_result &Placement, instant Now) {
+  // A request that may have run is not answered as not run.
+  if (Sends.MayHaveRun > 0 ||
+      !cannotFinish(Placement.Completion, timeLeft(Now)))
+    return false;
+  const milliseconds Room =
+      roomExpectedIn(Placement.Completion, stableHash(Traits.Attempt, 1));
+  logEvent(log_level::Info, "request_too_late",
+           {{"request", Traits.Attempt},
+            {"service", Service},
+            {"time_left_ms", std::to_string(timeLeft(Now).count())},
+            {"earliest_ms", formatTruncated(Placement.Completion.EarliestMs)},
+            {"expected_ms", formatTruncated(Placement.Completion.ExpectedMs)},
+            {"queue_ms", formatTruncated(Placement.Completion.QueueMs)},
+            {"candidates", std::to_string(Placement.Candidates)},
+            {"refusals", std::to_string(Sends.NotRun)},
+            {"retry_in_ms", std::to_string(Room.count())}});
+  respondWithError(proxy_error::NoTime, Room);
+  return true;
+}
+
 /// Decides whether the next send goes through a relay.
 /// \returns false if there is neither a path nor a relay; the request is then
 /// held or answered.
@@ -766,6 +805,19 @@
     startRelaying();
 }
 
+/// Updates the estimates of the runner's speed.
+/// \param Complete whether the whole response has arrived.
+void exchange::observeSpeed(bool Complete) {
+  runner_view *View = currentRunner();
+  const bool Success = !RunnerResponse.NotExecuted &&
+                       (!Complete || Reader.response().Status / 100 == 2);
+  if (!View || !Success)
+    return;
+  const instant Now = readClock();
+  recordWork(Context.Runners, *View,
+             observedWork(Timing, RunnerResponse.Load, Complete, Now), Now);
+}
+
 void exchange::recordRateLimit(runner_view &View, instant Now) {
   // The runner that answers is not the one that was meant.
   if (Reader.response().Status == StatusMisdirected)
@@ -841,6 +893,8 @@
       Output += '\n';
     }
   });
+  if (EventStream)
+    recordEvents(Timing, EventCount, readClock());
   ResponseBytes += Length;
   Sink.Write(encodeChunk(Ready));
   ResponseBody.erase(0, Length);
@@ -879,6 +933,7 @@
                       SlotFreeAtSend && !ServerError
                           ? slownessOf(Now.Steady - SentAt.Steady, workSize())
                           : 0);
+  observeSpeed(true);
   if (recordCompletion(Context.Suspects, Signature, Now))
     shareSuspects(Context, {Signature});
   // A runner that responds early leaves part of the request body unsent, so
@@ -1073,6 +1128,10 @@
   if (Stage == stage::Done || Stage == stage::Committing)
     return;
   reportHang();
+  // On a lost path, the silence says nothing of the runner.
+  const bool Sent = Stage == stage::Awaiting || Stage == stage::Relaying;
+  if (Sent && Context.Path.State == path_state::Open)
+    observeSpeed(false);
   if (ResponseStarted) {
     abortResponse("timed_out");
     return;
@@ -1100,12 +1159,14 @@
   return true;
 }
 
-void exchange::respondWithError(proxy_error Reason) {
+void exchange::respondWithError(proxy_error Reason,
+                                std::optional<milliseconds> RoomIn) {
   const int Status = statusOf(Reason, Sends);
   const std::uint64_t Hash = stableHash(Traits.Attempt, 1);
-  const milliseconds RetryDelay = Status == 503   ? retryAfter(Reason, Hash)
-                                  : Status == 429 ? QuotaRetry
-                                                  : milliseconds(0);
+  const milliseconds RetryDelay =
+      Status == 503   ? RoomIn.value_or(retryAfter(Reason, Hash))
+      : Status == 429 ? QuotaRetry
+                      : milliseconds(0);
   const bool Close = promiseClose();
   const std::string Text =
       std::string("{\"error\":\"") + proxyErrorName(Reason) + "\"}\n";
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -8,6 +8,7 @@
 #include "forward/quota_client.h"
 #include "forward/request_traits.h"
 #include "forward/retry_policy.h"
+#include "forward/send_timing.h"
 #include "net/event_parser.h"
 #include "net/http_reader.h"
 #include "net/response_end.h"
@@ -16,6 +17,7 @@
 #include <asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -89,6 +91,7 @@
   quota workspaceQuota() const;
   bool isOverWorkspaceShare(instant Now);
   bool takeQuota(instant Now);
+  bool rejectLate(const placement_result &Placement, instant Now);
   permit_rank permitRank() const;
   void requestPermit(const std::string &Id, permit_rank Rank);
   void onPermit(permit_outcome Outcome);
@@ -103,6 +106,7 @@
   void onRunnerEnd(stream_end End);
   void onConnectFailed();
   void onResponseHead();
+  void observeSpeed(bool Complete);
   void recordRateLimit(runner_view &View, instant Now);
   void onResponseBody();
   bool isResponseTooLarge() const;
@@ -113,7 +117,8 @@
   void commit();
   void onSendFailed(send_outcome Outcome, const char *Reason,
                     bool RunnerFailed = true);
-  void respondWithError(proxy_error Reason);
+  void respondWithError(proxy_error Reason,
+                        std::optional<milliseconds> RoomIn = std::nullopt);
   work_size workSize() const;
   void reportRunnerOutcome(outcome_kind Kind, double Slowness = 0);
   void reportHang();
@@ -200,6 +205,7 @@
   bool ClosePromised = false;
   std::size_t ResponseBytes = 0;
   instant SentAt{}; ///< When the runner was selected.
+  send_timing Timing;
   instant FirstByte{};
   instant ReservedAt{};
   instant ResponseCompletedAt{};
--- a/src/placement/runner_directory.h
+++ b/src/placement/runner_directory.h
@@ -5,6 +5,7 @@
 #include "limit/permit_stock.h"
 #include "placement/outlier.h"
 #include "placement/runner_entry.h"
+#include "placement/runner_speed.h"
 
 #include <map>
 #include <optional>
@@ -26,6 +27,7 @@
   instant RefusedUntil{}; ///< End of the backoff after a refusal due to load.
   instant FailedUntil{};  ///< End of the backoff after a failure.
   permit_stock Permits;   ///< The runner's limit and permits to send to it.
+  runner_speed Speed;     ///< How fast it did its work.
   int ConsecutiveFailures = 0;
   bool Ejected = false; ///< An outlier, as outlier_state::Ejected.
   instant TrialsFrom{}; ///< As outlier_state::TrialsFrom.
@@ -55,6 +57,7 @@
 struct runner_directory {
   std::map<std::string, runner_view> Runners;
   std::map<std::string, service_load> ServiceLoads; ///< By service.
+  std::map<std::string, service_speed> Speeds;      ///< By service.
   /// Runners absent from the registry that may still register again, with the
   /// time at which they are removed.
   std::map<std::string, instant> Missing;
@@ -141,6 +144,21 @@
 void recordLoad(runner_directory &Directory, runner_view &Runner,
                 const load_report &Load, instant Now);
 
+/// Records what an answered request showed of the speed of its runner, and
+/// updates what is known of the runner's service.
+/// \param Directory the directory.
+/// \param Runner the runner; must belong to \p Directory.
+/// \param Work the observation.
+/// \param Now the current time.
+void recordWork(runner_directory &Directory, runner_view &Runner,
+                const work_observation &Work, instant Now);
+
+/// \param Directory the directory.
+/// \param Service a service.
+/// \returns what was observed of its runners together; null if nothing.
+const service_speed *findSpeed(const runner_directory &Directory,
+                               const std::string &Service);
+
 /// Records a refusal due to load and starts a short backoff.
 /// \param Runner the runner.
 /// \param Now the current time.
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "core/hash.h"
 #include "limit/quota_stock.h"
 #include "placement/admission.h"
 #include "placement/outlier.h"
@@ -9,6 +10,8 @@
 #include <cmath>
 #include <deque>
 #include <doctest/doctest.h>
+#include <functional>
+#include <map>
 #include <random>
 #include <vector>
 
@@ -56,6 +59,96 @@
 
 } // namespace
 
+namespace {
+
+/// Runners whose durations are known, as a source of observations.
+class speed_world {
+public:
+  explicit speed_world(std::uint64_t Seed) : Random(Seed) {}
+
+  void add(const std::string &Id, const std::string &Domain, double Speed) {
+    upsertRunner(Directory, makeEntry(Id, Domain));
+    Speeds[Id] = Speed;
+  }
+
+  /// 15% of the time a runner takes 2.5 times its usual duration, redrawn every
+  /// 600 ms.
+  double noiseOf(const std::string &Id) {
+    if (!Noisy)
+      return 1;
+    constexpr std::int64_t PeriodUs = 600'000;
+    const auto Key = std::pair(Id, Now.Steady.count() / PeriodUs);
+    const auto [Found, Added] = Noise.try_emplace(Key, 1);
+    if (Added && std::uniform_real_distribution<double>()(Random) < 0.15)
+      Found->second = 2.5;
+    return Found->second;
+  }
+
+  double multipleOf(const std::string &Id) {
+    return Speeds.at(Id) * noiseOf(Id);
+  }
+
+  /// Records a request that a runner has answered without a queue.
+  void observe(const std::string &Id) {
+    runner_view &Runner = Directory.Runners.at(Id);
+    if (Reports)
+      recordLoad(Directory, Runner, {0, 0, 4, Reports(Id)}, Now);
+    const double Multiple = multipleOf(Id);
+    const double Scatter =
+        std::uniform_real_distribution<double>(0.9, 1.1)(Random);
+    work_observation Work;
+    Work.UncachedTokens =
+        std::uniform_real_distribution<double>(100, 2'000)(Random);
+    Work.FirstEventMs = Multiple * Scatter *
+                        (40 + Work.UncachedTokens / TruePrefillTokensPerMs);
+    Work.TokenMs = Multiple * Scatter * TrueStepMs;
+    Work.ActualMs = Work.FirstEventMs + 70 * Work.TokenMs;
+    Work.ExpectedMs = Work.ActualMs / Scatter;
+    recordWork(Directory, Runner, Work, Now);
+  }
+
+  /// Each runner answers a request a second.
+  void observeAll(int Seconds, const std::set<std::string> &Except = {}) {
+    for (int Second = 0; Second < Seconds; ++Second)
+      for (const auto &[Id, Speed] : Speeds) {
+        Now = later(Now, microseconds(1'000'000 / Speeds.size()));
+        if (!Except.contains(Id))
+          observe(Id);
+      }
+  }
+
+  speed_estimate estimate(const std::string &Id) const {
+    const runner_view &Runner = Directory.Runners.at(Id);
+    return estimateSpeed(findSpeed(Directory, "llm"), Runner.Speed,
+                         Runner.Entry.Domain, Now);
+  }
+
+  runner_directory Directory;
+  instant Now = Start;
+  bool Noisy = true;
+  /// Slowdown that a runner reports; empty if none does.
+  std::function<double(const std::string &)> Reports;
+  double TruePrefillTokensPerMs = 75.8;
+  double TrueStepMs = 2.31;
+
+private:
+  std::mt19937_64 Random;
+  std::map<std::string, double> Speeds;
+  std::map<std::pair<std::string, std::int64_t>, double> Noise;
+};
+
+/// Three failure domains of machines of the speeds 0.7, 0.7 and 1.7.
+void addThreeSpeeds(speed_world &World, int PerDomain) {
+  for (int Index = 0; Index < PerDomain; ++Index) {
+    const std::string Number = std::to_string(Index);
+    World.add("a" + Number, "here", 0.7);
+    World.add("b" + Number, "there", 0.7);
+    World.add("c" + Number, "slow", 1.7);
+  }
+}
+
+} // namespace
+
 TEST_CASE("placement prefers the runner that has the prompt prefix cached") {
   fixture Fixture;
   recordContent(Fixture.at("b"), Fixture.Request, Start);
@@ -865,3 +958,367 @@
     CHECK(Run.Heavy >= Run.All / 4);
   }
 }
+
+// Guards against requests to slow machines that only the constants of another
+// deployment describe.
+TEST_CASE("speeds that differ by failure domain are learned, and apply to a "
+          "runner that was never used") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    speed_world World(Seed);
+    addThreeSpeeds(World, 5);
+    World.observeAll(15, {"b4", "c4"});
+    const double Fast = World.estimate("a0").multiple();
+    CHECK(World.estimate("c0").multiple() / Fast ==
+          doctest::Approx(1.7 / 0.7).epsilon(0.25));
+    CHECK(World.estimate("c4").multiple() / Fast ==
+          doctest::Approx(1.7 / 0.7).epsilon(0.25));
+    CHECK(World.estimate("b4").multiple() / Fast ==
+          doctest::Approx(1).epsilon(0.25));
+    CHECK(World.estimate("c4").Source == speed_source::Domain);
+    CHECK(World.estimate("c4").FactorAge.count() == -1);
+  }
+}
+
+// Guards against differences that are only noise, which would draw requests
+// away from equal runners.
+TEST_CASE("noise makes equal runners hardly differ") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    speed_world World(Seed);
+    for (int Index = 0; Index < 15; ++Index)
+      World.add(std::to_string(Index), std::to_string(Index % 3), 1);
+    for (int Second = 0; Second < 30; ++Second) {
+      World.observeAll(1);
+      double Least = 10;
+      double Most = 0;
+      for (int Index = 0; Index < 15; ++Index) {
+        const double Factor = World.estimate(std::to_string(Index)).Factor;
+        Least = std::min(Least, Factor);
+        Most = std::max(Most, Factor);
+      }
+      CHECK(Most / Least < 1.25);
+    }
+  }
+}
+
+// Guards against a single slow machine that is hidden by the equal ones around
+// it.
+TEST_CASE("one slow runner among equal ones is found") {
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    CAPTURE(Seed);
+    speed_world World(Seed);
+    World.Noisy = false;
+    for (int Index = 0; Index < 15; ++Index)
+      World.add(std::to_string(Index), std::to_string(Index % 3),
+                Index == 7 ? 3 : 1);
+    World.observeAll(15);
+    CHECK(World.estimate("7").Factor > 2);
+    CHECK(World.estimate("8").Factor < 1.2);
+    CHECK(World.estimate("8").Factor > 0.8);
+  }
+}
+
+// Guards against the constants of one data sheet on other hardware.
+TEST_CASE("base rates are the constants until they are learned") {
+  const base_rates Constants = baseRates(nullptr);
+  CHECK(Constants.PrefillTokensPerMs == doctest::Approx(122));
+  CHECK(Constants.StepMs == doctest::Approx(2.92));
+  CHECK(Constants.PlainMs == doctest::Approx(45));
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 15; ++Index)
+    World.add(std::to_string(Index), std::to_string(Index % 3), 1);
+  World.observeAll(30);
+  const base_rates Learned = baseRates(findSpeed(World.Directory, "llm"));
+  CHECK(Learned.StepMs == doctest::Approx(2.31).epsilon(0.05));
+  CHECK(Learned.PrefillTokensPerMs == doctest::Approx(75.8).epsilon(0.2));
+  CHECK(Learned.StepMsPerRequest < Constants.StepMsPerRequest);
+}
+
+// Guards against counting a machine's speed twice, or not at all: it is not
+// known whether the reported slowdown includes it.
+TEST_CASE("the speed is the same whether reports include it or not") {
+  for (const bool Includes : {false, true}) {
+    CAPTURE(Includes);
+    speed_world World(1);
+    addThreeSpeeds(World, 5);
+    World.Reports = [&](const std::string &Id) {
+      return Includes ? World.multipleOf(Id) : World.noiseOf(Id);
+    };
+    World.observeAll(20);
+    World.Now = later(World.Now, seconds(1));
+    CHECK(World.estimate("c0").multiple() / World.estimate("a0").multiple() ==
+          doctest::Approx(1.7 / 0.7).epsilon(0.25));
+  }
+}
+
+// Guards against a slowdown that is believed after it has passed.
+TEST_CASE("a reported slowdown applies at once and ages fast") {
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", 1);
+  World.Reports = [](const std::string &) { return 1.0; };
+  World.observeAll(10);
+  recordLoad(World.Directory, World.Directory.Runners.at("0"), {0, 0, 4, 2.5},
+             World.Now);
+  CHECK(World.estimate("0").Slowdown == doctest::Approx(2.5).epsilon(0.05));
+  CHECK(World.estimate("1").Slowdown == doctest::Approx(1).epsilon(0.1));
+  World.Now = later(World.Now, milliseconds(225));
+  CHECK(World.estimate("0").Slowdown < 2);
+  CHECK(World.estimate("0").SlowdownAge == milliseconds(225));
+  World.Now = later(World.Now, milliseconds(400));
+  CHECK(World.estimate("0").Slowdown < 1.25);
+}
+
+// Guards against estimates that stay in force after the reports have stopped.
+TEST_CASE("when observations stop, a runner's estimate returns to the usual") {
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", Index == 0 ? 3 : 1);
+  World.observeAll(15);
+  CHECK(World.estimate("0").Factor > 1.8);
+  World.observeAll(60, {"0"});
+  CHECK(World.estimate("0").Factor < 1.3);
+}
+
+TEST_CASE("a new incarnation of a runner starts without observations") {
+  speed_world World(1);
+  World.Noisy = false;
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", Index == 0 ? 3 : 1);
+  World.observeAll(15);
+  runner_entry Entry = makeEntry("0", "here");
+  Entry.BornMs = 2;
+  upsertRunner(World.Directory, Entry);
+  CHECK(World.estimate("0").FactorAge.count() == -1);
+  CHECK(World.estimate("0").Factor < 1.3);
+}
+
+// Guards against an instance that stays with the slow machines of its own
+// failure domain.
+TEST_CASE("placement prefers fast runners of another failure domain to slow "
+          "ones nearby") {
+  fixture Fixture;
+  speed_world World(1);
+  addThreeSpeeds(World, 5);
+  Fixture.Query.Domain = "slow";
+  const auto Place = [&] {
+    return placeRequest(World.Directory, Fixture.Query, World.Now);
+  };
+  CHECK(Place().Runner.front() == 'c');
+  World.observeAll(15);
+  const auto Placed = Place();
+  CHECK(Placed.Runner.front() != 'c');
+  // 70 tokens and 2,440 of a prompt, at 0.7 times the usual duration; the slow
+  // moments add a fifth.
+  const double WorkMs = 40 + 2'440 / 75.8 + 70 * 2.31;
+  CHECK(Placed.ExpectedMs > 0.7 * WorkMs);
+  CHECK(Placed.ExpectedMs < 0.7 * WorkMs * 1.6);
+}
+
+// Guards against queues of the same length, and thus of very different
+// durations, at fast and slow runners.
+TEST_CASE("a slow runner takes a shorter queue than a fast one") {
+  fixture Fixture;
+  speed_world World(1);
+  World.Noisy = false;
+  addThreeSpeeds(World, 5);
+  World.observeAll(15);
+  const auto LimitOf = [&](const char *Id) {
+    for (int Load = 0; Load < 100; ++Load) {
+      for (auto &[Other, Runner] : World.Directory.Runners)
+        Runner.Outstanding = Other == Id ? Load : 100;
+      if (placeRequest(World.Directory, Fixture.Query, World.Now).Full)
+        return Load;
+    }
+    return 100;
+  };
+  CHECK(LimitOf("a0") > LimitOf("c0"));
+  CHECK(LimitOf("c0") > 4);
+}
+
+// Guards against requests that leave a cached prompt because of noise.
+TEST_CASE("noise does not draw requests away from a cached prefix") {
+  fixture Fixture;
+  int Stayed = 0;
+  constexpr int Seeds = 40;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    speed_world World(Seed);
+    for (int Index = 0; Index < 15; ++Index)
+      World.add(std::to_string(Index), "here", 1);
+    World.observeAll(20);
+    recordContent(World.Directory.Runners.at("7"), Fixture.Request, World.Now);
+    Fixture.Query.Spread = Seed;
+    Stayed +=
+        placeRequest(World.Directory, Fixture.Query, World.Now).Runner == "7";
+  }
+  CHECK(Stayed >= Seeds * 9 / 10);
+}
+
+// Guards against a herd: instances that have the same reports all send to the
+// runner that looks best.
+TEST_CASE("instances that place at the same moment use many runners") {
+  constexpr int Instances = 79;
+  constexpr int Runners = 66;
+  fixture Fixture;
+  runner_directory Directory;
+  for (int Index = 0; Index < Runners; ++Index) {
+    const std::string Id = std::to_string(Index);
+    upsertRunner(Directory, makeEntry(Id, "here"));
+  }
+  const auto Count = [&] {
+    std::map<std::string, int> Placed;
+    for (int Instance = 0; Instance < Instances; ++Instance) {
+      Fixture.Query.Spread = stableHash(std::to_string(Instance));
+      ++Placed[placeRequest(Directory, Fixture.Query, Start).Runner];
+    }
+    return Placed;
+  };
+  const auto Most = [](const std::map<std::string, int> &Placed) {
+    int Number = 0;
+    for (const auto &[Id, Times] : Placed)
+      Number = std::max(Number, Times);
+    return Number;
+  };
+  SUBCASE("all runners are idle") {
+    const auto Placed = Count();
+    CHECK(Placed.size() >= Runners / 2);
+    CHECK(Most(Placed) <= 6);
+  }
+  SUBCASE("one runner is idle, the others have a request") {
+    for (auto &[Id, Runner] : Directory.Runners)
+      recordLoad(Directory, Runner, {Id == "7" ? 0 : 1, 0, 4}, Start);
+    CHECK(Most(Count()) < Instances * 2 / 3);
+  }
+  SUBCASE("one runner has a shorter queue than the others") {
+    for (auto &[Id, Runner] : Directory.Runners)
+      recordLoad(Directory, Runner, {4, Id == "7" ? 0 : 1, 4}, Start);
+    CHECK(Most(Count()) < Instances * 2 / 3);
+  }
+  SUBCASE("a difference of several requests decides") {
+    for (auto &[Id, Runner] : Directory.Runners)
+      recordLoad(Directory, Runner, {Id == "7" ? 0 : 4, 0, 4}, Start);
+    CHECK(Count()["7"] == Instances);
+  }
+  SUBCASE("the same inputs give the same runners") {
+    CHECK(Count() == Count());
+  }
+}
+
+// Guards against an instance in a slow failure domain that never learns that
+// others are faster, as its own runners have room.
+TEST_CASE("a few requests explore a failure domain of which nothing is known") {
+  fixture Fixture;
+  speed_world World(1);
+  addThreeSpeeds(World, 5);
+  Fixture.Query.Domain = "slow";
+  std::set<std::string> Others;
+  for (const char *Domain : {"a", "b"})
+    for (int Index = 0; Index < 5; ++Index)
+      Others.insert(Domain + std::to_string(Index));
+  const auto CountOutside = [&] {
+    int Outside = 0;
+    for (int Request = 0; Request < 1'000; ++Request) {
+      Fixture.Query.Spread = stableHash(std::to_string(Request));
+      Outside += placeRequest(World.Directory, Fixture.Query, World.Now)
+                     .Runner.front() != 'c';
+    }
+    return Outside;
+  };
+  World.observeAll(10, Others);
+  const int Explored = CountOutside();
+  CHECK(Explored >= 5);
+  CHECK(Explored <= 60);
+  World.observeAll(10);
+  CHECK(CountOutside() == 1'000);
+}
+
+// Guards against a later turn that waits like a new program because its route
+// keeps no history and it names no previous turn.
+TEST_CASE("a turn without a previous one is admitted as under way if its "
+          "program has begun") {
+  fixture Fixture;
+  for (const char *Id : {"a", "b", "far"})
+    Fixture.at(Id).Outstanding = 7;
+  CHECK(placeRequest(Fixture.Directory, Fixture.Query, Start).Full);
+  Fixture.Query.ProgramStarted = true;
+  CHECK_FALSE(placeRequest(Fixture.Directory, Fixture.Query, Start).Full);
+}
+
+// Guards against a price of connections that outweighs load, and against new
+// connections where an open one serves as well.
+TEST_CASE("a runner with an idle connection is preferred among near-equal "
+          "ones") {
+  fixture Fixture;
+  runner_directory Directory;
+  for (int Index = 0; Index < 9; ++Index) {
+    runner_entry Entry = makeEntry(std::to_string(Index), "here");
+    Entry.Address = "10.0.0." + std::to_string(Index) + ":80";
+    upsertRunner(Directory, Entry);
+  }
+  Fixture.Query.Connected = {"10.0.0.2:80", "10.0.0.7:80"};
+  for (int Request = 0; Request < 100; ++Request) {
+    Fixture.Query.Spread = stableHash(std::to_string(Request));
+    const auto Placed = placeRequest(Directory, Fixture.Query, Start);
+    CHECK((Placed.Runner == "2" || Placed.Runner == "7"));
+    CHECK(Placed.Connected);
+  }
+  // A queue there costs more than a connection.
+  Directory.Runners.at("2").Outstanding = 5;
+  Directory.Runners.at("7").Outstanding = 5;
+  CHECK_FALSE(placeRequest(Directory, Fixture.Query, Start).Connected);
+  // Without any connection, the cost is the same for all.
+  Fixture.Query.Connected = std::vector<std::string_view>{};
+  Fixture.Query.Spread = 0;
+  CHECK(placeRequest(Directory, Fixture.Query, Start).Runner == "0");
+}
+
+// Guards against requests that occupy an engine although their caller gives up
+// long before it can answer, and against rejections on a guess.
+TEST_CASE("a request that certainly cannot finish in time is recognized") {
+  fixture Fixture;
+  Fixture.Request.PromptTokens = 0;
+  speed_world World(1);
+  for (int Index = 0; Index < 6; ++Index)
+    World.add(std::to_string(Index), "here", 1);
+  const auto Place = [&] {
+    return placeRequest(World.Directory, Fixture.Query, World.Now).Completion;
+  };
+  // A turn takes 40 + 70 x 2.31 ms, with slow moments.
+  CHECK_FALSE(cannotFinish(Place(), milliseconds(1)));
+  World.observeAll(30);
+  CHECK(Place().Known);
+  CHECK(cannotFinish(Place(), milliseconds(30)));
+  CHECK_FALSE(cannotFinish(Place(), milliseconds(210)));
+  CHECK(Place().ExpectedMs == doctest::Approx(250).epsilon(0.3));
+  SUBCASE("a runner that was tried counts, as it may be tried again") {
+    for (int Index = 0; Index < 6; ++Index)
+      Fixture.Query.Excluded.insert(std::to_string(Index));
+    CHECK(Place().Known);
+    CHECK_FALSE(cannotFinish(Place(), milliseconds(210)));
+  }
+  SUBCASE("full runners: the queue counts, and tells when to return") {
+    const completion_estimate Idle = Place();
+    for (auto &[Id, Runner] : World.Directory.Runners)
+      Runner.Outstanding = 24;
+    CHECK(placeRequest(World.Directory, Fixture.Query, World.Now).Full);
+    const completion_estimate Full = Place();
+    CHECK(Full.EarliestMs > 2 * Idle.EarliestMs);
+    CHECK(cannotFinish(Full, milliseconds(210)));
+    CHECK(roomExpectedIn(Full, 0) > milliseconds(500));
+    CHECK(roomExpectedIn(Full, 0) <= milliseconds(2'000));
+    CHECK(roomExpectedIn(Idle, 0) == milliseconds(150));
+    CHECK(roomExpectedIn(Idle, 149) == milliseconds(299));
+  }
+  SUBCASE("observations that are too old decide nothing") {
+    World.Now = later(World.Now, seconds(60));
+    CHECK_FALSE(cannotFinish(Place(), milliseconds(1)));
+  }
+  SUBCASE("no runner, no decision") {
+    World.Directory.Runners.clear();
+    CHECK_FALSE(cannotFinish(Place(), milliseconds(1)));
+  }
+}
