--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2327,6 +2327,29 @@
   return {{"Authorization", "Bearer " + Key}};
 }
 
+/// \returns the names of the workspaces that runners were told, in any order.
+std::multiset<std::string> statedWorkspaces(const fixture &Fixture) {
+  std::multiset<std::string> Names;
+  for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
+    for (const http_request_head &Head : Runner->Heads) {
+      const http_field *Name = findField(Head.Fields, "X-Tenant");
+      Names.insert(Name ? Name->Value : "none");
+    }
+  return Names;
+}
+
+bool anyRunnerHasKey(const fixture &Fixture) {
+  for (const scripted_runner *Runner : {&Fixture.First, &Fixture.Second})
+    for (const http_request_head &Head : Runner->Heads)
+      if (findField(Head.Fields, "Authorization"))
+        return true;
+  return false;
+}
+
+scripted_response answer(const http_request_head &Head, const std::string &) {
+  return {sealedResponse(attemptOf(Head), "answer")};
+}
+
 /// Collects what the process writes to standard output while it lives.
 class output_capture {
 public:
@@ -2367,6 +2390,184 @@
 
 } // namespace
 
+TEST_CASE("a request without a known key is answered with 401 and not sent") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  for (const http_fields &Fields :
+       {http_fields{}, bearer("kc"), bearer(""), bearer("ka,kb"),
+        http_fields{{"Authorization", "Basic ka"}},
+        http_fields{{"Authorization", "Bearer ka"},
+                    {"Authorization", "Bearer kb"}},
+        http_fields{{"X-Tenant", "a"}}}) {
+    const std::string Response = Fixture.call("1", Fields);
+    CHECK(Response.starts_with("HTTP/1.1 401"));
+    CHECK(Response.find("WWW-Authenticate: Bearer") != std::string::npos);
+    CHECK(Response.find("kc") == std::string::npos);
+    CHECK(Response.find("Retry-After") == std::string::npos);
+  }
+  CHECK(Fixture.arrivals() == 0);
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(Fixture.call("3", bearer("kb")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"a", "b"});
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+  Fixture.setKeys({std::vector<std::pair<std::string, std::string>>{}});
+  CHECK(Fixture.call("4", bearer("ka")).starts_with("HTTP/1.1 401"));
+  CHECK(Fixture.arrivals() == 2);
+  const std::string Metrics = Fixture.Metrics.render();
+  CHECK(Metrics.find("lentilhoist_refused_keys_total{reason=\"missing_key\"} "
+                     "2") != std::string::npos);
+  CHECK(Metrics.find("lentilhoist_refused_keys_total{reason=\"unknown_key\"} "
+                     "6") != std::string::npos);
+}
+
+TEST_CASE("a public route needs no key, but a key sent to it must be known") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}}, true);
+  CHECK(Fixture.call("1", {{"X-Tenant", "a"}}).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"none"});
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"none", "a"});
+  CHECK(Fixture.call("3", bearer("kb")).starts_with("HTTP/1.1 401"));
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("without workspaces the headers of keys and workspaces are passed "
+          "on") {
+  fixture Fixture(answer);
+  http_fields Fields = bearer("anything");
+  Fields.push_back({"X-Tenant", "mine"});
+  CHECK(Fixture.call("1", Fields).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"mine"});
+  CHECK(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("a retry states the workspace again, not what the caller sent") {
+  int Calls = 0;
+  fixture Fixture([&](const http_request_head &Head, const std::string &) {
+    return ++Calls == 1
+               ? scripted_response{"", false, true}
+               : scripted_response{sealedResponse(attemptOf(Head), "done")};
+  });
+  Fixture.setKeys({{{"ka", "a"}}});
+  http_fields Fields = bearer("ka");
+  Fields.push_back({"X-Tenant", "b"});
+  CHECK(bodyOf(Fixture.call("1", Fields)) == "done");
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"a", "a"});
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("a key that is removed while its request waits or is retried is "
+          "refused before the next send") {
+  SUBCASE("waits for a runner") {
+    fixture Fixture(answer);
+    Fixture.setKeys({{{"ka", "a"}}});
+    Fixture.Context.Runners.Runners.clear();
+    asio::steady_timer Change(Fixture.Loop, milliseconds(100));
+    Change.async_wait([&](const asio::error_code &) {
+      Fixture.setKeys({{{"kb", "a"}}});
+      Fixture.addRunner("first", Fixture.First.address());
+    });
+    CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 401"));
+    CHECK(Fixture.arrivals() == 0);
+    CHECK(Fixture.call("2", bearer("kb")).starts_with("HTTP/1.1 200"));
+  }
+  SUBCASE("is retried") {
+    fixture *Used = nullptr;
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      Used->setKeys({{{"kb", "a"}}});
+      return scripted_response{"", false, true};
+    });
+    Used = &Fixture;
+    Fixture.setKeys({{{"ka", "a"}}});
+    CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 401"));
+    CHECK(Fixture.arrivals() == 1);
+  }
+  SUBCASE("its route becomes one that needs a key") {
+    fixture Fixture(answer);
+    Fixture.setKeys({{{"ka", "a"}}}, true);
+    Fixture.Context.Runners.Runners.clear();
+    asio::steady_timer Change(Fixture.Loop, milliseconds(100));
+    Change.async_wait([&](const asio::error_code &) {
+      Fixture.setKeys({{{"ka", "a"}}}, false);
+      Fixture.addRunner("first", Fixture.First.address());
+    });
+    CHECK(Fixture.call("1").starts_with("HTTP/1.1 401"));
+    CHECK(Fixture.arrivals() == 0);
+  }
+}
+
+TEST_CASE("a waiting request goes on under the newest configuration") {
+  fixture Fixture(answer);
+  std::function<void()> Change;
+  SUBCASE("its key stays") {
+    Fixture.setKeys({{{"ka", "a"}}});
+    Change = [&] { Fixture.setKeys({{{"kc", "c"}, {"ka", "a"}}}); };
+  }
+  SUBCASE("workspaces are configured meanwhile") {
+    Change = [&] { Fixture.setKeys({{{"ka", "a"}}}); };
+  }
+  SUBCASE("workspaces are no longer configured") {
+    Fixture.setKeys({{{"ka", "a"}}});
+    Change = [&] { Fixture.setKeys(std::nullopt); };
+  }
+  Fixture.Context.Runners.Runners.clear();
+  asio::steady_timer Timer(Fixture.Loop, milliseconds(100));
+  Timer.async_wait([&](const asio::error_code &) {
+    Change();
+    Fixture.addRunner("first", Fixture.First.address());
+  });
+  CHECK(Fixture.call("1", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"a"});
+  CHECK_FALSE(anyRunnerHasKey(Fixture));
+}
+
+TEST_CASE("a key that moves to another workspace while its request waits is "
+          "answered as not executed") {
+  fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  Fixture.Context.Runners.Runners.clear();
+  asio::steady_timer Change(Fixture.Loop, milliseconds(100));
+  Change.async_wait([&](const asio::error_code &) {
+    Fixture.setKeys({{{"ka", "b"}}});
+    Fixture.addRunner("first", Fixture.First.address());
+  });
+  const std::string Response = Fixture.call("1", bearer("ka"));
+  CHECK(Response.starts_with("HTTP/1.1 503"));
+  CHECK(Response.find("Retry-After") != std::string::npos);
+  CHECK(Fixture.arrivals() == 0);
+  CHECK(Fixture.call("2", bearer("ka")).starts_with("HTTP/1.1 200"));
+  CHECK(statedWorkspaces(Fixture) == std::multiset<std::string>{"b"});
+}
+
+TEST_CASE("an instance without a configuration answers 503, whatever the key") {
+  fixture Fixture(answer);
+  Fixture.Context.Routes = nullptr;
+  http_fields Fields = bearer("ka");
+  Fields.push_back({"X-Deadline-Ms", "300"});
+  CHECK(Fixture.call("1", Fields).starts_with("HTTP/1.1 503"));
+}
+
+TEST_CASE("keys are added and removed on an open connection") {
+  caller_fixture Fixture(answer);
+  Fixture.setKeys({{{"ka", "a"}}});
+  const auto Send = [&](const std::string &Attempt) {
+    Fixture.Received.clear();
+    Fixture.Caller->write(
+        "POST /x HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: " + Attempt +
+        "\r\nAuthorization: Bearer kb\r\n"
+        "Content-Length: 4\r\n\r\nbody");
+    Fixture.runFor(milliseconds(200));
+    return Fixture.Received.substr(0, 12);
+  };
+  CHECK(Send("1") == "HTTP/1.1 401");
+  Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
+  CHECK(Send("2") == "HTTP/1.1 200");
+  Fixture.setKeys({{{"ka", "a"}}});
+  CHECK(Send("3") == "HTTP/1.1 401");
+  CHECK_FALSE(Fixture.CallerEnded);
+  CHECK(Fixture.arrivals() == 1);
+}
+
 TEST_CASE("the log states the priority of the workspace") {
   fixture Fixture(answer);
   Fixture.setKeys({{{"ka", "a"}, {"kb", "b"}}});
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -965,8 +965,10 @@
   Request.Workspace = "a";
   const std::string Packed = encodeMessage(Request).substr(4);
   CHECK(decodeReplicaRequest(Packed).Workspace == "a");
+  // The former build knows neither owners nor quotas, which is the last field.
+  CHECK(decodeReplicaRequest(withoutLast(Packed)).Workspace == "a");
   const replica_request FormerRequest =
-      decodeReplicaRequest(withoutLast(Packed));
+      decodeReplicaRequest(withoutLast(withoutLast(Packed)));
   CHECK(FormerRequest.Signature == 9);
   CHECK(FormerRequest.Workspace.empty());
   CHECK(decodeReplicaRequest(withOneMore(Packed)).Workspace == "a");
@@ -977,8 +979,11 @@
   Reply.PreviousWorkspace = "a";
   const std::string PackedReply = encodeMessage(Reply).substr(4);
   CHECK(decodeReplicaReply(PackedReply).PreviousWorkspace == "a");
-  CHECK(decodeReplicaReply(withoutLast(PackedReply)).PreviousFound);
-  CHECK(decodeReplicaReply(withoutLast(PackedReply)).PreviousWorkspace.empty());
+  CHECK(decodeReplicaReply(withoutLast(PackedReply)).PreviousWorkspace == "a");
+  const replica_reply FormerReply =
+      decodeReplicaReply(withoutLast(withoutLast(PackedReply)));
+  CHECK(FormerReply.PreviousFound);
+  CHECK(FormerReply.PreviousWorkspace.empty());
   CHECK(decodeReplicaReply(withOneMore(PackedReply)).Sequence == 6);
 
   // A record of the journal, whose turn is of the former format.
