--- a/src/limit/quota_stock.h
+++ b/src/limit/quota_stock.h
@@ -103,10 +103,12 @@
                      instant RequestedAt, instant Now);
 
 /// Selects the label of a workspace in counters. A workspace keeps its label,
-/// so that no counter decreases. \param Table the table; the labels are
-/// updated. \param Workspace name. \param Now the current time. \returns the
-/// name without characters that have a meaning in a label if the workspace is
-/// one of the largest of this instance; else OtherWorkspaces.
+/// so that no counter decreases.
+/// \param Table the table; the labels are updated.
+/// \param Workspace name.
+/// \param Now the current time.
+/// \returns the name without characters that have a meaning in a label if the
+/// workspace is one of the largest of this instance; else OtherWorkspaces.
 std::string labelOf(quota_table &Table, const std::string &Workspace,
                     instant Now);
 
