--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -11,6 +11,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -19,6 +20,7 @@
 #include <nlohmann/json.hpp>
 #include <poll.h>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -80,9 +82,13 @@
   return Socket;
 }
 
+/// \param WindowBytes size of the receive buffer; 0: the usual one.
 /// \returns a connected socket, or -1.
-inline int connectTo(const std::string &Ip, int Port) {
+inline int connectTo(const std::string &Ip, int Port, int WindowBytes = 0) {
   const int Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (WindowBytes != 0)
+    ::setsockopt(Socket, SOL_SOCKET, SO_RCVBUF, &WindowBytes,
+                 sizeof WindowBytes);
   const sockaddr_in Address = endpoint(Ip, Port);
   if (::connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
                 sizeof Address) != 0) {
@@ -416,6 +422,7 @@
     Pid = ::fork();
     if (Pid != 0)
       return;
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // None outlives the script.
     ::setenv("LENTILHOIST_BOOT", Settings.c_str(), 1);
     const std::string Log = Settings + ".log";
     (void)!std::freopen(Log.c_str(), "a", stdout);
@@ -448,6 +455,7 @@
 struct deployment {
   std::string Folder;
   int Port = 0; ///< First of the ports, the same on all machines.
+  int EntryMemoryMb = 260;
   store Store;
   std::vector<process> Replicas, Entries;
 
@@ -488,7 +496,7 @@
         {"limits",
          {{"cpu-share", 0.25},
           {"cpu-cores", 1},
-          {"memory-mb", Entry ? 260 : 280},
+          {"memory-mb", Entry ? EntryMemoryMb : 280},
           {"max-fds", 4100},
           {"link-mbps", 1000.0},
           {"disk-mb", Entry ? 0 : 380}}},
@@ -551,6 +559,25 @@
     return {Program, Path};
   }
 
+  /// From now on processes start with `first-start` set to false.
+  void notFirstStart() const {
+    for (const auto *Group : {&Replicas, &Entries})
+      for (const process &Each : *Group) {
+        json Settings = json::parse(std::ifstream(Each.Settings));
+        Settings["first-start"] = false;
+        std::ofstream(Each.Settings) << Settings.dump(2);
+      }
+  }
+
+  /// Starts a new machine with a disk, at an address of its own.
+  void addReplica(const std::string &Zone) {
+    const std::size_t Index = Replicas.size();
+    Replicas.push_back(add("target/bin/lentilhoist-history",
+                           settings("storage-" + std::to_string(Index),
+                                    replicaIp(Index), Zone, false, false)));
+    Replicas.back().start();
+  }
+
   bool ready(std::size_t Entry) const {
     const int Socket = connectTo(entryIp(Entry), Port + 21);
     if (Socket < 0)
