--- a/review/7/long_chain.cpp
+++ b/review/7/long_chain.cpp
@@ -169,6 +169,7 @@
     Record.line("the deployment is not ready");
     return 2;
   }
+  Deployment.notFirstStart();
   Record.line("ready");
   std::string Chain;
   std::string Previous;
