Fetch records that a replica missed from the other replicas

Cause: a commit is complete with a quorum, and what the other replicas have not got yet is known to its writer only. Once the writer is gone nothing brings the record to them. On a replica with a gap, the turns before the gap expire while the conversation goes on, since the expiry is extended from the newest turn back to the first missing one. Two replicas with gaps at different turns and the loss of the third lose the beginning. A copy takes the union of two replicas and is sound; a test shows it.

Change: replicas list the names of records that are one to two seconds old in the order in which they received them. Each complete replica reads the others' lists once a second and fetches what it lacks, settlements included. A turn that arrives late is kept as long as the turns that continue it, and so is the chain before it; a chain that expired on this replica only is fetched again. Fetched records expire when they do at their source, so that replicas don't prolong expired records for each other. The test of former messages strips the added fields one by one and checks each step.

--- a/src/history/replica_message.cpp
+++ b/src/history/replica_message.cpp
@@ -66,6 +66,12 @@
           "malformed history message: backup of kind \"" + Backup.Kind +
           "\" has " + std::to_string(Backup.Names.size()) + " names and " +
           std::to_string(Backup.Specs.size()) + " contents");
+  if (!Reply.TurnsLeftMs.empty() &&
+      Reply.TurnsLeftMs.size() != Reply.Turns.size())
+    throw std::runtime_error(
+        "malformed history message: " + std::to_string(Reply.Turns.size()) +
+        " turns and " + std::to_string(Reply.TurnsLeftMs.size()) +
+        " times until they expire");
   for (quota_reply &Quota : Reply.Quotas)
     if (Quota.Verdict < quota_verdict::Undecided ||
         Quota.Verdict > quota_verdict::Refused)
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -22,6 +22,8 @@
   Read,    ///< Read turns with the chains that lead to them.
   Copy,    ///< Read a batch of the records that the replica holds.
   Backups, ///< Read the replica's backups of the platform's store.
+  List,    ///< List a batch of the records that the replica holds.
+  Fetch,   ///< Read records by name, with the time until they expire.
 };
 
 /// Result of a request to a replica.
@@ -37,19 +39,30 @@
 /// \returns its stable name.
 const char *replicaStatusName(replica_status Status);
 
+/// Names a record and its state.
+struct record_name {
+  std::string Id;       ///< Of a turn, or the name of a ledger.
+  std::string Attempt;  ///< Of the ledger's entry; empty for a turn.
+  bool Settled = false; ///< Whether the entry is settled.
+  MSGPACK_DEFINE(Id, Attempt, Settled)
+  bool operator==(const record_name &) const = default;
+};
+
 /// A request to a replica. The operation decides which fields are used.
 struct replica_request {
   std::uint64_t Sequence = 0;   ///< Unique on the connection.
   std::uint64_t SetVersion = 0; ///< Replica set known to the sender.
   replica_operation Operation = replica_operation::Ping;
-  std::string Program;            ///< Name of a ledger, see ownedName().
-  ledger_entry Entry;             ///< Reserve, Settle.
-  std::uint64_t RetentionMs = 0;  ///< Reserve, Settle: retention of the entry.
-  std::string Previous;           ///< Reserve: id of the continued turn.
-  bool WantChain = false;         ///< Reserve: return the turns up to Previous.
+  std::string Program;           ///< Name of a ledger, see ownedName().
+  ledger_entry Entry;            ///< Reserve, Settle.
+  std::uint64_t RetentionMs = 0; ///< Reserve, Settle: retention of the entry.
+  std::string Previous;          ///< Reserve: id of the continued turn.
+  /// Reserve: return the turns up to Previous. Fetch: return the turns that
+  /// lead to those named, too.
+  bool WantChain = false;
   turn_record Turn;               ///< Commit.
   std::vector<std::string> Turns; ///< Read: ids of the last turns.
-  std::uint64_t Cursor = 0;       ///< Copy: last position received.
+  std::uint64_t Cursor = 0;       ///< Copy, List: last position received.
   std::vector<replica_set> Set;   ///< Copy: replica set of the sender.
   /// Address of the replica that a relay forwards the request to; empty if the
   /// receiver is the replica.
@@ -62,9 +75,12 @@
   /// Reserve, Read: turns of other owners are not returned, see mayRead().
   std::string Workspace;
   std::vector<quota_request> Quotas; ///< Ping: permits of workspaces.
+  std::uint64_t Run = 0; ///< List: run of the replica that Cursor belongs to.
+  std::vector<record_name> Records; ///< Fetch.
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
                  Previous, WantChain, Turn, Turns, Cursor, Set, Target,
-                 RelayAddress, Permits, Suspects, Signature, Workspace, Quotas)
+                 RelayAddress, Permits, Suspects, Signature, Workspace, Quotas,
+                 Run, Records)
 };
 
 /// Token ledger of one program on a replica.
@@ -72,7 +88,8 @@
   std::string Program;
   std::uint64_t RetentionMs = 0;
   std::vector<ledger_entry> Entries;
-  MSGPACK_DEFINE(Program, RetentionMs, Entries)
+  std::uint64_t LeftMs = 0; ///< Fetch: time until the ledger expires.
+  MSGPACK_DEFINE(Program, RetentionMs, Entries, LeftMs)
 };
 
 /// A replica's copy of all objects of one kind from the platform's store, for
@@ -93,10 +110,10 @@
   std::vector<ledger_entry> Ledger; ///< Reserve: entries of the program.
   /// Reserve: the replica holds Previous, and the request may read it.
   bool PreviousFound = false;
-  std::vector<turn_record> Turns;      ///< Reserve, Read, Copy.
-  std::vector<program_ledger> Ledgers; ///< Copy.
-  std::uint64_t Cursor = 0; ///< Copy: position of the last item sent.
-  std::uint64_t Head = 0;   ///< Copy: position of the newest item.
+  std::vector<turn_record> Turns;      ///< Reserve, Read, Copy, Fetch.
+  std::vector<program_ledger> Ledgers; ///< Copy, Fetch.
+  std::uint64_t Cursor = 0; ///< Copy, List: position of the last item sent.
+  std::uint64_t Head = 0;   ///< Copy, List: position of the last item to send.
   /// OldSet: the newer set, if known. Backups: the newest set, if known.
   std::vector<replica_set> Set;
   std::vector<std::string> Relays;   ///< Ping: addresses of relays.
@@ -106,11 +123,16 @@
   std::vector<limit_notice> Limits;  ///< Ping: limits of runners.
   /// Ping: the newest evidence; Reserve: that about the turn's signature.
   std::vector<suspect_notice> Suspects;
-  std::string PreviousWorkspace;   ///< Reserve: owner of Previous.
-  std::vector<quota_reply> Quotas; ///< Ping: in the order of the request.
+  std::string PreviousWorkspace;    ///< Reserve: owner of Previous.
+  std::vector<quota_reply> Quotas;  ///< Ping: in the order of the request.
+  std::uint64_t Run = 0;            ///< List: this run of the replica.
+  std::vector<record_name> Records; ///< List.
+  /// Fetch: time until each of Turns expires, in their order.
+  std::vector<std::uint64_t> TurnsLeftMs;
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
                  Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner,
-                 Permits, Limits, Suspects, PreviousWorkspace, Quotas)
+                 Permits, Limits, Suspects, PreviousWorkspace, Quotas, Run,
+                 Records, TurnsLeftMs)
 };
 
 /// \param Message the message.
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -18,6 +18,13 @@
 /// Estimated memory of a record without its input and output.
 constexpr std::size_t RecordOverhead = 400;
 
+/// Number of names in one reply to List, about 200 kB.
+constexpr std::size_t MaxListedRecords = 4'096;
+
+/// Records that expire sooner than this are not listed: another replica may
+/// have deleted them already.
+constexpr milliseconds MinListedTime{3'000};
+
 std::size_t textBytesOf(const turn_record &Turn) {
   return Turn.Input.size() + Turn.Output.size();
 }
@@ -31,6 +38,12 @@
   return later(Now, milliseconds(RetentionMs) + Limits.RetentionSlack);
 }
 
+/// \returns the time until an expiry; 0 if it has passed.
+milliseconds timeUntil(instant Expiry, instant Now) {
+  return std::chrono::duration_cast<milliseconds>(
+      std::max(Expiry.Steady - Now.Steady, microseconds(0)));
+}
+
 /// Extends the expiry of a turn and of the chain that leads to it, since a turn
 /// must be kept as long as a later turn continues it.
 void extendChainExpiry(replica_state &State, std::string Id, instant Expiry) {
@@ -60,12 +73,16 @@
   return Position;
 }
 
+void extendExpiry(instant &Expiry, instant To) {
+  if (Expiry.Steady < To.Steady)
+    Expiry = To;
+}
+
 void applyEntry(replica_state &State, const replica_change &Change,
-                segment_number Segment, const replica_limits &Limits,
-                instant Now) {
+                segment_number Segment, instant Expiry) {
   replica_ledger &Ledger = State.Ledgers[Change.Program];
   Ledger.RetentionMs = std::max(Ledger.RetentionMs, Change.RetentionMs);
-  Ledger.Expiry = expiryOf(Ledger.RetentionMs, Limits, Now);
+  extendExpiry(Ledger.Expiry, Expiry);
   const auto [Found, Added] = Ledger.Entries.try_emplace(Change.Entry.Attempt);
   replica_entry &Held = Found->second;
   if (Added)
@@ -80,10 +97,31 @@
       appendPosition(State, Change.Program, Change.Entry.Attempt, Segment);
 }
 
+/// Links a turn that has just been added to the turns around it.
+/// \returns the latest expiry of the turns that continue it.
+instant linkTurn(replica_state &State, const turn_record &Turn) {
+  instant Latest{};
+  const auto [Begin, End] = State.Orphans.equal_range(Turn.Id);
+  for (auto Next = Begin; Next != End; ++Next)
+    extendExpiry(Latest, State.Turns.at(Next->second).Expiry);
+  State.Orphans.erase(Begin, End);
+  if (!Turn.Previous.empty() && !State.Turns.contains(Turn.Previous))
+    State.Orphans.emplace(Turn.Previous, Turn.Id);
+  return Latest;
+}
+
+void eraseOrphan(replica_state &State, const turn_record &Turn) {
+  const auto [Begin, End] = State.Orphans.equal_range(Turn.Previous);
+  for (auto Orphan = Begin; Orphan != End; ++Orphan)
+    if (Orphan->second == Turn.Id) {
+      State.Orphans.erase(Orphan);
+      return;
+    }
+}
+
 void applyTurn(replica_state &State, turn_record Turn, segment_number Segment,
-               const replica_limits &Limits, instant Now) {
+               instant Expiry) {
   const std::string Id = Turn.Id;
-  const instant Expiry = expiryOf(Turn.RetentionMs, Limits, Now);
   const auto [Found, Added] = State.Turns.try_emplace(Id);
   if (Added) {
     replica_turn &Held = Found->second;
@@ -92,15 +130,19 @@
     Held.Record = std::move(Turn);
     Held.Segment = Segment;
     Held.Position = appendPosition(State, Id, "", Segment);
+    extendExpiry(Expiry, linkTurn(State, Held.Record));
   }
   extendChainExpiry(State, Id, Expiry);
 }
 
-/// \returns whether another workspace has stored a turn of the same ID.
-bool isHeldByOther(const replica_state &State, const turn_record &Turn) {
-  const auto Held = State.Turns.find(Turn.Id);
-  return Held != State.Turns.end() && !Held->second.Record.Workspace.empty() &&
-         Held->second.Record.Workspace != Turn.Workspace;
+/// \returns when a ledger expires that is used now.
+instant ledgerExpiry(const replica_state &State, const std::string &Program,
+                     std::uint64_t RetentionMs, const replica_limits &Limits,
+                     instant Now) {
+  const auto Ledger = State.Ledgers.find(Program);
+  if (Ledger != State.Ledgers.end())
+    RetentionMs = std::max(RetentionMs, Ledger->second.RetentionMs);
+  return expiryOf(RetentionMs, Limits, Now);
 }
 
 replica_change entryChange(const std::string &Program,
@@ -114,6 +156,23 @@
   return Change;
 }
 
+/// Applies a turn and the settlement of its tokens.
+void applyTurnChange(replica_state &State, turn_record Turn,
+                     segment_number Segment, instant Expiry,
+                     instant LedgerExpiry) {
+  const ledger_entry Settled{Turn.Id, Turn.Tokens, true};
+  applyEntry(State, entryChange(Turn.Program, Settled, Turn.RetentionMs),
+             Segment, LedgerExpiry);
+  applyTurn(State, std::move(Turn), Segment, Expiry);
+}
+
+/// \returns whether another workspace has stored a turn of the same ID.
+bool isHeldByOther(const replica_state &State, const turn_record &Turn) {
+  const auto Held = State.Turns.find(Turn.Id);
+  return Held != State.Turns.end() && !Held->second.Record.Workspace.empty() &&
+         Held->second.Record.Workspace != Turn.Workspace;
+}
+
 replica_change turnChange(const turn_record &Turn) {
   replica_change Change;
   Change.Kind = change_kind::Turn;
@@ -121,6 +180,12 @@
   return Change;
 }
 
+/// \returns the approximate size of a turn in a message, with its texts.
+std::size_t sizeOnWire(const replica_turn &Held) {
+  return Held.TextsInMemory ? memoryBytesOf(Held.Record)
+                            : RecordOverhead + Held.Location.Length;
+}
+
 void appendTurn(const replica_turn &Held, replica_outcome &Outcome) {
   if (!Held.TextsInMemory)
     Outcome.Unread.push_back({Outcome.Reply.Turns.size(), Held.Location});
@@ -183,8 +248,7 @@
     Reply.Cursor = Next->first;
     if (Attempt.empty()) {
       const replica_turn &Held = State.Turns.at(Id);
-      Bytes += Held.TextsInMemory ? memoryBytesOf(Held.Record)
-                                  : RecordOverhead + Held.Location.Length;
+      Bytes += sizeOnWire(Held);
       appendTurn(Held, Outcome);
       continue;
     }
@@ -201,6 +265,74 @@
     Reply.Ledgers.push_back(std::move(Ledger));
 }
 
+bool isListable(const replica_state &State, const record_key &Key,
+                instant Now) {
+  const auto &[Id, Attempt] = Key;
+  if (Attempt.empty())
+    return timeUntil(State.Turns.at(Id).Expiry, Now) >= MinListedTime;
+  // A turn settles the entry of its attempt.
+  return !State.Turns.contains(Attempt) &&
+         timeUntil(State.Ledgers.at(Id).Expiry, Now) >= MinListedTime;
+}
+
+void answerList(const replica_state &State, const replica_request &Request,
+                instant Now, replica_reply &Reply) {
+  Reply.Run = State.Run;
+  Reply.Head = State.ListablePosition;
+  Reply.Cursor = Request.Run == State.Run ? Request.Cursor : 0;
+  auto Next = State.Order.upper_bound(Reply.Cursor);
+  for (; Next != State.Order.end() && Next->first <= Reply.Head &&
+         Reply.Records.size() < MaxListedRecords;
+       ++Next) {
+    const auto &[Id, Attempt] = Next->second;
+    Reply.Cursor = Next->first;
+    if (!isListable(State, Next->second, Now))
+      continue;
+    const bool Settled = Attempt.empty() ||
+                         State.Ledgers.at(Id).Entries.at(Attempt).Entry.Settled;
+    Reply.Records.push_back({Id, Attempt, Settled});
+  }
+  if (Next == State.Order.end() || Next->first > Reply.Head)
+    Reply.Cursor = Reply.Head;
+}
+
+void answerFetch(const replica_state &State, const replica_request &Request,
+                 instant Now, replica_outcome &Outcome) {
+  replica_reply &Reply = Outcome.Reply;
+  std::unordered_set<std::string_view> Appended;
+  std::size_t Bytes = 0;
+  for (const record_name &Name : Request.Records) {
+    if (Bytes >= CopyBatchBytes)
+      return;
+    if (!Name.Attempt.empty()) {
+      const auto Ledger = State.Ledgers.find(Name.Id);
+      if (Ledger == State.Ledgers.end())
+        continue;
+      const auto Held = Ledger->second.Entries.find(Name.Attempt);
+      if (Held == Ledger->second.Entries.end())
+        continue;
+      const auto Left = timeUntil(Ledger->second.Expiry, Now).count();
+      Reply.Ledgers.push_back({Name.Id,
+                               Ledger->second.RetentionMs,
+                               {Held->second.Entry},
+                               static_cast<std::uint64_t>(Left)});
+      Bytes += RecordOverhead;
+      continue;
+    }
+    auto Found = State.Turns.find(Name.Id);
+    while (Found != State.Turns.end() && Bytes < CopyBatchBytes &&
+           Appended.insert(Found->first).second) {
+      const replica_turn &Held = Found->second;
+      Bytes += sizeOnWire(Held);
+      appendTurn(Held, Outcome);
+      Reply.TurnsLeftMs.push_back(
+          static_cast<std::uint64_t>(timeUntil(Held.Expiry, Now).count()));
+      Found = Request.WantChain ? State.Turns.find(Held.Record.Previous)
+                                : State.Turns.end();
+    }
+  }
+}
+
 } // namespace
 
 void applyChange(replica_state &State, replica_change Change,
@@ -208,15 +340,17 @@
                  instant Now) {
   switch (Change.Kind) {
   case change_kind::Entry:
-    applyEntry(State, Change, Segment, Limits, Now);
+    applyEntry(
+        State, Change, Segment,
+        ledgerExpiry(State, Change.Program, Change.RetentionMs, Limits, Now));
     return;
   case change_kind::Turn: {
-    ledger_entry Settled{Change.Turn.Id, Change.Turn.Tokens, true};
-    applyEntry(
-        State,
-        entryChange(Change.Turn.Program, Settled, Change.Turn.RetentionMs),
-        Segment, Limits, Now);
-    applyTurn(State, std::move(Change.Turn), Segment, Limits, Now);
+    const turn_record &Turn = Change.Turn;
+    const instant Expiry = expiryOf(Turn.RetentionMs, Limits, Now);
+    const instant LedgerExpiry =
+        ledgerExpiry(State, Turn.Program, Turn.RetentionMs, Limits, Now);
+    applyTurnChange(State, std::move(Change.Turn), Segment, Expiry,
+                    LedgerExpiry);
     return;
   }
   case change_kind::Set:
@@ -317,6 +451,12 @@
   case replica_operation::Copy:
     answerCopy(State, Request, Outcome);
     break;
+  case replica_operation::List:
+    answerList(State, Request, Now, Reply);
+    break;
+  case replica_operation::Fetch:
+    answerFetch(State, Request, Now, Outcome);
+    break;
   default: // Sent by a newer version.
     Reply.Status = replica_status::Refused;
     break;
@@ -341,6 +481,65 @@
   return Changes;
 }
 
+void markListable(replica_state &State) {
+  State.ListablePosition = State.NextListablePosition;
+  State.NextListablePosition = State.LastPosition;
+}
+
+std::vector<record_name> lackedRecords(const replica_state &State,
+                                       const std::vector<record_name> &Listed) {
+  const auto IsLacked = [&](const record_name &Name) {
+    if (Name.Attempt.empty())
+      return !State.Turns.contains(Name.Id);
+    const auto Ledger = State.Ledgers.find(Name.Id);
+    if (Ledger == State.Ledgers.end())
+      return true;
+    const auto Held = Ledger->second.Entries.find(Name.Attempt);
+    return Held == Ledger->second.Entries.end() ||
+           (Name.Settled && !Held->second.Entry.Settled);
+  };
+  std::vector<record_name> Lacked;
+  std::copy_if(Listed.begin(), Listed.end(), std::back_inserter(Lacked),
+               IsLacked);
+  return Lacked;
+}
+
+std::vector<std::string> lackedTurns(const replica_state &State) {
+  std::vector<std::string> Lacked;
+  for (auto Orphan = State.Orphans.begin(); Orphan != State.Orphans.end();
+       Orphan = State.Orphans.equal_range(Orphan->first).second)
+    Lacked.push_back(Orphan->first);
+  return Lacked;
+}
+
+std::vector<replica_change> applyFetched(replica_state &State,
+                                         const replica_reply &Reply,
+                                         segment_number Segment,
+                                         const replica_limits &Limits,
+                                         instant Now) {
+  const auto ExpiryIn = [&](std::uint64_t LeftMs, std::uint64_t RetentionMs) {
+    const instant Latest = expiryOf(RetentionMs, Limits, Now);
+    const instant Expiry = later(Now, milliseconds(LeftMs));
+    return Expiry.Steady < Latest.Steady ? Expiry : Latest;
+  };
+  std::vector<replica_change> Changes;
+  for (const program_ledger &Ledger : Reply.Ledgers)
+    for (const ledger_entry &Entry : Ledger.Entries) {
+      Changes.push_back(entryChange(Ledger.Program, Entry, Ledger.RetentionMs));
+      applyEntry(State, Changes.back(), Segment,
+                 ExpiryIn(Ledger.LeftMs, Ledger.RetentionMs));
+    }
+  for (std::size_t Index = 0; Index < Reply.TurnsLeftMs.size(); ++Index) {
+    const turn_record &Turn = Reply.Turns[Index];
+    if (State.Turns.contains(Turn.Id))
+      continue;
+    Changes.push_back(turnChange(Turn));
+    const instant Expiry = ExpiryIn(Reply.TurnsLeftMs[Index], Turn.RetentionMs);
+    applyTurnChange(State, Turn, Segment, Expiry, Expiry);
+  }
+  return Changes;
+}
+
 void expireRecords(replica_state &State, instant Now) {
   for (auto Turn = State.Turns.begin(); Turn != State.Turns.end();) {
     if (Turn->second.Expiry.Steady > Now.Steady) {
@@ -350,6 +549,7 @@
     State.Bytes -= memoryBytesOf(Turn->second.Record);
     State.TextBytes -= textBytesOf(Turn->second.Record);
     erasePosition(State, Turn->second.Position, Turn->second.Segment);
+    eraseOrphan(State, Turn->second.Record);
     Turn = State.Turns.erase(Turn);
   }
   for (auto Ledger = State.Ledgers.begin(); Ledger != State.Ledgers.end();) {
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -94,6 +94,13 @@
   std::unordered_map<std::string, replica_ledger> Ledgers;
   std::map<std::uint64_t, record_key> Order; ///< Records by position.
   std::uint64_t LastPosition = 0;
+  std::uint64_t Run = 0; ///< Random; positions hold for one run of the process.
+  /// Last positions at the last two calls of markListable(). Records up to the
+  /// earlier one have had time to reach every replica and are listed.
+  std::uint64_t ListablePosition = 0;
+  std::uint64_t NextListablePosition = 0;
+  /// Turns whose previous turn the replica lacks, by the id of that one.
+  std::unordered_multimap<std::string, std::string> Orphans;
   std::map<segment_number, std::uint64_t> LiveRecords; ///< Count by segment.
   std::map<std::string, store_backup> Backups;         ///< By kind.
   std::size_t Bytes = 0;     ///< Estimated memory of all records.
@@ -159,6 +166,34 @@
                                            const replica_limits &Limits,
                                            instant Now);
 
+/// Lets List return the records that were added before the last call.
+/// \param State the replica's state.
+void markListable(replica_state &State);
+
+/// \param State the replica's state.
+/// \param Listed records that another replica holds.
+/// \returns those that this replica lacks, or holds in an earlier state.
+std::vector<record_name> lackedRecords(const replica_state &State,
+                                       const std::vector<record_name> &Listed);
+
+/// \param State the replica's state.
+/// \returns ids of turns that the replica lacks although it holds a turn that
+/// continues them.
+std::vector<std::string> lackedTurns(const replica_state &State);
+
+/// Adds records fetched from another replica. They expire here when they do
+/// there, so that replicas do not prolong expired records for each other; a
+/// turn is kept at least as long as the turns that continue it.
+/// \param State the replica's state.
+/// \param Reply the reply to a fetch request.
+/// \param Segment the journal segment that will hold the changes.
+/// \param Limits the replica's limits.
+/// \param Now the current time.
+/// \returns the changes to sync.
+std::vector<replica_change>
+applyFetched(replica_state &State, const replica_reply &Reply,
+             segment_number Segment, const replica_limits &Limits, instant Now);
+
 /// Adopts a replica set unless a newer one is known. A set of the same version
 /// replaces the known one, since it may have fewer predecessors. A set without
 /// slots only raises the known version.
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -11,6 +11,7 @@
 #include "net/text_server.h"
 #include "platform/config_decoder.h"
 #include "quarantine/suspect_archive.h"
+#include "replica/replica_repair.h"
 #include "replica/replica_store.h"
 #include "store/store_pulse.h"
 
@@ -35,6 +36,9 @@
 /// A replica that has been unreachable for longer than this may be replaced; a
 /// restarted process answers again within a second.
 constexpr milliseconds TakeoverDelay{2'500};
+/// Interval between readings of what other replicas have received. A record
+/// that this replica missed is here after about three intervals.
+constexpr milliseconds RepairInterval{1'000};
 /// Interval between deletions of expired records.
 constexpr seconds ExpiryInterval{5};
 /// Timeout of a call to the platform's store.
@@ -77,7 +81,10 @@
         StoreClient(
             std::make_shared<store_client>(Loop, Settings.StoreAddress)),
         Signals(Loop, SIGTERM, SIGINT, SIGHUP), MembershipTimer(Loop),
-        ExpiryTimer(Loop) {}
+        RepairTimer(Loop), ExpiryTimer(Loop),
+        Repair(Store, [this](const std::string &Peer) -> history_link & {
+          return linkTo(Peer);
+        }) {}
 
   int run() {
     loadSuspects();
@@ -88,6 +95,7 @@
     watchStore();
     waitForSignal();
     scheduleMembership();
+    scheduleRepair();
     scheduleExpiry();
     Loop.run();
     return 0;
@@ -114,6 +122,7 @@
     Json["programs"] = State.Ledgers.size();
     Json["record_bytes"] = State.Bytes;
     Json["segments"] = State.LiveRecords.size();
+    Json["repaired_records"] = Repair.repairedRecords();
     Json["sources_copied"] = Progress.Copied.size();
     Json["limited_runners"] = Issuer.Runners.size();
     Json["quota_workspaces"] = Quotas.Buckets.size();
@@ -156,6 +165,8 @@
     Metrics.gauge("lentilhoist_replica_bytes",
                   static_cast<double>(State.Bytes));
     Metrics.gauge("lentilhoist_replica_complete", State.Complete ? 1 : 0);
+    Metrics.gauge("lentilhoist_replica_repaired_records",
+                  static_cast<double>(Repair.repairedRecords()));
     Metrics.gauge("lentilhoist_replica_set_version",
                   static_cast<double>(State.SetVersion));
     return {200, Metrics.render()};
@@ -630,6 +641,15 @@
         });
   }
 
+  void scheduleRepair() {
+    RepairTimer.expires_after(RepairInterval);
+    RepairTimer.async_wait([this](const asio::error_code &) {
+      if (Set && Set->Established && Set->find(Address))
+        Repair.run(*Set, Address, readClock());
+      scheduleRepair();
+    });
+  }
+
   void scheduleExpiry() {
     ExpiryTimer.expires_after(ExpiryInterval);
     ExpiryTimer.async_wait([this](const asio::error_code &) {
@@ -671,6 +691,7 @@
   std::shared_ptr<store_client> StoreClient;
   asio::signal_set Signals;
   asio::steady_timer MembershipTimer;
+  asio::steady_timer RepairTimer;
   asio::steady_timer ExpiryTimer;
   std::shared_ptr<store_watch> SetWatch;
   std::shared_ptr<store_watch> RetirementWatch;
@@ -697,6 +718,7 @@
 
   copy_progress Progress;
   instant CopyStartTime{};
+  replica_repair Repair;
 };
 
 } // namespace
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -3,6 +3,7 @@
 #include "log/log.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 namespace lentilhoist {
@@ -21,6 +22,7 @@
     : Limits(GivenLimits), Folder(GivenFolder), Log(GivenFolder),
       MaxSegments(std::max<std::size_t>(2, DiskBytes / 2 / MaxSegmentBytes)),
       Writer(Loop, Log, DiskBytes) {
+  State.Run = std::random_device{}() + 1ULL;
   const instant Now = readClock();
   std::size_t Records = 0;
   std::size_t Indexed = 0;
@@ -193,6 +195,12 @@
           std::move(OnDone));
 }
 
+void replica_store::addFetched(const replica_reply &Reply,
+                               std::function<void(bool)> OnDone) {
+  persist(applyFetched(State, Reply, ActiveSegment, Limits, readClock()),
+          std::move(OnDone));
+}
+
 void replica_store::apply(const replica_change &Change,
                           std::function<void(bool)> OnDone) {
   applyChange(State, Change, ActiveSegment, Limits, readClock());
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -39,6 +39,17 @@
   void addCopyBatch(const replica_reply &Reply,
                     std::function<void(bool)> OnDone);
 
+  /// Adds records fetched from another replica, see applyFetched().
+  /// \param Reply the other replica's reply to a fetch request.
+  /// \param OnDone called with whether the records are durable.
+  void addFetched(const replica_reply &Reply, std::function<void(bool)> OnDone);
+
+  /// Lets the replica list the records that were added before the last call.
+  void markListable() { lentilhoist::markListable(State); }
+
+  /// \returns whether the replica has memory for further records.
+  bool hasRoom() const { return State.Bytes <= Limits.MaxBytes; }
+
   /// Applies a change at once and writes it to the journal.
   /// \param Change the change.
   /// \param OnDone called with whether the change is durable.
@@ -62,6 +73,7 @@
                             const std::vector<std::size_t> &Lengths,
                             const write_result &Result);
   bool readTexts(const record_location &Location, turn_record &Turn) const;
+  void readTexts(replica_outcome &Outcome) const;
   void beginSegment();
   void writeIndexes(segment_number Before);
   void relocateOldestSegment();
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -267,6 +267,167 @@
   CHECK(Copy.Ledgers.at("p").Entries.size() == 400);
 }
 
+namespace {
+
+/// One reading of a replica's list by another, which fetches what it lacks.
+void repair(replica_state &State, const replica_state &GivenSource,
+            instant Now) {
+  replica_state Source = GivenSource;
+  markListable(Source);
+  markListable(Source);
+  replica_request Request;
+  Request.SetVersion = 3;
+  Request.Operation = replica_operation::List;
+  const auto List = handleRequest(Source, Request, 1, Limits, Now).Reply;
+  Request.Operation = replica_operation::Fetch;
+  Request.Records = lackedRecords(State, List.Records);
+  applyFetched(State, handleRequest(Source, Request, 1, Limits, Now).Reply, 1,
+               Limits, Now);
+  Request.WantChain = true;
+  Request.Records.clear();
+  for (const std::string &Id : lackedTurns(State))
+    Request.Records.push_back({Id, "", true});
+  applyFetched(State, handleRequest(Source, Request, 1, Limits, Now).Reply, 1,
+               Limits, Now);
+}
+
+} // namespace
+
+// Guards against the loss of a conversation's beginning (review case 6): it
+// expired on each replica that lacked one of its turns.
+TEST_CASE("the beginning of a chain is kept while the chain goes on, also on "
+          "replicas that missed a turn") {
+  replica_state Replicas[] = {makeReplica(), makeReplica(), makeReplica()};
+  instant Now = Start;
+  std::string Last;
+  for (int Index = 0; Index < 12; ++Index) {
+    const turn_record Turn = makeTurn("t" + std::to_string(Index), Last);
+    Last = Turn.Id;
+    for (int Replica = 0; Replica < 3; ++Replica)
+      if (Replica != Index % 4)
+        commit(Replicas[Replica], Turn, Now);
+    for (replica_state &To : Replicas)
+      for (const replica_state &From : Replicas)
+        if (&To != &From)
+          repair(To, From, Now);
+    Now = later(Now, seconds(30));
+    for (replica_state &Replica : Replicas)
+      expireRecords(Replica, Now);
+  }
+  for (const replica_state &Replica : Replicas) {
+    CHECK(Replica.Turns.size() == 12);
+    CHECK(Replica.Ledgers.at("p").Entries.size() == 12);
+    CHECK(Replica.Orphans.empty());
+  }
+}
+
+TEST_CASE("a turn that arrives late is kept as long as the turns that continue "
+          "it, and so are those before it") {
+  replica_state Source = makeReplica();
+  replica_state State = makeReplica();
+  commit(Source, makeTurn("t1", ""));
+  commit(Source, makeTurn("t2", "t1"));
+  const instant Late = later(Start, seconds(50));
+  commit(State, makeTurn("t1", ""));
+  commit(State, makeTurn("t3", "t2"), Late);
+  CHECK(lackedTurns(State) == std::vector<std::string>{"t2"});
+  repair(State, Source, Late);
+  expireRecords(State, later(Late, seconds(60)));
+  CHECK(State.Turns.size() == 3);
+  expireRecords(State, later(Late, seconds(66)));
+  CHECK(State.Turns.empty());
+  CHECK(State.Orphans.empty());
+}
+
+TEST_CASE("a replica fetches the expired beginning of a chain that another one "
+          "has kept") {
+  replica_state Source = makeReplica();
+  replica_state State = makeReplica();
+  instant Now = Start;
+  std::string Last;
+  for (int Index = 0; Index < 6; ++Index) {
+    const turn_record Turn = makeTurn("t" + std::to_string(Index), Last);
+    Last = Turn.Id;
+    commit(Source, Turn, Now);
+    if (Index != 2)
+      commit(State, Turn, Now);
+    Now = later(Now, seconds(40));
+    expireRecords(State, Now);
+  }
+  CHECK(State.Turns.size() == 3);
+  repair(State, Source, Now);
+  CHECK(State.Turns.size() == 6);
+  CHECK(lackedTurns(State).empty());
+}
+
+TEST_CASE("replicas that repair each other do not prolong expired records") {
+  replica_state First = makeReplica();
+  replica_state Second = makeReplica();
+  commit(First, makeTurn("t1", ""));
+  reserve(First, "a1");
+  instant Now = Start;
+  for (int Step = 0; Step < 70; ++Step) {
+    repair(Second, First, Now);
+    repair(First, Second, Now);
+    Now = later(Now, seconds(1));
+    expireRecords(First, Now);
+    if (Step == 5)
+      CHECK(Second.Turns.size() == 1);
+    if (Step > 40 && Step % 2 == 0)
+      Second = makeReplica(); // Its disk was lost.
+  }
+  CHECK(First.Turns.empty());
+  CHECK(First.Ledgers.empty());
+}
+
+TEST_CASE("records are listed once they have had time to reach all replicas, "
+          "and from the beginning after a restart") {
+  replica_state State = makeReplica();
+  State.Run = 7;
+  commit(State, makeTurn("t1", ""));
+  replica_request Request;
+  Request.SetVersion = 3;
+  Request.Operation = replica_operation::List;
+  const auto List = [&] {
+    return handleRequest(State, Request, 1, Limits, Start).Reply;
+  };
+  markListable(State);
+  CHECK(List().Records.empty());
+  commit(State, makeTurn("t2", "t1"));
+  markListable(State);
+  const replica_reply Reply = List();
+  CHECK(Reply.Records == std::vector<record_name>{{"t1", "", true}});
+  CHECK(Reply.Cursor == Reply.Head);
+  Request.Run = Reply.Run;
+  Request.Cursor = Reply.Cursor;
+  CHECK(List().Records.empty());
+  State.Run = 8;
+  CHECK(List().Records.size() == 1);
+}
+
+TEST_CASE("a copy takes a chain from two replicas that each lack a turn") {
+  replica_state First = makeReplica();
+  replica_state Second = makeReplica();
+  for (const char *Id : {"1", "2", "3", "4"}) {
+    const turn_record Turn =
+        makeTurn(Id, *Id == '1' ? "" : std::string(1, *Id - 1));
+    if (Turn.Id != "2")
+      commit(First, Turn);
+    if (Turn.Id != "3")
+      commit(Second, Turn);
+  }
+  replica_state Copy = makeReplica(false);
+  replica_request Request;
+  Request.Operation = replica_operation::Copy;
+  Request.SetVersion = 3;
+  for (replica_state *Source : {&First, &Second})
+    applyCopyBatch(Copy,
+                   handleRequest(*Source, Request, 1, Limits, Start).Reply, 1,
+                   Limits, Start);
+  CHECK(reserve(Copy, "next", "4").Turns.size() == 4);
+  CHECK(lackedTurns(Copy).empty());
+}
+
 TEST_CASE("a copy is complete after two source slots; a predecessor counts as "
           "its slot") {
   replica_set Set = makeSet();
@@ -965,10 +1126,15 @@
   Request.Workspace = "a";
   const std::string Packed = encodeMessage(Request).substr(4);
   CHECK(decodeReplicaRequest(Packed).Workspace == "a");
-  // The former build knows neither owners nor quotas, which is the last field.
-  CHECK(decodeReplicaRequest(withoutLast(Packed)).Workspace == "a");
+  // Former builds know no repair, quotas or owners, whose fields are the last.
+  std::string Shorter = Packed;
+  for (const char *Field : {"records", "run", "quotas"}) {
+    CAPTURE(std::string(Field));
+    Shorter = withoutLast(Shorter);
+    CHECK(decodeReplicaRequest(Shorter).Workspace == "a");
+  }
   const replica_request FormerRequest =
-      decodeReplicaRequest(withoutLast(withoutLast(Packed)));
+      decodeReplicaRequest(withoutLast(Shorter));
   CHECK(FormerRequest.Signature == 9);
   CHECK(FormerRequest.Workspace.empty());
   CHECK(decodeReplicaRequest(withOneMore(Packed)).Workspace == "a");
@@ -979,9 +1145,13 @@
   Reply.PreviousWorkspace = "a";
   const std::string PackedReply = encodeMessage(Reply).substr(4);
   CHECK(decodeReplicaReply(PackedReply).PreviousWorkspace == "a");
-  CHECK(decodeReplicaReply(withoutLast(PackedReply)).PreviousWorkspace == "a");
-  const replica_reply FormerReply =
-      decodeReplicaReply(withoutLast(withoutLast(PackedReply)));
+  Shorter = PackedReply;
+  for (const char *Field : {"times left", "records", "run", "quotas"}) {
+    CAPTURE(std::string(Field));
+    Shorter = withoutLast(Shorter);
+    CHECK(decodeReplicaReply(Shorter).PreviousWorkspace == "a");
+  }
+  const replica_reply FormerReply = decodeReplicaReply(withoutLast(Shorter));
   CHECK(FormerReply.PreviousFound);
   CHECK(FormerReply.PreviousWorkspace.empty());
   CHECK(decodeReplicaReply(withOneMore(PackedReply)).Sequence == 6);
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "free_ports.h"
+#include "history/history_link.h"
 #include "platform/store_protocol.h"
 #include "replica/replica_daemon.h"
 #include "replica/replica_store.h"
@@ -80,6 +81,88 @@
   return std::filesystem::exists(segmentPath(Folder.Path.string(), Number));
 }
 
+/// Three replicas of an established set, each in a thread of its own.
+class replica_group {
+public:
+  static constexpr int Size = 3;
+
+  replica_group() {
+    const int Port = freePorts(2 * Size);
+    replica_set Set{1, 1, true, {}};
+    for (int Index = 0; Index < Size; ++Index) {
+      const std::string Name = "replica" + std::to_string(Index);
+      Addresses.push_back("127.0.0.1:" + std::to_string(Port + 2 * Index));
+      Set.Slots.push_back({Name, Addresses.back(), "here", ""});
+      const std::string Data = (Folder.Path / Name).string();
+      asio::io_context Loop;
+      replica_store Complete(Loop, Data + "/history", DiskBytes, Limits);
+      markComplete(Complete);
+      handleAndWait(Loop, Complete,
+                    ledgerRequest(replica_operation::Settle, "first", 1));
+    }
+    Store.serve(platform::ReplicaSetKind, "main", encodeReplicaSet(Set));
+    for (int Index = 0; Index < Size; ++Index) {
+      instance_settings Settings;
+      Settings.Name = Set.Slots[static_cast<std::size_t>(Index)].Node;
+      Settings.Domain = "here";
+      Settings.Address = "127.0.0.1";
+      Settings.ReplicaAddress = Addresses[static_cast<std::size_t>(Index)];
+      Settings.FirstPort = static_cast<std::uint16_t>(Port + 2 * Index + 1);
+      Settings.StoreAddress = Store.address();
+      Settings.DataFolder = (Folder.Path / Settings.Name).string();
+      Settings.MemoryBytes = 100'000'000;
+      Settings.DiskBytes = DiskBytes;
+      Threads.emplace_back([Settings] { runReplica(Settings, [] {}); });
+      Links.push_back(
+          std::make_shared<history_link>(Loop, Settings.ReplicaAddress));
+    }
+  }
+  ~replica_group() {
+    for (const auto &Link : Links)
+      Link->close();
+    pthread_kill(Threads.front().native_handle(), SIGTERM);
+    for (std::thread &Thread : Threads)
+      Thread.join();
+  }
+  replica_group(const replica_group &) = delete;
+  replica_group &operator=(const replica_group &) = delete;
+
+  /// Sends a request to one replica and waits for its reply.
+  replica_reply call(int Replica, replica_request Request) {
+    std::optional<replica_reply> Reply;
+    Links[static_cast<std::size_t>(Replica)]->send(
+        std::move(Request), [&](replica_reply Given) { Reply = Given; });
+    const auto Guard = asio::make_work_guard(Loop);
+    const auto Begin = std::chrono::steady_clock::now();
+    while (!Reply && std::chrono::steady_clock::now() - Begin < seconds(10)) {
+      Loop.restart();
+      Loop.run_one_for(milliseconds(100));
+    }
+    return Reply.value_or(replica_reply{});
+  }
+
+  /// \returns the ids of the chain that ends with a turn, as one replica
+  /// returns it, newest first.
+  std::string chainAt(int Replica, const std::string &Last) {
+    replica_request Request;
+    Request.Operation = replica_operation::Read;
+    Request.SetVersion = 1;
+    Request.Turns = {Last};
+    std::string Ids;
+    for (const turn_record &Turn : call(Replica, Request).Turns)
+      Ids += Turn.Id + " ";
+    return Ids;
+  }
+
+private:
+  temporary_folder Folder;
+  watched_store Store;
+  asio::io_context Loop;
+  std::vector<std::string> Addresses;
+  std::vector<std::thread> Threads;
+  std::vector<std::shared_ptr<history_link>> Links;
+};
+
 /// While it exists, writes of this process beyond a file size fail, as on a
 /// disk with errors.
 class failing_disk {
@@ -574,3 +657,46 @@
   Replica.join();
   CHECK_FALSE(AnyFileHas("secret"));
 }
+
+// Guards against turns and entries that stay on a quorum only (review case 6):
+// with the disk of one more replica lost, what only it held was gone for good.
+TEST_CASE("a replica gets the records that it missed from the other replicas, "
+          "without whoever wrote them") {
+  constexpr milliseconds CatchUpTime{4'400};
+  replica_group Group;
+  const auto Commit = [&](const std::string &Id, const std::string &Previous,
+                          const std::vector<int> &Replicas) {
+    replica_request Request = commitOf(Id, 60'000);
+    Request.Turn.Previous = Previous;
+    for (const int Replica : Replicas)
+      CHECK(Group.call(Replica, Request).Status == replica_status::Done);
+  };
+  Commit("t1", "", {0, 1, 2});
+  Commit("t2", "t1", {1, 2});
+  Commit("t3", "t2", {0, 2});
+  Commit("t4", "t3", {0, 1, 2});
+  for (const int Replica : {0, 1})
+    Group.call(Replica,
+               ledgerRequest(replica_operation::Reserve, "broken", 100));
+  Group.call(2, ledgerRequest(replica_operation::Settle, "broken", 7));
+  const auto Begin = std::chrono::steady_clock::now();
+  const auto HasAll = [&](int Replica) {
+    if (Group.chainAt(Replica, "t4") != "t4 t3 t2 t1 ")
+      return false;
+    const replica_reply Reply = Group.call(
+        Replica, ledgerRequest(replica_operation::Reserve, "last", 1));
+    return std::any_of(Reply.Ledger.begin(), Reply.Ledger.end(),
+                       [](const ledger_entry &Entry) {
+                         return Entry.Attempt == "broken" && Entry.Settled &&
+                                Entry.Tokens == 7;
+                       });
+  };
+  for (const int Replica : {0, 1, 2}) {
+    while (!HasAll(Replica) &&
+           std::chrono::steady_clock::now() - Begin < CatchUpTime)
+      std::this_thread::sleep_for(milliseconds(50));
+    CAPTURE(Replica);
+    CHECK(HasAll(Replica));
+    CHECK(Group.chainAt(Replica, "t4") == "t4 t3 t2 t1 ");
+  }
+}
