Read chains in pages, and let a message that can't be read fail alone

Cause: a replica sent the texts of a whole chain in one frame, which the reader limits to 16 MB. The reader closed the link, connected again and sent all that was unanswered once more, for as long as the request lived; all other requests on the link waited.

Change: a reply holds at most 2 MB of turns, or one; the client reads the rest page by page from one replica and asks the others if that one lacks a turn, is silent or slow. Messages above a frame are not sent. A message that can't be read fails its own request, its bytes are dropped as they arrive, and the link goes on. A chain's text is joined with each turn freed as it is added, and copied twice less.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -721,7 +721,7 @@
   if (Key)
     Order.Workspace = Workspace ? Workspace->Name : std::string();
   Stream->write(
-      encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain + Body));
+      encodeRequest(platform::encodeRunnerRequest(Head, Order), Chain, Body));
 }
 
 void exchange::onRunnerBytes(std::string_view Bytes) {
--- a/src/history/chain_cache.cpp
+++ b/src/history/chain_cache.cpp
@@ -3,7 +3,7 @@
 namespace lentilhoist {
 
 void chain_cache::put(const std::string &Turn, std::string Text) {
-  if (Text.size() > MaxBytes || Index.contains(Turn))
+  if (!fits(Text.size()) || Index.contains(Turn))
     return;
   Bytes += Text.size();
   Entries.push_front({Turn, std::move(Text)});
--- a/src/history/chain_cache.h
+++ b/src/history/chain_cache.h
@@ -20,6 +20,10 @@
   /// \param Text the text of the chain.
   void put(const std::string &Turn, std::string Text);
 
+  /// \param Size size of a text.
+  /// \returns whether the cache takes a text of that size.
+  bool fits(std::size_t Size) const { return Size <= MaxBytes; }
+
   /// Looks up a text and marks it as most recently used.
   /// \param Turn id of the last turn of a chain.
   /// \returns the text, valid until the next put(), or null.
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -14,6 +14,11 @@
 /// incomplete, or whose answer has become too old for the quorum.
 constexpr milliseconds RetryDelay{150};
 
+/// Turns are read from one replica. The others are asked too once it has not
+/// answered for this many retry delays: a page of large turns takes a while on
+/// a slow link, and a second copy of it as long again.
+constexpr int ReadRetriesBeforeOthers = 4;
+
 /// A replica with more outstanding requests than this is not pinged.
 constexpr std::size_t MaxPingBacklog = 4;
 
@@ -86,14 +91,18 @@
     restart();
   }
 
-  /// Sends the request to all replicas of the current set.
+  /// Sends the request to all replicas of the current set; a read, whose reply
+  /// is large, to one of them first.
   void restart() {
     if (Done)
       return;
     cancelSentRequests();
     Round = beginRound(Client.Set);
-    for (std::size_t Slot = 0; Slot < Client.Set.Slots.size(); ++Slot)
-      sendRequest(Slot);
+    Retries = 0;
+    if (Request.Operation == replica_operation::Read)
+      sendRequest(nearestSlot());
+    else
+      sendToOthers();
     scheduleRetry();
   }
 
@@ -121,6 +130,33 @@
     std::uint64_t Sequence;
   };
 
+  /// \returns the replica to read from: one in this failure domain, or else the
+  /// first that is not suspected.
+  std::size_t nearestSlot() {
+    const instant Now = readClock();
+    std::size_t Nearest = 0;
+    bool Found = false;
+    for (std::size_t Slot = 0; Slot < Client.Set.Slots.size(); ++Slot) {
+      const replica_slot &Replica = Client.Set.Slots[Slot];
+      if (Client.link(Replica.Address).isSuspected(Now))
+        continue;
+      if (Replica.Domain == Client.Domain)
+        return Slot;
+      if (!std::exchange(Found, true))
+        Nearest = Slot;
+    }
+    return Nearest;
+  }
+
+  /// Sends the request to all replicas to which it has not been sent yet.
+  void sendToOthers() {
+    for (std::size_t Slot = 0; Slot < Client.Set.Slots.size(); ++Slot)
+      if (std::none_of(
+              SentRequests.begin(), SentRequests.end(),
+              [&](const sent_request &Sent) { return Sent.Slot == Slot; }))
+        sendRequest(Slot);
+  }
+
   void sendRequest(std::size_t Slot) {
     const replica_slot &Replica = Client.Set.Slots[Slot];
     replica_request Message = Request;
@@ -172,6 +208,10 @@
     addAnswer(Round, Slot, std::move(Reply), Now);
     if (IsSufficient(Round, Now))
       finish(true);
+    else if (isUnreadable(Round))
+      finish(false);
+    else
+      sendToOthers();
   }
 
   void scheduleRetry() {
@@ -185,18 +225,31 @@
   }
 
   void retry() {
+    if (++Retries >= ReadRetriesBeforeOthers || isSuspectedFirst())
+      sendToOthers();
     for (const std::size_t Slot : staleAnswerSlots(Round, readClock())) {
       Round.Answers[Slot].reset();
       sendRequest(Slot);
     }
     for (std::size_t Slot = 0; Slot < Round.Answers.size(); ++Slot)
-      if (Round.Answers[Slot]
-              ? Round.Answers[Slot]->Status != replica_status::Done
-              : awaitsSuspectedReplica(Slot))
+      if (Round.Answers[Slot] ? isWorthRetrying(*Round.Answers[Slot])
+                              : awaitsSuspectedReplica(Slot))
         sendRequest(Slot);
     scheduleRetry();
   }
 
+  static bool isWorthRetrying(const replica_reply &Reply) {
+    return Reply.Status != replica_status::Done &&
+           Reply.Status != replica_status::Unreadable;
+  }
+
+  /// \returns whether the replica that was asked first does not respond.
+  bool isSuspectedFirst() {
+    return !SentRequests.empty() &&
+           Client.link(Client.Set.Slots[SentRequests.front().Slot].Address)
+               .isSuspected(readClock());
+  }
+
   /// \returns whether the last request to a slot went directly to its replica,
   /// which is now suspected to be unreachable.
   bool awaitsSuspectedReplica(std::size_t Slot) {
@@ -243,6 +296,7 @@
   std::vector<sent_request> SentRequests;
   asio::steady_timer TimeoutTimer;
   asio::steady_timer RetryTimer;
+  int Retries = 0;
   bool Done = false;
 };
 
@@ -605,8 +659,9 @@
     const std::function<void(reserve_result)> &OnDone) {
   joined_chain View = joinChain(*Turns, Reservation->Previous);
   if (View.Missing.empty()) {
-    Chains.put(ownedName(Reservation->Workspace, Reservation->Previous),
-               View.Text);
+    if (Chains.fits(View.Text.size()))
+      Chains.put(ownedName(Reservation->Workspace, Reservation->Previous),
+                 View.Text);
     Result.Chain = std::move(View.Text);
     OnDone(std::move(Result));
     return;
@@ -667,12 +722,15 @@
   Request.Workspace = Turn.Workspace;
   Request.Turn = Turn;
   Request.Turn.Program = Request.Program;
+  std::optional<std::string> Text;
+  if (Chains.fits(Chain.size() + Turn.Input.size() + Turn.Output.size()))
+    Text = Chain + Turn.Input + Turn.Output;
   return start(std::move(Request), Timeout, hasQuorum,
                [this, Id = ownedName(Turn.Workspace, Turn.Id),
-                Text = Chain + Turn.Input + Turn.Output,
+                Text = std::move(Text),
                 OnDone = std::move(OnDone)](const quorum_round *Round) mutable {
-                 if (Round)
-                   Chains.put(Id, std::move(Text));
+                 if (Round && Text)
+                   Chains.put(Id, std::move(*Text));
                  OnDone(Round != nullptr);
                });
 }
--- a/src/history/history_link.cpp
+++ b/src/history/history_link.cpp
@@ -35,6 +35,12 @@
   const std::uint64_t Sequence = ++LastSequence;
   Request.Sequence = Sequence;
   std::string Frame = encodeMessage(Request);
+  if (!fitsFrame(Frame)) {
+    logEvent(log_level::Error, "request_too_large",
+             {{"address", Address}, {"bytes", std::to_string(Frame.size())}});
+    failUnsendable(Sequence, std::move(OnReply));
+    return Sequence;
+  }
   const bool WasIdle = Outstanding.empty();
   if (UnansweredSince.Steady.count() == 0)
     UnansweredSince = readClock();
@@ -53,7 +59,24 @@
   return Sequence;
 }
 
+void history_link::failUnsendable(std::uint64_t Sequence, on_reply OnReply) {
+  Unsendable[Sequence] = std::move(OnReply);
+  asio::post(Loop, [Weak = weak_from_this(), Sequence] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    const auto Handler = Self->Unsendable.extract(Sequence);
+    if (Handler.empty())
+      return;
+    replica_reply Reply;
+    Reply.Sequence = Sequence;
+    Reply.Status = replica_status::Unreadable;
+    Handler.mapped()(std::move(Reply));
+  });
+}
+
 void history_link::cancel(std::uint64_t Sequence) {
+  Unsendable.erase(Sequence);
   if (const auto Found = Outstanding.find(Sequence); Found != Outstanding.end())
     removeRequest(Found);
 }
@@ -73,7 +96,7 @@
              {{"address", Address}});
     return;
   }
-  Frames = {};
+  Frames = frame_reader(oversized_frame::Cut);
   Stream = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
                                         socket_settings{});
   const std::weak_ptr<history_link> Weak = shared_from_this();
@@ -133,13 +156,7 @@
   Frames.add(Bytes);
   try {
     while (const auto Frame = Frames.next()) {
-      replica_reply Reply = decodeReplicaReply(*Frame);
-      const auto Found = Outstanding.find(Reply.Sequence);
-      if (Found == Outstanding.end())
-        continue;
-      const on_reply OnReply = std::move(Found->second.OnReply);
-      removeRequest(Found);
-      OnReply(std::move(Reply));
+      onFrame(*Frame);
       if (Closed)
         return;
     }
@@ -150,6 +167,29 @@
     UnansweredSince = readClock();
 }
 
+void history_link::onFrame(const std::string &Frame) {
+  replica_reply Reply;
+  try {
+    Reply = decodeReplicaReply(Frame);
+  } catch (const std::runtime_error &Error) {
+    // Sent again, its request would get the same reply and hold up the others.
+    const auto Sequence = sequenceOf(Frame);
+    if (!Sequence)
+      throw;
+    logEvent(log_level::Warning, "replica_reply_unreadable",
+             {{"address", Address}, {"reason", Error.what()}});
+    Reply = {};
+    Reply.Sequence = *Sequence;
+    Reply.Status = replica_status::Unreadable;
+  }
+  const auto Found = Outstanding.find(Reply.Sequence);
+  if (Found == Outstanding.end())
+    return;
+  const on_reply OnReply = std::move(Found->second.OnReply);
+  removeRequest(Found);
+  OnReply(std::move(Reply));
+}
+
 bool history_link::isSuspected(instant Now) {
   const bool Waiting = UnansweredSince.Steady.count() != 0;
   if (!Waiting || Now.Steady - UnansweredSince.Steady < SuspicionTimeout)
@@ -180,6 +220,7 @@
 void history_link::close() {
   Closed = true;
   Outstanding.clear();
+  Unsendable.clear();
   ReconnectTimer.cancel();
   ResponseTimer.cancel();
   if (Stream)
--- a/src/history/history_link.h
+++ b/src/history/history_link.h
@@ -28,7 +28,9 @@
   /// Sends a request.
   /// \param Request the request; its sequence number is assigned here.
   /// \param OnReply called at most once, and not after cancel() or close(). It
-  /// is not called if the request is dropped to limit memory.
+  /// is not called if the request is dropped to limit memory. The status is
+  /// Unreadable if the request exceeds a frame or its reply can't be read; such
+  /// a request is not sent again.
   /// \returns the sequence number, for cancel().
   std::uint64_t send(replica_request Request, on_reply OnReply);
 
@@ -73,16 +75,20 @@
   removeRequest(std::map<std::uint64_t, pending_request>::iterator Request);
   void scheduleReconnect();
   void onBytes(std::string_view Bytes);
+  void onFrame(const std::string &Frame);
+  void failUnsendable(std::uint64_t Sequence, on_reply OnReply);
   void scheduleResponseCheck();
   void handleConnectionLoss(const char *Reason);
 
   asio::io_context &Loop;
   std::string Address;
   std::shared_ptr<tcp_stream> Stream;
-  frame_reader Frames;
+  frame_reader Frames{oversized_frame::Cut};
   asio::steady_timer ReconnectTimer;
   asio::steady_timer ResponseTimer;
   std::map<std::uint64_t, pending_request> Outstanding;
+  /// Requests that exceed a frame, until their handlers are called.
+  std::map<std::uint64_t, on_reply> Unsendable;
   std::size_t OutstandingBytes = 0;
   std::uint64_t LastSequence = 0;
   /// Doubles while new connections receive nothing, so that requests are not
--- a/src/history/quorum.cpp
+++ b/src/history/quorum.cpp
@@ -3,6 +3,7 @@
 #include "history/ownership.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lentilhoist {
 
@@ -42,6 +43,16 @@
   return Count >= Round.Needed;
 }
 
+bool isUnreadable(const quorum_round &Round) {
+  const auto Unreadable = std::count_if(
+      Round.Answers.begin(), Round.Answers.end(),
+      [](const std::optional<replica_reply> &Answer) {
+        return Answer && Answer->Status == replica_status::Unreadable;
+      });
+  return Round.Answers.size() - static_cast<std::size_t>(Unreadable) <
+         Round.Needed;
+}
+
 std::vector<std::size_t> staleAnswerSlots(const quorum_round &Round,
                                           instant Now) {
   std::vector<std::size_t> Slots;
@@ -100,10 +111,11 @@
              : budget_decision::Spent;
 }
 
-joined_chain joinChain(const std::map<std::string, turn_record> &Turns,
+joined_chain joinChain(std::map<std::string, turn_record> &Turns,
                        const std::string &Last) {
   joined_chain Result;
-  std::vector<const turn_record *> Chain;
+  std::vector<turn_record *> Chain;
+  std::size_t Bytes = 0;
   for (std::string Id = Last; !Id.empty();) {
     const auto Found = Turns.find(Id);
     // A chain longer than the number of turns is a cycle in corrupt records.
@@ -112,11 +124,13 @@
       return Result;
     }
     Chain.push_back(&Found->second);
+    Bytes += Found->second.Input.size() + Found->second.Output.size();
     Id = Found->second.Previous;
   }
+  Result.Text.reserve(Bytes);
   for (auto Turn = Chain.rbegin(); Turn != Chain.rend(); ++Turn) {
-    Result.Text += (*Turn)->Input;
-    Result.Text += (*Turn)->Output;
+    Result.Text += std::exchange((*Turn)->Input, {});
+    Result.Text += std::exchange((*Turn)->Output, {});
   }
   return Result;
 }
--- a/src/history/quorum.h
+++ b/src/history/quorum.h
@@ -42,6 +42,11 @@
 /// \returns whether enough complete replicas have answered within AnswerWindow.
 bool hasQuorum(const quorum_round &Round, instant Now);
 
+/// \param Round the round.
+/// \returns whether so many requests or replies can't be read that the others
+/// form no quorum.
+bool isUnreadable(const quorum_round &Round);
+
 /// \param Round the round.
 /// \param Now the current time.
 /// \returns indices of the slots whose answer is older than AnswerWindow and
@@ -90,10 +95,11 @@
 };
 
 /// Joins the texts of a chain.
-/// \param Turns the available turns by id.
+/// \param[in,out] Turns the available turns by id. Once none is missing, their
+/// texts are moved out one by one: a chain may take up much of the memory.
 /// \param Last id of the last turn of the chain.
 /// \returns the joined text, or the id of a missing turn.
-joined_chain joinChain(const std::map<std::string, turn_record> &Turns,
+joined_chain joinChain(std::map<std::string, turn_record> &Turns,
                        const std::string &Last);
 
 } // namespace lentilhoist
--- a/src/history/replica_message.cpp
+++ b/src/history/replica_message.cpp
@@ -24,8 +24,25 @@
   }
 }
 
+/// Stops at the first number of a message.
+struct sequence_visitor : msgpack::null_visitor {
+  std::optional<std::uint64_t> Sequence;
+  bool visit_positive_integer(std::uint64_t Value) {
+    Sequence = Value;
+    return false;
+  }
+};
+
 } // namespace
 
+bool fitsFrame(std::string_view Frame) { return Frame.size() <= MaxFrameBytes; }
+
+std::optional<std::uint64_t> sequenceOf(std::string_view Bytes) {
+  sequence_visitor Visitor;
+  msgpack::parse(Bytes.data(), Bytes.size(), Visitor);
+  return Visitor.Sequence;
+}
+
 const char *replicaStatusName(replica_status Status) {
   switch (Status) {
   case replica_status::Done:
@@ -38,6 +55,8 @@
     return "refused";
   case replica_status::Unreachable:
     return "unreachable";
+  case replica_status::Unreadable:
+    return "unreadable";
   }
   return "unknown";
 }
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -8,7 +8,9 @@
 
 #include <cstdint>
 #include <msgpack.hpp>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace lentilhoist {
@@ -33,6 +35,8 @@
   OldSet,      ///< Not executed: the request names an older replica set.
   Refused,     ///< Disk failure, or the disk or memory limit is reached.
   Unreachable, ///< Sent by a relay that cannot reach the replica either.
+  /// The request exceeds a frame, or its reply can't be read. Never sent.
+  Unreadable,
 };
 
 /// \param Status the status.
@@ -140,6 +144,14 @@
 std::string encodeMessage(const replica_request &Message);
 std::string encodeMessage(const replica_reply &Message);
 
+/// \param Frame an encoded frame.
+/// \returns whether its receiver reads it.
+bool fitsFrame(std::string_view Frame);
+
+/// \param Bytes the payload of a frame, or its beginning.
+/// \returns the number of the message; nothing if it can't be read either.
+std::optional<std::uint64_t> sequenceOf(std::string_view Bytes);
+
 /// \param Bytes the payload of a frame.
 /// \returns the decoded message.
 /// \throws std::runtime_error if the payload is malformed.
--- a/src/history/replica_server.cpp
+++ b/src/history/replica_server.cpp
@@ -9,7 +9,31 @@
 /// A connection from another instance.
 struct replica_server::peer {
   std::shared_ptr<tcp_stream> Stream;
-  frame_reader Frames;
+  frame_reader Frames{oversized_frame::Cut};
+
+  /// Sends a reply, or that the request is refused if the reply has become
+  /// larger than the peer reads.
+  void reply(const replica_reply &Reply) const {
+    if (Reply.Status == replica_status::Unreadable) {
+      // A relay's own link could not read it.
+      Stream->write(encodeMessage(refusal(Reply.Sequence)));
+      return;
+    }
+    std::string Frame = encodeMessage(Reply);
+    if (!fitsFrame(Frame)) {
+      logEvent(log_level::Error, "reply_too_large",
+               {{"bytes", std::to_string(Frame.size())}});
+      Frame = encodeMessage(refusal(Reply.Sequence));
+    }
+    Stream->write(std::move(Frame));
+  }
+
+  static replica_reply refusal(std::uint64_t Sequence) {
+    replica_reply Refusal;
+    Refusal.Sequence = Sequence;
+    Refusal.Status = replica_status::Refused;
+    return Refusal;
+  }
 };
 
 replica_server::replica_server(asio::io_context &Loop,
@@ -41,11 +65,7 @@
   Peer->Frames.add(Bytes);
   try {
     while (const auto Frame = Peer->Frames.next())
-      Handler(decodeReplicaRequest(*Frame),
-              [Weak = std::weak_ptr<peer>(Peer)](const replica_reply &Reply) {
-                if (const auto Self = Weak.lock())
-                  Self->Stream->write(encodeMessage(Reply));
-              });
+      onFrame(Peer, *Frame);
   } catch (const std::runtime_error &Error) {
     logEvent(log_level::Warning, "peer_message_unreadable",
              {{"reason", Error.what()}});
@@ -54,4 +74,27 @@
   }
 }
 
+void replica_server::onFrame(const std::shared_ptr<peer> &Peer,
+                             const std::string &Frame) {
+  replica_request Request;
+  try {
+    Request = decodeReplicaRequest(Frame);
+  } catch (const std::runtime_error &Error) {
+    // The peer would send it again on a new connection, with all that it has
+    // not been answered yet.
+    const auto Sequence = sequenceOf(Frame);
+    if (!Sequence)
+      throw;
+    logEvent(log_level::Warning, "peer_message_refused",
+             {{"reason", Error.what()}});
+    Peer->reply(peer::refusal(*Sequence));
+    return;
+  }
+  Handler(std::move(Request),
+          [Weak = std::weak_ptr<peer>(Peer)](const replica_reply &Reply) {
+            if (const auto Self = Weak.lock())
+              Self->reply(Reply);
+          });
+}
+
 } // namespace lentilhoist
--- a/src/history/replica_server.h
+++ b/src/history/replica_server.h
@@ -34,6 +34,7 @@
 
   void addPeer(asio::ip::tcp::socket Socket);
   void onBytes(const std::shared_ptr<peer> &Peer, std::string_view Bytes);
+  void onFrame(const std::shared_ptr<peer> &Peer, const std::string &Frame);
 
   handler Handler;
   std::set<std::shared_ptr<peer>> Peers;
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -192,22 +192,32 @@
   Outcome.Reply.Turns.push_back(Held.Record);
 }
 
+/// Turns that have been added to a reply.
+struct appended_turns {
+  std::unordered_set<std::string_view> Ids;
+  std::size_t Bytes = 0; ///< Approximate size.
+};
+
 /// Appends a turn and those before it, up to the first that is in Appended or
-/// of another owner. Damaged records may form a cycle.
+/// of another owner, or until the reply is large enough. Damaged records may
+/// form a cycle.
 void appendChain(const replica_state &State, const std::string &Last,
-                 const std::string &Owner,
-                 std::unordered_set<std::string_view> &Appended,
-                 replica_outcome &Outcome) {
+                 const std::string &Owner, const replica_limits &Limits,
+                 appended_turns &Appended, replica_outcome &Outcome) {
   for (auto Found = State.Turns.find(Last);
        Found != State.Turns.end() &&
        mayRead(Found->second.Record.Workspace, Owner) &&
-       Appended.insert(Found->first).second;
-       Found = State.Turns.find(Found->second.Record.Previous))
+       Appended.Ids.insert(Found->first).second;
+       Found = State.Turns.find(Found->second.Record.Previous)) {
+    Appended.Bytes += sizeOnWire(Found->second);
+    if (Appended.Bytes > Limits.MaxReplyBytes && !Outcome.Reply.Turns.empty())
+      return;
     appendTurn(Found->second, Outcome);
+  }
 }
 
 void answerReserve(const replica_state &State, const replica_request &Request,
-                   replica_outcome &Outcome) {
+                   const replica_limits &Limits, replica_outcome &Outcome) {
   replica_reply &Reply = Outcome.Reply;
   const auto AppendLedger = [&](const std::string &Program) {
     const auto Ledger = State.Ledgers.find(Program);
@@ -231,8 +241,9 @@
   }
   if (!Request.WantChain)
     return;
-  std::unordered_set<std::string_view> Appended;
-  appendChain(State, Request.Previous, Request.Workspace, Appended, Outcome);
+  appended_turns Appended;
+  appendChain(State, Request.Previous, Request.Workspace, Limits, Appended,
+              Outcome);
 }
 
 void answerCopy(const replica_state &State, const replica_request &Request,
@@ -429,7 +440,7 @@
   case replica_operation::Backups:
     break;
   case replica_operation::Reserve:
-    answerReserve(State, Request, Outcome);
+    answerReserve(State, Request, Limits, Outcome);
     Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
   case replica_operation::Commit:
@@ -443,9 +454,9 @@
     Record(entryChange(Request.Program, Request.Entry, Request.RetentionMs));
     break;
   case replica_operation::Read: {
-    std::unordered_set<std::string_view> Appended;
+    appended_turns Appended;
     for (const std::string &Id : Request.Turns)
-      appendChain(State, Id, Request.Workspace, Appended, Outcome);
+      appendChain(State, Id, Request.Workspace, Limits, Appended, Outcome);
     break;
   }
   case replica_operation::Copy:
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -79,6 +79,9 @@
   /// Added to the retention of a route. Covers the time between the end of an
   /// answer and the caller's next turn on a slow link.
   milliseconds RetentionSlack{5'000};
+  /// Largest size of the turns in a reply, unless it has only one; the rest of
+  /// a chain is read with further requests.
+  std::size_t MaxReplyBytes = 2UL * 1024UL * 1024UL;
   /// Memory for inputs and outputs of turns; those of the oldest turns are
   /// evicted and read from the journal when needed.
   std::size_t MaxTextBytes = std::numeric_limits<std::size_t>::max();
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -107,18 +107,20 @@
   });
 }
 
-std::string encodeRequest(const http_request_head &Head,
-                          std::string_view Body) {
+std::string encodeRequest(const http_request_head &Head, std::string_view Body,
+                          std::string_view Rest) {
+  const std::size_t Length = Body.size() + Rest.size();
   std::string Out;
-  Out.reserve(512 + Body.size());
+  Out.reserve(512 + Length);
   Out += fmt::format("{} {} HTTP/1.1\r\n", Head.Method, Head.Target);
   appendFields(Out, Head.Fields);
   const bool Bodyless =
       Head.Method == "GET" || Head.Method == "HEAD" || Head.Method == "DELETE";
-  if (!Body.empty() || !Bodyless)
-    Out += fmt::format("Content-Length: {}\r\n", Body.size());
+  if (Length != 0 || !Bodyless)
+    Out += fmt::format("Content-Length: {}\r\n", Length);
   Out += "\r\n";
   Out += Body;
+  Out += Rest;
   return Out;
 }
 
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -55,8 +55,10 @@
 /// Writes a request with its fields and the length of its body.
 /// \param Head the head, without framing fields.
 /// \param Body the body.
+/// \param Rest the second part of the body.
 /// \returns the bytes to send.
-std::string encodeRequest(const http_request_head &Head, std::string_view Body);
+std::string encodeRequest(const http_request_head &Head, std::string_view Body,
+                          std::string_view Rest = {});
 
 /// How the body of a response is delimited.
 enum class body_framing {
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -7,6 +7,7 @@
 #include "history/ownership.h"
 #include "history/permit_service.h"
 #include "history/quorum.h"
+#include "history/replica_server.h"
 #include "history/segment_index.h"
 #include "history/segment_log.h"
 #include "history/suspect_service.h"
@@ -428,6 +429,46 @@
   CHECK(lackedTurns(Copy).empty());
 }
 
+// Guards against replies above a frame (review case 7).
+TEST_CASE(
+    "a reply returns a bounded part of a chain, and the rest follows from "
+    "where it ends") {
+  replica_state State = makeReplica();
+  replica_limits Small = Limits;
+  Small.MaxReplyBytes = 10'000;
+  constexpr int TurnCount = 40;
+  std::string Expected;
+  std::string Last;
+  for (int Index = 0; Index < TurnCount; ++Index) {
+    turn_record Turn = makeTurn("t" + std::to_string(Index), Last);
+    // Some exceed the bound alone.
+    Turn.Input.assign(Index % 7 == 0 ? 30'000 : 1'500, 'x');
+    Last = Turn.Id;
+    Expected += Turn.Input + Turn.Output;
+    commit(State, Turn);
+  }
+  replica_request Request;
+  Request.SetVersion = 3;
+  Request.Operation = replica_operation::Read;
+  std::map<std::string, turn_record> Turns;
+  joined_chain Chain = joinChain(Turns, Last);
+  int Replies = 0;
+  for (; !Chain.Missing.empty() && Replies < TurnCount; ++Replies) {
+    Request.Turns = {Chain.Missing};
+    const auto Reply = handleRequest(State, Request, 1, Small, Start).Reply;
+    std::size_t Bytes = 0;
+    for (const turn_record &Turn : Reply.Turns) {
+      Bytes += Turn.Input.size() + Turn.Output.size();
+      Turns.emplace(Turn.Id, Turn);
+    }
+    CHECK((Bytes <= Small.MaxReplyBytes || Reply.Turns.size() == 1));
+    Chain = joinChain(Turns, Last);
+  }
+  CHECK(Chain.Text == Expected);
+  CHECK(Replies > 10);
+  CHECK(Replies < 25);
+}
+
 TEST_CASE("a copy is complete after two source slots; a predecessor counts as "
           "its slot") {
   replica_set Set = makeSet();
@@ -929,6 +970,149 @@
   CHECK(Fixture.Link->outstanding() == 1);
 }
 
+// Guards against one reply that blocks its link for all others (review case 7):
+// the link was closed, and the request sent again, until its time was over.
+TEST_CASE("a reply that can't be read fails its request only, and is not asked "
+          "for again") {
+  asio::io_context Loop;
+  int Connections = 0;
+  std::map<std::uint64_t, int> Arrivals;
+  std::vector<std::shared_ptr<tcp_stream>> Peers;
+  std::string Large;
+  SUBCASE("larger than a frame") { Large.assign(MaxFrameBytes, 'x'); }
+  SUBCASE("malformed") {}
+  const listener Listener(
+      Loop, {asio::ip::address_v4::loopback(), 0}, "peer",
+      [&](asio::ip::tcp::socket Socket) {
+        ++Connections;
+        Peers.push_back(
+            std::make_shared<tcp_stream>(std::move(Socket), socket_settings{}));
+        const auto Frames = std::make_shared<frame_reader>();
+        tcp_stream::handlers Handlers;
+        Handlers.OnBytes = [&, Frames,
+                            Peer = Peers.back().get()](std::string_view Bytes) {
+          Frames->add(Bytes);
+          while (const auto Frame = Frames->next()) {
+            replica_reply Reply;
+            Reply.Sequence = decodeReplicaRequest(*Frame).Sequence;
+            ++Arrivals[Reply.Sequence];
+            // The first request's reply is the one that can't be read.
+            if (Reply.Sequence == 1) {
+              if (Large.empty())
+                Reply.Status = static_cast<replica_status>(17);
+              Reply.Relays.push_back(Large);
+            }
+            Peer->write(encodeMessage(Reply));
+          }
+        };
+        Peers.back()->setHandlers(std::move(Handlers));
+        Peers.back()->start();
+      });
+  const auto Link = std::make_shared<history_link>(
+      Loop, "127.0.0.1:" + std::to_string(Listener.port()));
+  std::map<std::uint64_t, replica_status> Replies;
+  for (int Count = 0; Count < 3; ++Count)
+    Link->send({}, [&](const replica_reply &Reply) {
+      Replies[Reply.Sequence] = Reply.Status;
+    });
+  const auto Begin = std::chrono::steady_clock::now();
+  while (Replies.size() < 3 &&
+         std::chrono::steady_clock::now() - Begin < seconds(10)) {
+    Loop.restart();
+    Loop.run_one_for(milliseconds(100));
+  }
+  REQUIRE(Replies.size() == 3);
+  CHECK(Replies[1] != replica_status::Done);
+  CHECK(Replies[2] == replica_status::Done);
+  CHECK(Replies[3] == replica_status::Done);
+  CHECK(Connections == 1);
+  CHECK(Arrivals[1] == 1);
+  Link->close();
+  for (const auto &Peer : Peers)
+    Peer->close();
+}
+
+TEST_CASE("a request larger than a frame is not sent, and fails") {
+  link_fixture Fixture;
+  replica_request Large;
+  Large.Turn.Input.assign(MaxFrameBytes, 'x');
+  std::vector<replica_status> Replies;
+  const auto OnReply = [&](const replica_reply &Reply) {
+    Replies.push_back(Reply.Status);
+  };
+  Fixture.Link->send(Large, OnReply);
+  Fixture.Link->cancel(Fixture.Link->send(Large, OnReply));
+  Fixture.Link->send({}, OnReply);
+  CHECK(Replies.empty());
+  Fixture.runFor(milliseconds(300));
+  CHECK(Replies == std::vector<replica_status>{replica_status::Unreadable,
+                                               replica_status::Done});
+  CHECK(Fixture.Link->outstanding() == 0);
+}
+
+TEST_CASE("a replica refuses a request that can't be read, and answers those "
+          "behind it") {
+  asio::io_context Loop;
+  const std::uint16_t Port = [&] {
+    const listener Free(Loop, {asio::ip::address_v4::loopback(), 0}, "free",
+                        [](asio::ip::tcp::socket) {});
+    return Free.port();
+  }();
+  const replica_server Server(
+      Loop, {asio::ip::address_v4::loopback(), Port},
+      [](const replica_request &Request,
+         const replica_server::on_reply &OnReply) {
+        replica_reply Reply;
+        Reply.Sequence = Request.Sequence;
+        if (Request.Cursor == 1)
+          Reply.Relays.push_back(std::string(MaxFrameBytes, 'x'));
+        if (Request.Cursor == 2) // As a relay whose link could not read it.
+          Reply.Status = replica_status::Unreadable;
+        OnReply(Reply);
+      });
+  replica_request Large;
+  Large.Sequence = 1;
+  Large.Turn.Input.assign(MaxFrameBytes, 'x');
+  replica_request LargeReply;
+  LargeReply.Sequence = 2;
+  LargeReply.Cursor = 1;
+  replica_request Relayed;
+  Relayed.Sequence = 3;
+  Relayed.Cursor = 2;
+  replica_request Small;
+  Small.Sequence = 4;
+  const auto Client = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
+                                                   socket_settings{});
+  frame_reader Frames;
+  std::vector<std::pair<std::uint64_t, replica_status>> Replies;
+  tcp_stream::handlers Handlers;
+  Handlers.OnConnected = [&] {
+    Client->write(encodeMessage(Large) + encodeMessage(LargeReply) +
+                  encodeMessage(Relayed) + encodeMessage(Small));
+  };
+  Handlers.OnBytes = [&](std::string_view Bytes) {
+    Frames.add(Bytes);
+    while (const auto Frame = Frames.next()) {
+      const replica_reply Reply = decodeReplicaReply(*Frame);
+      Replies.emplace_back(Reply.Sequence, Reply.Status);
+    }
+  };
+  Client->setHandlers(std::move(Handlers));
+  Client->connect({asio::ip::address_v4::loopback(), Port});
+  const auto Begin = std::chrono::steady_clock::now();
+  while (Replies.size() < 4 &&
+         std::chrono::steady_clock::now() - Begin < seconds(10)) {
+    Loop.restart();
+    Loop.run_one_for(milliseconds(100));
+  }
+  CHECK(Replies == std::vector<std::pair<std::uint64_t, replica_status>>{
+                       {1, replica_status::Refused},
+                       {2, replica_status::Refused},
+                       {3, replica_status::Refused},
+                       {4, replica_status::Done}});
+  Client->close();
+}
+
 TEST_CASE("damaged messages of peers and records of the disk are rejected or "
           "handled") {
   replica_state Source = makeReplica();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -228,6 +228,31 @@
   CHECK_THROWS(Reader.next());
 }
 
+// Guards against a message above the limit that blocks its connection for the
+// messages behind it (review case 7).
+TEST_CASE("a reader that cuts frames returns the beginning of one above the "
+          "limit, drops the rest and reads on") {
+  const std::string Large(MaxFrameBytes + 1'000'000, 'x');
+  const std::string Bytes =
+      encodeFrame("one") + encodeFrame(Large) + encodeFrame("two");
+  for (const std::size_t Piece :
+       {std::size_t{1'000}, std::size_t{70'000}, Bytes.size()}) {
+    frame_reader Reader(oversized_frame::Cut);
+    std::vector<std::string> Read;
+    for (std::size_t At = 0; At < Bytes.size(); At += Piece) {
+      Reader.add(std::string_view(Bytes).substr(At, Piece));
+      while (auto Frame = Reader.next())
+        Read.push_back(std::move(*Frame));
+    }
+    CHECK(Read ==
+          std::vector<std::string>{
+              "one", std::string(frame_reader::CutFrameBytes, 'x'), "two"});
+  }
+  frame_reader Reader(oversized_frame::Cut);
+  Reader.add("\xff\xff\xff\xff");
+  CHECK_THROWS(Reader.next());
+}
+
 TEST_CASE("the data of events is read behind other fields") {
   event_parser Parser;
   std::vector<std::string> Data;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -1,6 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "free_ports.h"
-#include "history/history_link.h"
+#include "history/history_client.h"
 #include "platform/store_protocol.h"
 #include "replica/replica_daemon.h"
 #include "replica/replica_store.h"
@@ -88,7 +88,7 @@
 
   replica_group() {
     const int Port = freePorts(2 * Size);
-    replica_set Set{1, 1, true, {}};
+    Set = {1, 1, true, {}};
     for (int Index = 0; Index < Size; ++Index) {
       const std::string Name = "replica" + std::to_string(Index);
       Addresses.push_back("127.0.0.1:" + std::to_string(Port + 2 * Index));
@@ -132,15 +132,23 @@
     std::optional<replica_reply> Reply;
     Links[static_cast<std::size_t>(Replica)]->send(
         std::move(Request), [&](replica_reply Given) { Reply = Given; });
+    runUntil([&] { return Reply.has_value(); }, seconds(10));
+    return Reply.value_or(replica_reply{});
+  }
+
+  /// Runs the event loop of the test until a condition holds.
+  void runUntil(const std::function<bool()> &Condition, milliseconds Longest) {
     const auto Guard = asio::make_work_guard(Loop);
     const auto Begin = std::chrono::steady_clock::now();
-    while (!Reply && std::chrono::steady_clock::now() - Begin < seconds(10)) {
+    while (!Condition() && std::chrono::steady_clock::now() - Begin < Longest) {
       Loop.restart();
       Loop.run_one_for(milliseconds(100));
     }
-    return Reply.value_or(replica_reply{});
   }
 
+  asio::io_context &loop() { return Loop; }
+  const replica_set &set() const { return Set; }
+
   /// \returns the ids of the chain that ends with a turn, as one replica
   /// returns it, newest first.
   std::string chainAt(int Replica, const std::string &Last) {
@@ -157,6 +165,7 @@
 private:
   temporary_folder Folder;
   watched_store Store;
+  replica_set Set;
   asio::io_context Loop;
   std::vector<std::string> Addresses;
   std::vector<std::thread> Threads;
@@ -700,3 +709,55 @@
     CHECK(Group.chainAt(Replica, "t4") == "t4 t3 t2 t1 ");
   }
 }
+
+// Guards against a conversation that can't be continued where its text is not
+// in memory (review case 7): the replies with its turns exceeded a frame.
+TEST_CASE("a chain larger than a frame is read by an instance that does not "
+          "have its text") {
+  constexpr int TurnCount = 8;
+  constexpr std::size_t InputBytes = 4'000'000;
+  replica_group Group;
+  const auto Client = [&](const std::string &Domain) {
+    auto Created =
+        std::make_unique<history_client>(Group.loop(), Domain, 11'000'000);
+    Created->setReplicas(Group.set(), "test");
+    return Created;
+  };
+  const auto Writer = Client("here");
+  std::string Chain;
+  std::string Last;
+  for (int Index = 0; Index < TurnCount; ++Index) {
+    turn_record Turn;
+    Turn.Id = "t" + std::to_string(Index);
+    Turn.Previous = Last;
+    Turn.Program = "p";
+    Turn.Input = std::string(InputBytes, static_cast<char>('a' + Index));
+    Turn.Output = "out\n";
+    Turn.RetentionMs = 60'000;
+    std::optional<bool> Durable;
+    const auto Commit = Writer->commit(Turn, Chain, seconds(10),
+                                       [&](bool Done) { Durable = Done; });
+    Group.runUntil([&] { return Durable.has_value(); }, seconds(20));
+    CHECK(Durable.value_or(false));
+    Chain += Turn.Input + Turn.Output;
+    Last = Turn.Id;
+  }
+  for (const char *Domain : {"here", "elsewhere"}) {
+    const auto Reader = Client(Domain);
+    turn_reservation Reservation;
+    Reservation.Program = "p";
+    Reservation.Attempt = std::string("next ") + Domain;
+    Reservation.Previous = Last;
+    Reservation.Budget = 1'000;
+    Reservation.RetentionMs = 60'000;
+    std::optional<reserve_result> Result;
+    const auto Read =
+        Reader->reserve(Reservation, milliseconds(1'200),
+                        [&](reserve_result Done) { Result = std::move(Done); });
+    Group.runUntil([&] { return Result.has_value(); }, seconds(20));
+    REQUIRE(Result.has_value());
+    CHECK(std::string(reserveOutcomeName(Result->Outcome)) == "granted");
+    CHECK(Result->Chain.size() == Chain.size());
+    CHECK((Result->Chain == Chain));
+  }
+}
