Take no turn from an answer that may lack its texts

Cause: a replica that can't read the texts of a turn returned the turn with empty texts in an answer with the status "refused"; the client took turns from answers of any status.

Change: a replica leaves out turns that it can't read; the client takes turns only from answers that are done or incomplete. A fetch between replicas returns what can be read.

Evidence: history_test "a reservation takes no turns from a replica that refuses it" failed 2 checks before, replica_test "a replica returns no turn that it can't read, and the others to a replica that fetches them" 3 checks; both pass, and so do the other cases of both programs.

--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -673,10 +673,12 @@
   const auto HasMissing =
       [Missing = View.Missing,
        Owner = Reservation->Workspace](const replica_reply &Reply) {
-        for (const turn_record &Turn : Reply.Turns)
-          if (Turn.Id == Missing && mayRead(Turn.Workspace, Owner))
-            return true;
-        return false;
+        return hasWholeTurns(Reply) &&
+               std::any_of(Reply.Turns.begin(), Reply.Turns.end(),
+                           [&](const turn_record &Turn) {
+                             return Turn.Id == Missing &&
+                                    mayRead(Turn.Workspace, Owner);
+                           });
       };
   const auto IsSufficient = [HasMissing](const quorum_round &Round,
                                          instant Now) {
@@ -692,7 +694,7 @@
              Missing = View.Missing](const quorum_round *Round) mutable {
               if (Round)
                 for (const auto &Answer : Round->Answers)
-                  if (Answer)
+                  if (Answer && hasWholeTurns(*Answer))
                     for (const turn_record &Turn : Answer->Turns)
                       if (mayRead(Turn.Workspace, Reservation->Workspace))
                         Turns->emplace(Turn.Id, Turn);
--- a/src/history/quorum.cpp
+++ b/src/history/quorum.cpp
@@ -62,6 +62,11 @@
   return Slots;
 }
 
+bool hasWholeTurns(const replica_reply &Reply) {
+  return Reply.Status == replica_status::Done ||
+         Reply.Status == replica_status::Incomplete;
+}
+
 merged_reservation mergeReservation(const quorum_round &Round,
                                     const std::string &Attempt,
                                     const std::string &Owner) {
@@ -80,10 +85,10 @@
     else if (!Answer->PreviousWorkspace.empty())
       Own = true;
     for (const turn_record &Turn : Answer->Turns)
-      if (mayRead(Turn.Workspace, Owner))
-        Result.Turns.push_back(Turn);
-      else
+      if (!mayRead(Turn.Workspace, Owner))
         Foreign = true;
+      else if (hasWholeTurns(*Answer))
+        Result.Turns.push_back(Turn);
     for (const ledger_entry &Entry : Answer->Ledger) {
       const auto [Found, Added] = Entries.try_emplace(Entry.Attempt, Entry);
       if (!Added && Entry.Settled && !Found->second.Settled)
--- a/src/history/quorum.h
+++ b/src/history/quorum.h
@@ -60,6 +60,11 @@
   Spent, ///< The remaining budget is smaller than the maximum of the turn.
 };
 
+/// \param Reply an answer.
+/// \returns whether its turns are whole. A replica that refuses may not have
+/// been able to read them.
+bool hasWholeTurns(const replica_reply &Reply);
+
 /// Combined answers of a quorum to a reservation.
 struct merged_reservation {
   std::uint64_t OtherAttemptTokens =
--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -170,12 +170,32 @@
   }
 }
 
+/// Reads the texts of a reply's turns. Turns that can't be read are left out:
+/// whoever gets one without its texts would take it for the turn. The reply is
+/// then refused, unless another replica fetches what there is.
+void replica_store::readTexts(replica_operation Operation,
+                              replica_outcome &Outcome) const {
+  replica_reply &Reply = Outcome.Reply;
+  std::set<std::size_t> Unreadable;
+  for (const unread_turn &Unread : Outcome.Unread)
+    if (!readTexts(Unread.Location, Reply.Turns[Unread.Index]))
+      Unreadable.insert(Unread.Index);
+  if (Unreadable.empty())
+    return;
+  if (Operation != replica_operation::Fetch)
+    Reply.Status = replica_status::Refused;
+  for (auto Index = Unreadable.rbegin(); Index != Unreadable.rend(); ++Index) {
+    const auto Offset = static_cast<std::ptrdiff_t>(*Index);
+    Reply.Turns.erase(Reply.Turns.begin() + Offset);
+    if (!Reply.TurnsLeftMs.empty())
+      Reply.TurnsLeftMs.erase(Reply.TurnsLeftMs.begin() + Offset);
+  }
+}
+
 void replica_store::handle(const replica_request &Request, on_reply OnReply) {
   replica_outcome Outcome =
       handleRequest(State, Request, ActiveSegment, Limits, readClock());
-  for (const unread_turn &Unread : Outcome.Unread)
-    if (!readTexts(Unread.Location, Outcome.Reply.Turns[Unread.Index]))
-      Outcome.Reply.Status = replica_status::Refused;
+  readTexts(Request.Operation, Outcome);
   if (Outcome.Changes.empty()) {
     OnReply(Outcome.Reply);
     return;
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -73,7 +73,7 @@
                             const std::vector<std::size_t> &Lengths,
                             const write_result &Result);
   bool readTexts(const record_location &Location, turn_record &Turn) const;
-  void readTexts(replica_outcome &Outcome) const;
+  void readTexts(replica_operation Operation, replica_outcome &Outcome) const;
   void beginSegment();
   void writeIndexes(segment_number Before);
   void relocateOldestSegment();
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -178,6 +178,27 @@
   CHECK_FALSE(reserve(State, "t4", "nope").PreviousFound);
 }
 
+// Guards against a runner that gets a conversation with a text missing
+// (UNASKED): a former replica returns turns that it can't read without texts.
+TEST_CASE("a reservation takes no turns from a replica that refuses it") {
+  replica_state A = makeReplica();
+  replica_state B = makeReplica();
+  commit(A, makeTurn("t1", ""));
+  commit(B, makeTurn("t1", ""));
+  replica_reply Refused = reserve(A, "t2", "t1");
+  Refused.Status = replica_status::Refused;
+  Refused.Turns.at(0).Input.clear();
+  Refused.Turns.at(0).Output.clear();
+  CHECK(mergeReservation(roundOf({Refused}), "t2").Turns.empty());
+  replica_reply Incomplete = reserve(B, "t2", "t1");
+  Incomplete.Status = replica_status::Incomplete;
+  const merged_reservation View =
+      mergeReservation(roundOf({Refused, Incomplete}), "t2");
+  CHECK(View.PreviousFound);
+  REQUIRE(View.Turns.size() == 1);
+  CHECK(View.Turns[0].Input == "<t1>");
+}
+
 TEST_CASE("a reservation returns the runner of the previous turn") {
   // Another instance may have dispatched the previous turn, or the same one
   // before a restart, so only the history knows which runner has the prompt.
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -385,6 +385,49 @@
     CHECK(Restarted.state().Turns.contains(Id));
 }
 
+// Guards against a runner that gets a conversation with a text missing
+// (UNASKED): a turn whose texts can't be read was returned without them.
+TEST_CASE("a replica returns no turn that it can't read, and the others to a "
+          "replica that fetches them") {
+  const temporary_folder Folder;
+  replica_limits NoTexts = Limits;
+  NoTexts.MaxTextBytes = 0;
+  asio::io_context Loop;
+  replica_store Store(Loop, Folder.Path.string(), DiskBytes, NoTexts);
+  markComplete(Store);
+  for (const char *Id : {"t1", "t2"}) {
+    replica_request Request = commitOf(Id, 60'000);
+    Request.Turn.Previous = *(Id + 1) == '2' ? "t1" : "";
+    Request.Turn.Input.assign(100'000, *(Id + 1));
+    CHECK(handleAndWait(Loop, Store, Request) == replica_status::Done);
+  }
+  // The record of the second turn is damaged.
+  for (const auto &Entry : std::filesystem::directory_iterator(Folder.Path))
+    if (Entry.path().extension() == ".segment")
+      std::filesystem::resize_file(Entry.path(), Entry.file_size() - 10);
+  const auto Call = [&](replica_request Request) {
+    Request.SetVersion = 1;
+    replica_reply Reply;
+    Store.handle(Request, [&](const replica_reply &Given) { Reply = Given; });
+    return Reply;
+  };
+  replica_request Read;
+  Read.Operation = replica_operation::Read;
+  Read.Turns = {"t2"};
+  const replica_reply Refused = Call(Read);
+  CHECK(Refused.Status == replica_status::Refused);
+  for (const turn_record &Turn : Refused.Turns)
+    CHECK(Turn.Input.size() == 100'000);
+  replica_request Fetch;
+  Fetch.Operation = replica_operation::Fetch;
+  Fetch.Records = {{"t2", "", true}, {"t1", "", true}};
+  const replica_reply Fetched = Call(Fetch);
+  CHECK(Fetched.Status == replica_status::Done);
+  REQUIRE(Fetched.Turns.size() == 1);
+  CHECK(Fetched.Turns[0].Id == "t1");
+  CHECK(Fetched.TurnsLeftMs.size() == 1);
+}
+
 TEST_CASE("replica store restores backups of the platform's objects, also from "
           "newer segments") {
   const temporary_folder Folder;
