Reject inputs that the history can't store before they run

With max-body-bytes above 14 MB, a turn with a larger input on a route that keeps turns ran, and its caller was cut off before the end: its commit exceeds the frame that replicas read.

Change: such a turn is answered 413 "input_too_large" at once. The limits of a turn's input and output now stand beside the record and follow from the frame.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -41,9 +41,6 @@
 /// Runners that may refuse a request a permit before the caller is told when to
 /// come back. Three of many show that the service is at its limit.
 constexpr int MaxPermitRefusals = 3;
-/// Largest output of a turn that is kept. A replica holds and sends several
-/// turns in one frame.
-constexpr std::size_t MaxOutputBytes = MaxFrameBytes / 8;
 /// What a program has drawn from its budget is kept at least this long after
 /// its last turn: routes that keep no turns may state no retention, and a
 /// program whose ledger has expired starts with its whole budget again.
@@ -200,6 +197,10 @@
   const instant Now = readClock();
   if (rejectIfStopping(Now))
     return;
+  if (Route->KeepsHistory && Body.size() > MaxTurnInputBytes) {
+    respondWithError(proxy_error::InputTooLarge);
+    return;
+  }
   recordRequest(Context.Resends, Now);
   DeadlineTimer.expires_after(timeLeft(Now));
   DeadlineTimer.async_wait(
@@ -863,7 +864,7 @@
     return ResponseBody.size() > MaxEventBytes;
   return EventStream && !Buffered &&
          (ResponseBody.size() > MaxEventBytes ||
-          Output.size() > MaxOutputBytes);
+          Output.size() > MaxTurnOutputBytes);
 }
 
 void exchange::onResponseBody() {
--- a/src/forward/retry_policy.cpp
+++ b/src/forward/retry_policy.cpp
@@ -92,6 +92,8 @@
     return "route_unreadable";
   case proxy_error::BadRequest:
     return "bad_request";
+  case proxy_error::InputTooLarge:
+    return "input_too_large";
   case proxy_error::NoRunner:
     return "no_runner";
   case proxy_error::PathLost:
@@ -169,6 +171,8 @@
     return 401;
   case proxy_error::BadRequest:
     return 400;
+  case proxy_error::InputTooLarge:
+    return 413;
   case proxy_error::BudgetExhausted:
     return 402;
   case proxy_error::QuotaExceeded:
--- a/src/forward/retry_policy.h
+++ b/src/forward/retry_policy.h
@@ -78,6 +78,7 @@
   WorkspaceChanged,   ///< Its key has been moved to another workspace.
   RouteUnreadable,    ///< Its route, or what may be its route, can't be read.
   BadRequest,         ///< A required header is missing or malformed.
+  InputTooLarge,      ///< No history replica could store it.
   NoRunner,           ///< No runner is available.
   PathLost,           ///< Neither this instance nor a relay reaches runners.
   RunnersFull,        ///< Runners refused it or could not be reached.
--- a/src/history/turn_record.h
+++ b/src/history/turn_record.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "net/frame.h"
+
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
@@ -13,6 +15,14 @@
   MSGPACK_DEFINE(Id, BornMs)
 };
 
+/// Largest output of a turn that is kept, in bytes.
+inline constexpr std::size_t MaxTurnOutputBytes = MaxFrameBytes / 8;
+
+/// Largest input of a turn that is kept, in bytes. A frame also holds the
+/// output, the other fields and the records that a copy sends before the turn.
+inline constexpr std::size_t MaxTurnInputBytes =
+    MaxFrameBytes - MaxTurnOutputBytes - std::size_t{1024} * 1024;
+
 /// A turn whose answer was complete. Immutable once written.
 struct turn_record {
   std::string Id;       ///< Id of the attempt that produced the turn.
