Let the largest answers pass the link between instances

Own interface: a link took frames of 4 MB, while an engine's answer may have 4 MB of text and a history more. The receiver closed the link, and every request that waited on it ended with an unknown outcome.

Change: a frame holds twice the largest answer; an answer above it becomes an error of its own request, and the link goes on.

--- a/src/decision/call_request.h
+++ b/src/decision/call_request.h
@@ -58,6 +58,9 @@
                  CommittedThrough, RetryAfterMilliseconds, Owner)
 };
 
+/// Largest text of an answer, in bytes.
+inline constexpr std::size_t MaxAnswerBytes = std::size_t{4} * 1024 * 1024;
+
 /// Result of one attempt at a runner.
 struct attempt_result {
   error_code Code = error_code::None;
--- a/src/instance/peer_link.cpp
+++ b/src/instance/peer_link.cpp
@@ -9,6 +9,22 @@
 
 using tcp = asio::ip::tcp;
 
+/// \returns whether an answer's message can be received. Its fields besides the
+/// body are short.
+bool fitsFrame(const call_answer &Answer) {
+  return Answer.Body.size() <= MaxFrameBytes - MaxAnswerBytes / 2;
+}
+
+call_answer answerTooLarge(const call_answer &Answer) {
+  logEvent(log_level::Error, "peer_answer_too_large",
+           {{"bytes", std::to_string(Answer.Body.size())}});
+  call_answer Error = makeErrorAnswer(
+      error_code::Internal, "the answer is too large for the link between "
+                            "instances; ask the owner of the program");
+  Error.Run = Answer.Run;
+  return Error;
+}
+
 /// Sends the answers of a request back over the connection that brought it.
 class peer_sink : public answer_sink {
 public:
@@ -32,7 +48,8 @@
     peer_message Message;
     Message.Kind = peer_kind::Answer;
     Message.Stream = Stream;
-    Message.Answer = Answer;
+    // The receiver would close the link, on which others wait.
+    Message.Answer = fitsFrame(Answer) ? Answer : answerTooLarge(Answer);
     Send(std::move(Message));
   }
 
--- a/src/instance/peer_message.h
+++ b/src/instance/peer_message.h
@@ -43,8 +43,8 @@
 /// Bytes of the length in front of each frame.
 inline constexpr std::size_t FrameHeaderBytes = 4;
 
-/// Longest frame that is accepted.
-inline constexpr std::size_t MaxFrameBytes = 4U << 20U;
+/// Longest frame that is accepted; the largest answer fits.
+inline constexpr std::size_t MaxFrameBytes = 2 * MaxAnswerBytes;
 
 } // namespace lentilhoist
 
--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -17,9 +17,6 @@
 /// A part of a stream above this size that holds no token is not what an engine
 /// sends.
 constexpr std::size_t MaxEventBytes = 256UL * 1024UL;
-/// Size of an answer's text, and of all the bytes that carry it, up to which an
-/// engine is read.
-constexpr std::size_t MaxTextBytes = 4UL * 1024UL * 1024UL;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -189,7 +186,7 @@
             readChunk(Event, Progress, OnText);
           });
           Progress.Endless = Progress.BytesSinceToken > MaxEventBytes ||
-                             Progress.Text.size() > MaxTextBytes;
+                             Progress.Text.size() > MaxAnswerBytes;
           return !Progress.Endless && !Progress.Unreadable && !IsCancelled();
         });
     Connected = Result.End != call_end::NotConnected;
--- a/tests/instance_test.cpp
+++ b/tests/instance_test.cpp
@@ -67,6 +67,50 @@
   CHECK(Text == "hello world");
 }
 
+// Guards against one answer that ends the link, and with it all requests that
+// wait on it: the largest answer did not fit a frame.
+TEST_CASE("the largest answer passes the link, and one above a frame fails "
+          "alone") {
+  std::shared_ptr<answer_sink> Waiting;
+  std::size_t Bytes = MaxAnswerBytes;
+  bool Fits = true;
+  SUBCASE("the largest answer") {}
+  SUBCASE("a history above a frame") {
+    Bytes = MaxFrameBytes;
+    Fits = false;
+  }
+  peer_link Server(
+      {},
+      [&](const owner_request &, const auto &Sink) {
+        if (!Waiting) {
+          Waiting = Sink;
+          return;
+        }
+        call_answer Large;
+        Large.Body.assign(Bytes, 'x');
+        Sink->finish(Large);
+        call_answer Small;
+        Small.CommittedThrough = 4;
+        Waiting->finish(Small);
+      },
+      ignoreOffer);
+  Server.start();
+  peer_link Client(
+      {}, [](const auto &, const auto &) {}, ignoreOffer);
+  Client.start();
+  const auto First = std::make_shared<answer_channel>();
+  const auto Second = std::make_shared<answer_channel>();
+  Client.send(identityOf(Server), history_request{{0, 1}}, First);
+  Client.send(identityOf(Server), history_request{{0, 2}}, Second);
+  std::string Text;
+  const call_answer Large = waitAnswer(*Second, Text);
+  CHECK(Large.Code == (Fits ? error_code::None : error_code::Internal));
+  CHECK((Large.Body.size() == Bytes) == Fits);
+  const call_answer Small = waitAnswer(*First, Text);
+  CHECK(Small.Code == error_code::None);
+  CHECK(Small.CommittedThrough == 4);
+}
+
 TEST_CASE("a peer that is not there is reported so that the request is routed "
           "anew") {
   peer_link Client(
