Give up a response of the platform's store that does not end

Operators told of bytes without end that fill a process's memory. Both daemons kept the body of a response of the store until the call's time was over.

Change: above 16 MB, far above a list, the call has no answer and its connection is closed.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -81,7 +81,12 @@
   }
   Reader.feed(Bytes);
   Body += Reader.takeBody();
-  if (Reader.error() != http_read_error::None) {
+  const bool TooLarge = Body.size() > MaxStoreResponseBytes;
+  if (TooLarge)
+    logEvent(log_level::Error, "store_response_too_large",
+             {{"bytes", std::to_string(Body.size())}});
+  if (TooLarge || Reader.error() != http_read_error::None) {
+    std::string().swap(Body);
     finish({}, false);
     return;
   }
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -19,6 +19,11 @@
   std::string Body;
 };
 
+/// Largest response that is read, in bytes; far above that of a list. One that
+/// goes on without end is given up.
+inline constexpr std::size_t MaxStoreResponseBytes =
+    std::size_t{16} * 1024 * 1024;
+
 /// Client of the platform's store over one connection. Calls are queued and
 /// sent one at a time. Each call has a timeout; a connection whose call times
 /// out is closed, because no further response is expected on it.
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -2,6 +2,7 @@
 #include "early_runner.h"
 #include "net/address.h"
 #include "net/http_reader.h"
+#include "net/listener.h"
 #include "store/store_pulse.h"
 
 #include <doctest/doctest.h>
@@ -351,6 +352,68 @@
   Client->close();
 }
 
+// Guards against a store, or what answers in its place, that sends without end:
+// all of it was kept until the call's time was over (LOST of all that the
+// process had).
+TEST_CASE("store_client gives up a response without end") {
+  asio::io_context Loop;
+  std::string Start = "HTTP/1.1 200 OK\r\n\r\n";
+  std::string Repeat(64UL * 1024UL, 'x');
+  SUBCASE("a body that the connection ends") {}
+  SUBCASE("a body in chunks") {
+    Start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    Repeat = encodeChunk(Repeat);
+  }
+  SUBCASE("one line of a head") { Start = "HTTP/1.1 200 OK\r\nX-A: "; }
+  SUBCASE("lines of a head") {
+    Start = "HTTP/1.1 200 OK\r\n";
+    Repeat.clear();
+    for (int Count = 0; Count < 4'000; ++Count)
+      Repeat += "X-A: b\r\n";
+  }
+  SUBCASE("trailers") {
+    Start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    Repeat.clear();
+    for (int Count = 0; Count < 4'000; ++Count)
+      Repeat += "X-A: b\r\n";
+  }
+  SUBCASE("no response at all") { Start = Repeat; }
+  std::size_t Sent = 0;
+  std::shared_ptr<tcp_stream> Peer;
+  const listener Listener(Loop, {asio::ip::address_v4::loopback(), 0}, "store",
+                          [&](asio::ip::tcp::socket Socket) {
+                            Peer = std::make_shared<tcp_stream>(
+                                std::move(Socket), socket_settings{});
+                            tcp_stream::handlers Handlers;
+                            Handlers.OnBytes = [&](std::string_view) {
+                              if (Sent == 0)
+                                Peer->write(Start);
+                            };
+                            Handlers.OnDrained = [&] {
+                              Sent += Repeat.size();
+                              Peer->write(Repeat);
+                            };
+                            Peer->setHandlers(std::move(Handlers));
+                            Peer->start();
+                          });
+  const auto Client = std::make_shared<store_client>(
+      Loop, "127.0.0.1:" + std::to_string(Listener.port()));
+  std::optional<store_status> Status;
+  const instant Begin = readClock();
+  Client->call(platform::createRequest("kind", "name", "{}"), seconds(20),
+               [&](const store_answer &Answer) { Status = Answer.Status; });
+  while (!Status && readClock().Steady - Begin.Steady < seconds(19)) {
+    Loop.restart();
+    Loop.run_one_for(milliseconds(100));
+  }
+  CHECK(Status == store_status::Unknown);
+  // The rest lies in the buffers of the connection.
+  CHECK(Sent < 2 * MaxStoreResponseBytes);
+  Client->close();
+  if (Peer)
+    Peer->close();
+}
+
 // Guards against a response that only its connection ends being taken for a
 // lost one.
 TEST_CASE("store_client reads responses that end with their connection") {
