Give up an object of the platform that does not end

Own interface: the client of the platform's objects kept up to 1 GB of an answer. Objects have at most 900 kB, and lists some MB.

Change: 16 MB. The server without end of runner_test has a header of its own now.

--- a/src/objects/object_store.cpp
+++ b/src/objects/object_store.cpp
@@ -12,8 +12,9 @@
 
 constexpr int StatusConflict = 412;
 constexpr int StatusNotFound = 404;
-/// Far above the size of any object: a response without end is given up.
-constexpr std::size_t MaxObjectBytes = std::size_t{1} << 30U;
+/// Far above the size of any object or list: a response without end is given
+/// up.
+constexpr std::size_t MaxObjectBytes = std::size_t{16} * 1024 * 1024;
 
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "early_runner.h"
+#include "endless_server.h"
 #include "objects/journal_store.h"
 #include "standin/platform_standin.h"
 
@@ -295,6 +296,19 @@
       }
 }
 
+// Guards against a platform that sends without end: up to 1 GB was kept.
+TEST_CASE("an answer without end is an error") {
+  constexpr std::size_t MaxSentBytes = 48UL * 1024UL * 1024UL;
+  std::string Start = "HTTP/1.1 200 OK\r\n\r\n";
+  SUBCASE("in its body") {}
+  SUBCASE("in its head") { Start = "HTTP/1.1 200 OK\r\nX-A: "; }
+  const endless_server Platform(Start, std::string(64UL * 1024UL, 'x'),
+                                milliseconds(0));
+  object_store Store = connectTo(Platform.port());
+  CHECK_THROWS_AS(Store.read("k"), platform_error);
+  CHECK(Platform.Sent < MaxSentBytes);
+}
+
 // Guards against the second copy of an answer, which comes late, being taken
 // for the answer to the next call.
 TEST_CASE("an answer that no call awaits is not taken for that of the next") {
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -1,5 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "early_runner.h"
+#include "endless_server.h"
 #include "net/event_parser.h"
 #include "runner/model_client.h"
 #include "runner/service_client.h"
@@ -221,65 +222,6 @@
 namespace {
 
 /// \returns a socket that listens on a free port of loopback.
-int listenOnLoopback() {
-  const int Listener = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in Address{};
-  Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  REQUIRE(::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
-                 sizeof(Address)) == 0);
-  ::listen(Listener, 8);
-  return Listener;
-}
-
-int portOf(int Listener) {
-  sockaddr_in Address{};
-  socklen_t Length = sizeof(Address);
-  ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-  return ntohs(Address.sin_port);
-}
-
-/// Sends a start and then the same bytes again and again on the first
-/// connection, until that is closed or a limit is reached.
-class endless_server {
-public:
-  static constexpr std::size_t MaxBytes = 96UL * 1024UL * 1024UL;
-
-  /// \param Start bytes sent first.
-  /// \param Repeat bytes sent without end.
-  /// \param Pause time between two of them.
-  endless_server(std::string Start, std::string Repeat, milliseconds Pause)
-      : Listener(listenOnLoopback()) {
-    Thread = std::thread([this, Start, Repeat, Pause] {
-      const int Socket = ::accept(Listener, nullptr, nullptr);
-      char Request[4'096];
-      (void)::recv(Socket, Request, sizeof(Request), 0);
-      bool Open = ::send(Socket, Start.data(), Start.size(), MSG_NOSIGNAL) > 0;
-      while (Open && !Stopping && Sent < MaxBytes) {
-        std::this_thread::sleep_for(Pause);
-        Open = ::send(Socket, Repeat.data(), Repeat.size(), MSG_NOSIGNAL) > 0;
-        Sent += Repeat.size();
-      }
-      ::close(Socket);
-    });
-  }
-  ~endless_server() {
-    Stopping = true;
-    ::shutdown(Listener, SHUT_RDWR);
-    Thread.join();
-    ::close(Listener);
-  }
-
-  int port() const { return portOf(Listener); }
-
-  std::atomic<std::size_t> Sent{0};
-
-private:
-  int Listener;
-  std::atomic<bool> Stopping{false};
-  std::thread Thread;
-};
-
 /// What may lie in the buffers of a connection beside what a client reads.
 constexpr std::size_t MaxReadBytes = 24UL * 1024UL * 1024UL;
 
