Reject bodies without end on the own interface

Change: the server counts a body as the library reads it and rejects it above its limit; a declared length above the limit is rejected before the body is read. Both are answered 413 with "run":"not_run", and the connection ends.

--- a/src/forward/caller_connection.cpp
+++ b/src/forward/caller_connection.cpp
@@ -5,7 +5,6 @@
 #include "platform/request_headers.h"
 
 #include <algorithm>
-#include <charconv>
 #include <limits>
 #include <optional>
 
@@ -39,14 +38,6 @@
 /// Limits until the first configuration arrives.
 const caller_limits DefaultLimits;
 
-std::size_t declaredLength(const http_fields &Fields) {
-  const std::string_view Text = fieldValue(Fields, "Content-Length");
-  std::size_t Length = 0;
-  // http_reader has validated the number.
-  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
-  return Length;
-}
-
 } // namespace
 
 caller_connection::caller_connection(
--- a/src/http/strict_server.cpp
+++ b/src/http/strict_server.cpp
@@ -37,18 +37,29 @@
 class checked_stream : public httplib::Stream {
 public:
   checked_stream(socket_t GivenSocket, milliseconds GivenReadTime,
-                 milliseconds GivenWriteTime)
-      : Socket(GivenSocket), ReadTime(GivenReadTime),
-        WriteTime(GivenWriteTime) {}
+                 milliseconds GivenWriteTime, std::size_t GivenMaxBodyBytes)
+      : Socket(GivenSocket), ReadTime(GivenReadTime), WriteTime(GivenWriteTime),
+        MaxBodyBytes(GivenMaxBodyBytes) {}
 
   bool buffered() const { return !Buffer.empty(); }
 
+  /// \returns why the request is rejected whose body the library was reading;
+  /// nothing if its body is not too large.
+  std::optional<rejection> checkBody() const {
+    if (BodyBytes <= MaxBodyBytes)
+      return std::nullopt;
+    return rejection{413, "body_too_large",
+                     fmt::format("the body exceeds {} bytes", MaxBodyBytes)};
+  }
+
   /// Reads the head of the next request and leaves it to be read again.
   /// \returns why the request is rejected; nothing if it is sound or the caller
   /// has left.
   std::optional<rejection> checkHead(std::size_t MaxBytes, milliseconds Time) {
     const instant Deadline = later(readClock(), Time);
-    http_reader Reader(http_message::Request, MaxBytes);
+    Reader.reset();
+    Reader.setMaxHeadBytes(MaxBytes);
+    BodyBytes = 0;
     for (std::size_t Checked = 0;;) {
       for (; Checked < Buffer.size(); ++Checked) {
         // The library skips lines that end in a lone line feed.
@@ -57,8 +68,11 @@
         Reader.feed(std::string_view(Buffer).substr(Checked, 1));
         if (LoneLineFeed || Reader.error() != http_read_error::None)
           return rejectionOf(Reader.error(), MaxBytes);
-        if (Reader.headComplete())
-          return std::nullopt;
+        if (Reader.headComplete()) {
+          HeadLeft = Checked + 1;
+          BodyBytes = declaredLength(Reader.request().Fields);
+          return checkBody();
+        }
       }
       const auto Left = std::chrono::duration_cast<milliseconds>(
           Deadline.Steady - readClock().Steady);
@@ -82,11 +96,19 @@
     if (!is_readable() || (!buffered() && !receive()))
       return -1;
     const std::size_t Length = std::min(Size, Buffer.size());
+    if (!countBody(std::string_view(Buffer).substr(0, Length)))
+      return -1;
     std::copy_n(Buffer.begin(), Length, Out);
     Buffer.erase(0, Length);
     return static_cast<ssize_t>(Length);
   }
   ssize_t write(const char *Bytes, size_t Size) override {
+    // The library's own error for a body that it could not read.
+    if (checkBody())
+      return -1;
+    return sendBytes(Bytes, Size);
+  }
+  ssize_t sendBytes(const char *Bytes, size_t Size) {
     return is_writable() ? ::send(Socket, Bytes, Size, MSG_NOSIGNAL) : -1;
   }
   void get_remote_ip_and_port(std::string &Ip, int &Port) const override {
@@ -108,6 +130,19 @@
             "or ambiguous"};
   }
 
+  /// Counts what the library reads of a body. The library limits bodies with a
+  /// length only.
+  /// \returns whether the body may go on.
+  bool countBody(std::string_view Bytes) {
+    const std::size_t OfHead = std::min(HeadLeft, Bytes.size());
+    HeadLeft -= OfHead;
+    Reader.feed(Bytes.substr(OfHead));
+    const std::size_t Decoded = Reader.takeBody().size();
+    if (!findField(Reader.request().Fields, "Content-Length"))
+      BodyBytes += Decoded;
+    return BodyBytes <= MaxBodyBytes;
+  }
+
   bool receive() {
     char Bytes[ReadSize];
     const ssize_t Length = ::recv(Socket, Bytes, sizeof(Bytes), 0);
@@ -132,6 +167,10 @@
   milliseconds ReadTime;
   milliseconds WriteTime;
   std::string Buffer; ///< Received and not yet read by the library.
+  std::size_t MaxBodyBytes;
+  http_reader Reader{http_message::Request}; ///< Of the current request.
+  std::size_t HeadLeft = 0; ///< Bytes of its head that the library has to read.
+  std::size_t BodyBytes = 0; ///< Declared, or else received so far.
 };
 
 /// Answers with an error. What the caller still sends is read and dropped for a
@@ -146,7 +185,7 @@
   const std::string Bytes =
       encodeResponseHead(Head, body_framing::Length, Body.size(), true) + Body;
   // A caller that does not read its error is not waited for.
-  (void)Stream.write(Bytes.data(), Bytes.size());
+  (void)Stream.sendBytes(Bytes.data(), Bytes.size());
   ::shutdown(Stream.socket(), SHUT_WR);
   const instant Deadline = later(readClock(), LingerTime);
   char Dropped[ReadSize];
@@ -164,9 +203,9 @@
 } // namespace
 
 bool strict_server::process_and_close_socket(socket_t Socket) {
-  checked_stream Stream(Socket,
-                        durationOf(read_timeout_sec_, read_timeout_usec_),
-                        durationOf(write_timeout_sec_, write_timeout_usec_));
+  checked_stream Stream(
+      Socket, durationOf(read_timeout_sec_, read_timeout_usec_),
+      durationOf(write_timeout_sec_, write_timeout_usec_), payload_max_length_);
   const milliseconds IdleTime = seconds(keep_alive_timeout_sec_);
   bool Served = true;
   for (std::size_t Left = keep_alive_max_count_; Left > 0; --Left) {
@@ -183,6 +222,10 @@
     }
     bool Closed = false;
     Served = process_request(Stream, Left == 1, Closed, nullptr);
+    if (const auto Rejection = Stream.checkBody()) {
+      reject(*Rejection, Stream);
+      break;
+    }
     if (!Served || Closed)
       break;
   }
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace lentilhoist {
@@ -85,6 +86,14 @@
   return Field ? std::string_view(Field->Value) : std::string_view();
 }
 
+std::size_t declaredLength(const http_fields &Fields) {
+  const std::string_view Text = fieldValue(Fields, "Content-Length");
+  std::size_t Length = 0;
+  // http_reader has validated the number.
+  std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Length;
+}
+
 bool listHasToken(std::string_view Value, std::string_view Token) {
   while (!Value.empty()) {
     const std::size_t Comma = Value.find(',');
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -42,6 +42,10 @@
 /// \returns the value of the first field of that name; empty if there is none.
 std::string_view fieldValue(const http_fields &Fields, std::string_view Name);
 
+/// \param Fields fields that an http_reader has read without an error.
+/// \returns the declared length of the body, in bytes; 0 if there is none.
+std::size_t declaredLength(const http_fields &Fields);
+
 /// \param Value a comma-separated list.
 /// \param Token the element to look for, without regard to case.
 /// \returns whether the list holds it.
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -1,6 +1,7 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "net/http_head.h"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -125,6 +126,38 @@
   return Count;
 }
 
+/// Sends a start and then the same bytes again and again, some 60 MB a second,
+/// until the server ends the connection or a limit is reached.
+class endless_client {
+public:
+  static constexpr std::size_t MaxBytes = 96UL * 1024UL * 1024UL;
+
+  endless_client(int Port, const std::string &Start,
+                 const std::string &Repeat) {
+    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    Address.sin_port = htons(static_cast<std::uint16_t>(Port));
+    bool Open = ::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
+                          sizeof(Address)) == 0;
+    for (std::string_view Bytes = Start; Open && Sent < MaxBytes;
+         Bytes = Repeat) {
+      Open = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL) > 0;
+      Sent += Bytes.size();
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      char Part[4'096];
+      const ssize_t Length = ::recv(Socket, Part, sizeof(Part), MSG_DONTWAIT);
+      if (Length > 0)
+        Received.append(Part, static_cast<std::size_t>(Length));
+    }
+    ::close(Socket);
+  }
+
+  std::size_t Sent = 0;
+  std::string Received;
+};
+
 } // namespace
 
 TEST_CASE(
@@ -173,6 +206,27 @@
   CHECK(Bodies == "ab;cde;f;");
 }
 
+// Guards against a caller who sends without end.
+TEST_CASE("a body without end is rejected") {
+  std::atomic<int> Handled{0};
+  http_server Server{http_server_settings()};
+  Server.routes().Post("/", [&](const auto &, auto &) { ++Handled; });
+  Server.start();
+  const std::string Filler(64UL * 1024UL, 'x');
+  for (const bool Chunked : {true, false}) {
+    const endless_client Client(
+        Server.port(),
+        std::string("POST / HTTP/1.1\r\nHost: h\r\n") +
+            (Chunked ? "Transfer-Encoding: chunked\r\n\r\n"
+                     : "Content-Length: 99999999999\r\n\r\n"),
+        Chunked ? encodeChunk(Filler) : Filler);
+    CHECK(Client.Sent < endless_client::MaxBytes);
+    CHECK(Client.Received.starts_with("HTTP/1.1 413"));
+    CHECK(Client.Received.find("\"run\":\"not_run\"") != std::string::npos);
+  }
+  CHECK(Handled == 0);
+}
+
 TEST_CASE(
     "a head that is too large or never ends is rejected with its reason") {
   http_server_settings Settings;
