--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1248,6 +1248,25 @@
   SUBCASE("events without end") {
     Endless = encodeChunk("data: " + Filler + "\n\n");
   }
+  SUBCASE("trailers without end") {
+    Endless.clear();
+    for (int Count = 0; Count < 4'000; ++Count)
+      Endless += "X-A: b\r\n";
+    Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n0\r\n";
+    Expected = "HTTP/1.1 502";
+  }
+  SUBCASE("an event without end, with a length") {
+    Endless = Filler;
+    Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+           "Content-Length: 99999999999\r\n\r\n";
+    Expected = "HTTP/1.1 502";
+  }
+  SUBCASE("an event without end, delimited by the connection") {
+    Endless = Filler;
+    Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+    Expected = "HTTP/1.1 502";
+  }
   SUBCASE("a refusal") {
     Head = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
            "Transfer-Encoding: chunked\r\n\r\n";
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -18,6 +18,7 @@
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
+#include <unistd.h>
 
 using namespace lentilhoist;
 
@@ -991,6 +992,19 @@
   CHECK(Fixture.Link->outstanding() == 1);
 }
 
+namespace {
+
+/// \returns the memory of this process that is resident, in bytes.
+std::size_t residentBytes() {
+  std::ifstream File("/proc/self/statm");
+  std::size_t Total = 0;
+  std::size_t Resident = 0;
+  File >> Total >> Resident;
+  return Resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
 // Guards against one reply that blocks its link for all others (review case 7):
 // the link was closed, and the request sent again, until its time was over.
 TEST_CASE("a reply that can't be read fails its request only, and is not asked "
@@ -1053,6 +1067,78 @@
     Peer->close();
 }
 
+// Guards against a peer that sends bytes without end (docs/incidents/024).
+TEST_CASE("a link and a replica give up bytes without end, and drop those of "
+          "one long frame") {
+  constexpr std::size_t Limit = 32UL * 1024UL * 1024UL;
+  const struct {
+    std::string Start;
+    bool GivenUp;
+  } Cases[] = {{std::string(4, '\xff'), true}, // A length of 4 GB.
+               {"HTTP/1.1 200 OK\r\n\r\n", true},
+               {std::string("\x0c\x00\x00\x00", 4), false}}; // 200 MB.
+  const std::string Part(64UL * 1024UL, 'x');
+  for (const auto &Case : Cases)
+    for (const bool ToLink : {true, false}) {
+      asio::io_context Loop;
+      std::size_t Sent = 0;
+      bool Ended = false;
+      std::shared_ptr<tcp_stream> Peer;
+      const auto SetHandlers = [&] {
+        tcp_stream::handlers Handlers;
+        Handlers.OnConnected = [&] { Peer->write(Case.Start + Part); };
+        Handlers.OnDrained = [&] {
+          Sent += Part.size();
+          if (Sent < 4 * Limit)
+            Peer->write(Part);
+        };
+        Handlers.OnEnd = [&](stream_end) { Ended = true; };
+        Peer->setHandlers(std::move(Handlers));
+      };
+      const listener Listener(Loop, {asio::ip::address_v4::loopback(), 0},
+                              "peer", [&](asio::ip::tcp::socket Socket) {
+                                if (Peer)
+                                  return; // The link connects again.
+                                Peer = std::make_shared<tcp_stream>(
+                                    std::move(Socket), socket_settings{});
+                                SetHandlers();
+                                Peer->start();
+                                Peer->write(Case.Start + Part);
+                              });
+      const std::uint16_t Port = [&] {
+        const listener Free(Loop, {asio::ip::address_v4::loopback(), 0}, "free",
+                            [](asio::ip::tcp::socket) {});
+        return Free.port();
+      }();
+      const replica_server Server(
+          Loop, {asio::ip::address_v4::loopback(), Port},
+          [](const replica_request &, const replica_server::on_reply &) {});
+      const auto Link = std::make_shared<history_link>(
+          Loop, "127.0.0.1:" + std::to_string(Listener.port()));
+      if (ToLink) {
+        Link->open();
+      } else {
+        Peer = std::make_shared<tcp_stream>(asio::ip::tcp::socket(Loop),
+                                            socket_settings{});
+        SetHandlers();
+        Peer->connect({asio::ip::address_v4::loopback(), Port});
+      }
+      const std::size_t Before = residentBytes();
+      const instant Begin = readClock();
+      while (!Ended && Sent < 4 * Limit &&
+             readClock().Steady - Begin.Steady < seconds(10)) {
+        Loop.restart();
+        Loop.run_one_for(milliseconds(100));
+      }
+      INFO("to a link " << ToLink << ", starts with " << Case.Start.size());
+      CHECK(Ended == Case.GivenUp);
+      CHECK((Sent < Limit) == Case.GivenUp);
+      CHECK(residentBytes() < Before + Limit);
+      Link->close();
+      Peer->close();
+    }
+}
+
 TEST_CASE("a request larger than a frame is not sent, and fails") {
   link_fixture Fixture;
   replica_request Large;
--- a/tests/tunnel_test.cpp
+++ b/tests/tunnel_test.cpp
@@ -367,6 +367,54 @@
   Fixture.Runner.OnDrained = nullptr;
 }
 
+// Guards against a peer whose bytes are no messages and never end.
+TEST_CASE("bytes without end that are no messages end a tunnel, at the relay "
+          "and at the instance") {
+  constexpr std::size_t Limit = 16UL * 1024UL * 1024UL;
+  fixture Fixture;
+  const std::string Part(64UL * 1024UL, 'x');
+  std::size_t Sent = 0;
+  // To the relay.
+  const auto Peer = std::make_shared<tcp_stream>(
+      asio::ip::tcp::socket(Fixture.Loop), socket_settings{});
+  bool Ended = false;
+  tcp_stream::handlers Handlers;
+  const auto Send = [&] {
+    Sent += Part.size();
+    if (Sent < 2 * Limit)
+      Peer->write(Part);
+  };
+  Handlers.OnConnected = Send;
+  Handlers.OnDrained = Send;
+  Handlers.OnEnd = [&](stream_end) { Ended = true; };
+  Peer->setHandlers(std::move(Handlers));
+  Peer->connect(*parseAddress(addressOf(Fixture.Relay->port())));
+  Fixture.runUntil([&] { return Ended; });
+  CHECK(Sent < Limit);
+  Peer->close();
+  // To an instance: the stand-in of a runner takes the place of the relay.
+  Sent = 0;
+  Fixture.Runner.OnDrained = [&] {
+    Sent += Part.size();
+    if (Sent < 2 * Limit)
+      Fixture.Runner.Streams.front()->write(Part);
+  };
+  const auto Connection = std::make_shared<runner_connection>(
+      Fixture.Loop,
+      runner_target{"127.0.0.1:1", Fixture.RunnerAddress, "r", 7});
+  std::vector<stream_end> Ends;
+  tcp_stream::handlers Instance;
+  Instance.OnEnd = [&](stream_end End) { Ends.push_back(End); };
+  Connection->setHandlers(std::move(Instance));
+  Connection->connect();
+  Fixture.runUntil([&] { return !Fixture.Runner.Received.empty(); });
+  Fixture.Runner.Streams.front()->write(Part);
+  Fixture.runUntil([&] { return !Ends.empty(); });
+  CHECK(Ends == std::vector<stream_end>{stream_end::ConnectFailed});
+  CHECK(Sent < Limit);
+  Fixture.Runner.OnDrained = nullptr;
+}
+
 TEST_CASE("a relay that stops tells the instances, whose requests go on") {
   fixture Fixture;
   const auto Connection = Fixture.connect();
