--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -19,8 +19,10 @@
 #include <filesystem>
 #include <fstream>
 #include <malloc.h>
+
 #if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#include <sanitizer/allocator_interface.h>
+/// Of the sanitizers' runtime, whose header not every system has.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
 #endif
 
 using namespace lentilhoist;
