Reject responses whose status line is no answer

Cause: http_reader took whatever number the parser library accepts. The library reads digits up to 999, so 000, one or two digits, 099, 0200 and 600 to 999 were statuses; it also takes two spaces before the status and control bytes in the reason, and finds chunks in HTTP/1.0. A 101 counted as one more informational response before the final one, although no request asks for a switch of protocols.

Change: response_grammar checks the status line of each response, informational ones too, before the library reads it: a version 1.x, three digits from 100 to 599 (RFC 9110, section 15), a reason without control bytes. 101 and chunks in HTTP/1.0 are malformed. All that reads responses uses http_reader: the entry, also through relays, the store's client, and the own interface's calls of engines, services and objects. They treat the response as malformed: the send may have run, so a caller gets 502 and no refusal, only idempotent requests are sent again, the connection is closed with what follows on it, and the runner's record shows the failure.

Tests: net_test tries each form in one piece and byte by byte, and statuses and fields that are unusual but valid. forward_test, store_test, runner_test and objects_test send such responses from a stand-in to each client; closing_server moves into a header for them.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -15,6 +15,7 @@
 constexpr int MaxInformationalResponses = 16;
 constexpr int SkipBody = 1;     ///< Answer of the head callback.
 constexpr int StopParsing = -1; ///< Any callback's answer to give up.
+constexpr int StatusSwitchingProtocols = 101;
 
 /// Control characters, and spaces in names, which the parser library lets
 /// through in its lenient form.
@@ -42,6 +43,7 @@
   http_parser_init(&Parser, Kind == http_message::Request ? HTTP_REQUEST
                                                           : HTTP_RESPONSE);
   Parser.data = this;
+  Grammar.reset();
   Request = {};
   Response = {};
   Body.clear();
@@ -82,9 +84,27 @@
   if (Used == Bytes.size())
     return Used;
   Started = true;
+  while (Used < Bytes.size() && !Complete && Error == http_read_error::None) {
+    std::string_view Part = Bytes.substr(Used);
+    if (Kind == http_message::Response) {
+      const auto Length = Grammar.check(Part);
+      if (!Length) {
+        Error = http_read_error::Malformed;
+        break;
+      }
+      Part = Part.substr(0, *Length);
+    }
+    Used += parse(Part);
+  }
+  return Used;
+}
+
+/// Passes bytes of one message to the parser library.
+/// \returns how many of them it read.
+std::size_t http_reader::parse(std::string_view Bytes) {
   const bool InHead = !HeadComplete;
-  const std::size_t Parsed = http_parser_execute(
-      &Parser, &callbacks(), Bytes.data() + Used, Bytes.size() - Used);
+  const std::size_t Parsed =
+      http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
   if (InHead)
     HeadReadBytes += Parsed;
   if (!HeadComplete) {
@@ -98,7 +118,7 @@
   else if (Failure != HPE_OK && Failure != HPE_PAUSED &&
            Error == http_read_error::None)
     Error = http_read_error::Malformed;
-  return Used + Parsed;
+  return Parsed;
 }
 
 std::size_t http_reader::headMemory() const {
@@ -192,9 +212,16 @@
     Response.Status = Parser.status_code;
     const bool Bodyless = NoBody || Response.Status / 100 == 1 ||
                           Response.Status == 204 || Response.Status == 304;
+    // No request asks for a switch of protocols. HTTP/1.0 has no chunks.
+    if (Response.Status == StatusSwitchingProtocols ||
+        (Parser.http_minor == 0 && Framing == body_framing::Chunked)) {
+      Error = http_read_error::Malformed;
+      return StopParsing;
+    }
     if (!Bodyless && Framing != body_framing::Chunked &&
         !findField(Response.Fields, "Content-Length"))
       Framing = body_framing::Connection;
+    Grammar.beginBody();
   }
   HeadComplete = true;
   return NoBody ? SkipBody : 0;
@@ -211,6 +238,7 @@
   if (Reader.Kind == http_message::Response &&
       Reader.Response.Status / 100 == 1) {
     Reader.Response = {};
+    Reader.Grammar.reset();
     Reader.HeadComplete = Reader.InValue = false;
     if (++Reader.InformationalResponses <= MaxInformationalResponses)
       return 0;
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "net/http_head.h"
+#include "net/response_grammar.h"
 
 #include <http_parser.h>
 #include <string>
@@ -82,6 +83,7 @@
   static int onMessageComplete(http_parser *Parser);
   static const http_parser_settings &callbacks();
 
+  std::size_t parse(std::string_view Bytes);
   http_fields &fields();
   bool framingIsSound() const;
   int finishHead();
@@ -89,6 +91,7 @@
   http_message Kind;
   std::size_t MaxHeadBytes;
   http_parser Parser{};
+  response_grammar Grammar; ///< Of responses; unused for requests.
   http_request_head Request;
   http_response_head Response;
   std::string Body;
--- /dev/null
+++ b/src/net/response_grammar.cpp
@@ -0,0 +1,81 @@
+#include "net/response_grammar.h"
+
+#include <algorithm>
+
+namespace lentilhoist {
+
+namespace {
+
+constexpr std::string_view VersionStart = "HTTP/1.";
+constexpr std::size_t StatusDigits = 3;
+
+bool isDigit(char Char) { return Char >= '0' && Char <= '9'; }
+
+/// \returns whether the text has no control characters other than tabs.
+bool isText(std::string_view Text) {
+  return std::none_of(Text.begin(), Text.end(), [](unsigned char Char) {
+    return (Char < ' ' && Char != '\t') || Char == 0x7f;
+  });
+}
+
+} // namespace
+
+bool isStatusLine(std::string_view Text) {
+  if (!Text.starts_with(VersionStart))
+    return false;
+  Text.remove_prefix(VersionStart.size());
+  if (Text.size() < 2 + StatusDigits || !isDigit(Text[0]) || Text[1] != ' ')
+    return false;
+  const std::string_view Status = Text.substr(2, StatusDigits);
+  const std::string_view Reason = Text.substr(2 + StatusDigits);
+  return Status[0] >= '1' && Status[0] <= '5' &&
+         std::all_of(Status.begin(), Status.end(), isDigit) &&
+         (Reason.empty() || Reason[0] == ' ') && isText(Reason);
+}
+
+void response_grammar::reset() {
+  Part = part::StatusLine;
+  Line.clear();
+}
+
+void response_grammar::beginBody() { Part = part::Body; }
+
+std::optional<std::size_t> response_grammar::check(std::string_view Bytes) {
+  return Part == part::Body ? Bytes.size() : checkLine(Bytes);
+}
+
+/// The parser library bounds the length of a line.
+std::optional<std::size_t> response_grammar::checkLine(std::string_view Bytes) {
+  const std::size_t LineFeed = Bytes.find('\n');
+  const bool Ended = LineFeed != std::string_view::npos;
+  const std::size_t Length = Ended ? LineFeed + 1 : Bytes.size();
+  std::string_view Text = Bytes.substr(0, Length);
+  if (!Ended || !Line.empty())
+    Text = Line.append(Text);
+  if (!Ended)
+    return Length;
+  Text.remove_suffix(1);
+  if (Text.ends_with('\r'))
+    Text.remove_suffix(1);
+  if (!acceptLine(Text))
+    return std::nullopt;
+  Line.clear();
+  return Length;
+}
+
+bool response_grammar::acceptLine(std::string_view Text) {
+  switch (Part) {
+  case part::StatusLine:
+    Part = part::FieldLine;
+    return isStatusLine(Text);
+  case part::FieldLine:
+    if (Text.empty())
+      Part = part::StatusLine;
+    return true;
+  case part::Body:
+    break;
+  }
+  return false;
+}
+
+} // namespace lentilhoist
--- /dev/null
+++ b/tests/broken_responses.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace lentilhoist {
+
+/// Successes that are broken in one place each. net_test tries each byte that
+/// the grammar excludes; these show that a client is under the same rule.
+/// \param Fields lines of the head, without the framing.
+/// \param Body the body.
+/// \returns the responses.
+inline std::vector<std::string> brokenResponses(const std::string &Fields,
+                                                const std::string &Body) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Length =
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  std::vector<std::string> Broken;
+  for (const char *Line :
+       {"HTTP/1.1 000 OK", "HTTP/1.1 20 OK", "HTTP/1.1 099 OK",
+        "HTTP/1.1 0200 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+        "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK"})
+    Broken.push_back(Line + ("\r\n" + Fields) + Length + "\r\n" + Body);
+  return Broken;
+}
+
+} // namespace lentilhoist
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "broken_responses.h"
 #include "early_runner.h"
 #include "forward/caller_connection.h"
 #include "history/relay_server.h"
@@ -527,6 +528,65 @@
   }
 }
 
+namespace {
+
+/// \returns the fields of a runner's response to a request.
+std::string runnerFields(const std::string &Attempt) {
+  return "X-Attempt-Id: " + Attempt +
+         "\r\nX-Server-Seal: s\r\nContent-Type: text/event-stream\r\n";
+}
+
+const std::string WholeEvent = "id: 1\ndata: a\n\n";
+
+/// \returns whether a runner's response could have been passed on.
+bool hasRunnersBytes(const std::string &Response) {
+  return Response.find("X-Server-Seal") != std::string::npos ||
+         Response.find("data: a") != std::string::npos;
+}
+
+} // namespace
+
+// Guards against a runner's broken response reaching a caller as an answer, and
+// against the next request taking what follows it (incident 025, MIXED).
+TEST_CASE("a broken response of a runner reaches no caller, and its connection "
+          "is given up") {
+  for (const route_kind Kind :
+       {route_kind::Idempotent, route_kind::NonIdempotent,
+        route_kind::Streaming})
+    for (const std::string &Broken :
+         brokenResponses(runnerFields("1"), WholeEvent)) {
+      bool First = true;
+      fixture Fixture([&](const http_request_head &Head, const std::string &) {
+        if (std::exchange(First, false))
+          return scripted_response{Broken + sealedResponse("2", "stale")};
+        return scripted_response{
+            streamResponse(attemptOf(Head), body_framing::Length, WholeEvent)};
+      });
+      Fixture.setRoutes(Kind, false);
+      INFO(std::string(routeKindName(Kind)) << ": " << Broken);
+      const std::string Response = Fixture.call("1");
+      const bool Begun = Response.ends_with("<aborted>");
+      if (Kind == route_kind::Idempotent) {
+        CHECK(bodyOf(Response) == WholeEvent);
+        CHECK(Fixture.arrivals() == 2);
+      } else {
+        // It may have run, so that no refusal may say otherwise.
+        const bool Told = Response.starts_with("HTTP/1.1 502") || Begun;
+        CHECK(Told);
+        CHECK(Response.find("Retry-After") == std::string::npos);
+        CHECK((Begun || !hasRunnersBytes(Response)));
+        CHECK(Fixture.arrivals() == 1);
+      }
+      int Failures = 0;
+      for (const auto &[Id, Runner] : Fixture.Context.Runners.Runners)
+        Failures += Runner.ConsecutiveFailures;
+      CHECK(Failures == 1);
+      CHECK(bodyOf(Fixture.call("2")).find("stale") == std::string::npos);
+      Fixture.runFor(milliseconds(5));
+      CHECK(Fixture.First.Ended + Fixture.Second.Ended >= 1);
+    }
+}
+
 TEST_CASE("exchange discards bytes that follow a response") {
   fixture Fixture([](const http_request_head &Head, const std::string &) {
     const std::string Response = sealedResponse(attemptOf(Head), "one");
@@ -1953,6 +2013,25 @@
   }
 }
 
+// Guards against the same broken responses behind a relay, which passes bytes
+// on as they are.
+TEST_CASE("a broken response of a runner behind a relay reaches no caller") {
+  for (const std::string &Broken :
+       brokenResponses(runnerFields("1"), WholeEvent)) {
+    stranded_fixture Fixture(
+        [&](const http_request_head &, const std::string &) {
+          return scripted_response{Broken};
+        });
+    Fixture.setRoutes(route_kind::NonIdempotent, false);
+    INFO(Broken);
+    const std::string Response = Fixture.call("1");
+    CHECK(Response.starts_with("HTTP/1.1 502"));
+    CHECK_FALSE(hasRunnersBytes(Response));
+    CHECK(Fixture.Context.Path.State == path_state::Lost);
+    CHECK(Fixture.arrivals() == 1);
+  }
+}
+
 // Guards against a request that runs twice, or a response that passes for
 // complete, because a relay ended.
 TEST_CASE(
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -10,6 +10,7 @@
 #include "net/tcp_stream.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 #include <random>
 #include <sys/resource.h>
 #include <vector>
@@ -124,6 +125,122 @@
   CHECK(Reader.response().Status == 204);
 }
 
+namespace {
+
+struct read_response {
+  http_read_error Error = http_read_error::None;
+  bool Complete = false;
+  int Status = 0;
+  std::string Body;
+  std::size_t Used = 0;
+};
+
+/// Reads one response in pieces of one size, up to the end of its connection.
+read_response readResponse(std::string_view Text, std::size_t Size) {
+  http_reader Reader(http_message::Response);
+  read_response Read;
+  Read.Used = feedInPieces(Reader, Text, Size, Read.Body);
+  if (!Reader.complete() && Reader.error() == http_read_error::None)
+    Reader.feedEnd();
+  Read.Body += Reader.takeBody();
+  Read.Error = Reader.error();
+  Read.Complete = Reader.complete();
+  Read.Status = Reader.response().Status;
+  return Read;
+}
+
+/// \returns the text with control bytes and those above 0x7e as \xNN.
+std::string printable(std::string_view Text) {
+  std::string Out;
+  for (const unsigned char Char : Text)
+    Out += Char < ' ' || Char > 0x7e ? fmt::format("\\x{:02x}", Char)
+                                     : std::string(1, static_cast<char>(Char));
+  return Out;
+}
+
+void checkMalformed(const std::string &Text) {
+  for (const std::size_t Size : {Text.size(), std::size_t{7}, std::size_t{1}}) {
+    INFO(printable(Text) << " in pieces of " << Size);
+    const read_response Read = readResponse(Text, Size);
+    CHECK(Read.Error == http_read_error::Malformed);
+    CHECK_FALSE(Read.Complete);
+  }
+}
+
+/// \returns a response with a body of three bytes and further lines before its
+/// length.
+std::string responseWith(const std::string &Lines) {
+  return "HTTP/1.1 200 OK\r\n" + Lines + "Content-Length: 3\r\n\r\nabc";
+}
+
+} // namespace
+
+// Guards against bytes that are no status line reaching a caller as an answer
+// (incident 025; RFC 9110, section 15).
+TEST_CASE("a response without a status from 100 to 599 that was asked for is "
+          "malformed") {
+  for (const char *Line :
+       {"HTTP/1.1 000 OK",     "HTTP/1.1 0 OK",
+        "HTTP/1.1 2 OK",       "HTTP/1.1 20 OK",
+        "HTTP/1.1 099 OK",     "HTTP/1.1 0200 OK",
+        "HTTP/1.1 00200 OK",   "HTTP/1.1 2000 OK",
+        "HTTP/1.1 600 OK",     "HTTP/1.1 700 OK",
+        "HTTP/1.1 999 OK",     "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1  200",       "HTTP/1.1\t200 OK",
+        "HTTP/1.1 200\tOK",    "HTTP/1.1 2x0 OK",
+        "HTTP/1.1 -20 OK",     "HTTP/1.1 +20 OK",
+        "HTTP/1.1 OK",         "HTTP/1.1",
+        "HTTP/1.1 200OK",      "HTTP/2.0 200 OK",
+        "HTTP/2 200 OK",       "HTTP/0.9 200 OK",
+        "HTTP/1.10 200 OK",    "HTTP/01.1 200 OK",
+        "HTTP/1. 200 OK",      "http/1.1 200 OK",
+        "HTTP /1.1 200 OK",    " HTTP/1.1 200 OK",
+        "HTTP/1.1 200 O\x01K", "HTTP/1.1 200 O\x7fK",
+        "HTTP/1.1 200 O\rK"})
+    checkMalformed(std::string(Line) + "\r\nContent-Length: 3\r\n\r\nabc");
+  using namespace std::string_literals;
+  checkMalformed("HTTP/1.1 200 O\0K\r\nContent-Length: 3\r\n\r\nabc"s);
+  // Framing that a recipient of the version stated would read otherwise.
+  checkMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "3\r\nabc\r\n0\r\n\r\n");
+}
+
+// Guards against a rule that gives up sound responses.
+TEST_CASE("unusual responses that are valid are read as before") {
+  for (const int Status :
+       {200, 201, 226, 299, 300, 399, 400, 418, 451, 499, 500, 599}) {
+    const std::string Text = "HTTP/1.1 " + std::to_string(Status) +
+                             " \r\nContent-Length: 3\r\n\r\nabc";
+    const read_response Read = readResponse(Text, 5);
+    INFO(Text);
+    CHECK(Read.Complete);
+    CHECK(Read.Status == Status);
+    CHECK(Read.Body == "abc");
+  }
+  const std::string Length = "Content-Length: 3\r\n\r\nabc";
+  for (const std::string &Text :
+       {"HTTP/1.1 200\r\n" + Length, "HTTP/1.0 200 OK\r\n" + Length,
+        "HTTP/1.1 200 D\xe9j\xe0 \tvu\r\n" + Length,
+        "HTTP/1.1 100 \r\n\r\nHTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\n"
+        "HTTP/1.1 199 \r\n\r\n" +
+            responseWith(""),
+        responseWith("!#$%&'*+-.^_`|~09azAZ: b\r\n"), responseWith("X:\r\n"),
+        responseWith("X: \t \r\n"), responseWith("X:b\tc : d \r\n"),
+        responseWith("X: \x80\xe4\xff\r\n"),
+        responseWith("X: " + std::string(30'000, 'b') + "\r\n"),
+        std::string("HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
+                    "0003;a=\"b c\"\r\nabc\r\n00\r\nX-Sum: 1\r\n\r\n")})
+    for (const std::size_t Size : {Text.size(), std::size_t{1}}) {
+      const read_response Read = readResponse(Text, Size);
+      INFO(Text.substr(0, 300) << " in pieces of " << Size);
+      CHECK(Read.Error == http_read_error::None);
+      CHECK(Read.Complete);
+      CHECK(Read.Status == 200);
+      CHECK(Read.Body == "abc");
+      CHECK(Read.Used == Text.size());
+    }
+}
+
 // Guards against a response that broke off passing for a complete one.
 TEST_CASE(
     "isComplete needs the end that the framing asks for, and whole events "
--- a/tests/objects_test.cpp
+++ b/tests/objects_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "broken_responses.h"
 #include "early_runner.h"
 #include "endless_server.h"
 #include "objects/journal_store.h"
@@ -297,6 +298,20 @@
 }
 
 // Guards against a platform that sends without end: up to 1 GB was kept.
+// Guards against a broken answer, or what follows it, passing for an object
+// (incident 025).
+TEST_CASE("a broken answer is an error, and its connection is given up") {
+  for (const std::string &Broken :
+       brokenResponses("ETag: \"1\"\r\n", "value")) {
+    scripted_server Platform({Broken + WholeAnswer, WholeAnswer}, false);
+    object_store Store = connectTo(Platform.port());
+    INFO(Broken);
+    CHECK_THROWS_AS(Store.read("a"), platform_error);
+    CHECK_THROWS_AS(Store.read("b"), platform_error);
+    CHECK(Platform.connections() == 2);
+  }
+}
+
 TEST_CASE("an answer without end is an error") {
   constexpr std::size_t MaxSentBytes = 48UL * 1024UL * 1024UL;
   std::string Start = "HTTP/1.1 200 OK\r\n\r\n";
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -1,4 +1,6 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "broken_responses.h"
+#include "closing_server.h"
 #include "early_runner.h"
 #include "endless_server.h"
 #include "net/event_parser.h"
@@ -242,45 +244,6 @@
   CHECK(Server.Sent < MaxReadBytes);
 }
 
-namespace {
-
-/// Sends a response to each request and then ends the connection, in order or
-/// by a reset.
-class closing_server {
-public:
-  closing_server(std::string Response, bool Reset)
-      : Listener(listenOnLoopback()) {
-    Thread = std::thread([this, Response, Reset] {
-      for (;;) {
-        const int Socket = ::accept(Listener, nullptr, nullptr);
-        if (Socket < 0)
-          return;
-        char Request[4'096];
-        (void)::recv(Socket, Request, sizeof(Request), 0);
-        (void)::send(Socket, Response.data(), Response.size(), MSG_NOSIGNAL);
-        // Lets the response arrive before a reset.
-        std::this_thread::sleep_for(milliseconds(50));
-        const linger Linger{Reset ? 1 : 0, 0};
-        ::setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Linger, sizeof(Linger));
-        ::close(Socket);
-      }
-    });
-  }
-  ~closing_server() {
-    ::shutdown(Listener, SHUT_RDWR);
-    Thread.join();
-    ::close(Listener);
-  }
-
-  int port() const { return portOf(Listener); }
-
-private:
-  int Listener;
-  std::thread Thread;
-};
-
-} // namespace
-
 // Guards against a service's response that broke off passing for a complete
 // one, and against one that only its connection ends passing for broken.
 TEST_CASE("a service's response is complete only if its end is that of its "
@@ -327,6 +290,20 @@
     }
 }
 
+// Guards against a service's broken response passing for a result, and against
+// its call passing for not run (incident 025).
+TEST_CASE("a service's broken response has an unknown outcome") {
+  for (const std::string &Broken : brokenResponses("", "abc")) {
+    closing_server Server(Broken, false);
+    const attempt_result Result =
+        runServiceAttempt(makeAttempt(Server.port(), 0));
+    INFO(Broken);
+    CHECK(Result.Code == error_code::OutcomeUnknown);
+    CHECK(Result.Run == run_state::OutcomeUnknown);
+    CHECK(Result.Response.find("abc") == std::string::npos);
+  }
+}
+
 // Guards against a model's stream that broke off passing for a complete one.
 // Guards against a response passing for complete whose service was killed while
 // the request was still on its way to it (review, case 2).
@@ -470,6 +447,24 @@
     }
 }
 
+// Guards against an engine's broken response passing for a stream (incident
+// 025).
+TEST_CASE("an engine's broken response is no result and no refusal") {
+  const std::string Events =
+      "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n"
+      "data: [DONE]\n\n";
+  for (const std::string &Broken : brokenResponses("", Events)) {
+    closing_server Engine(Broken, false);
+    const attempt_result Result = runModelAttempt(
+        makeAttempt(Engine.port(), 0), model_client_settings{},
+        [] { return false; }, [](std::string_view) {});
+    INFO(Broken);
+    CHECK(Result.Code == error_code::RunnerFailed);
+    CHECK(Result.Run == run_state::Ran);
+    CHECK(Result.Response.find("\"a\"") == std::string::npos);
+  }
+}
+
 TEST_CASE("a service's response that trickles ends at the call's deadline") {
   endless_server Server("HTTP/1.1 200 OK\r\n\r\n", "x", milliseconds(50));
   placed_attempt Placed = makeAttempt(Server.port(), 0);
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -1,4 +1,5 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "broken_responses.h"
 #include "early_runner.h"
 #include "net/address.h"
 #include "net/http_reader.h"
@@ -497,6 +498,35 @@
     }
 }
 
+// Guards against a store's broken response, or what follows it, passing for an
+// answer (incident 025).
+TEST_CASE(
+    "store_client takes no broken response, and nothing that follows it") {
+  for (const std::string &Broken : brokenResponses("", "{}")) {
+    asio::io_context Loop;
+    bool First = true;
+    scripted_store Store(Loop, [&](const std::string &) {
+      return std::exchange(First, false) ? Broken + jsonAnswer(200, "[1]")
+                                         : jsonAnswer(200, "{}");
+    });
+    const auto Client = std::make_shared<store_client>(Loop, Store.address());
+    std::vector<store_answer> Answers;
+    for (const char *Name : {"one", "two"})
+      Client->call(
+          platform::readRequest("kind", Name), milliseconds(500),
+          [&](const store_answer &Answer) { Answers.push_back(Answer); });
+    for (int Round = 0; Round < 600 && Answers.size() < 2; ++Round)
+      Loop.run_for(milliseconds(2));
+    INFO(Broken);
+    REQUIRE(Answers.size() == 2);
+    CHECK(Answers[0].Status == store_status::Unknown);
+    CHECK(Answers[1].Status == store_status::Done);
+    CHECK(Answers[1].Body == "{}");
+    CHECK(Store.Connections == 2);
+    Client->close();
+  }
+}
+
 TEST_CASE("store_client sends calls sequentially on one connection") {
   asio::io_context Loop;
   scripted_store Store(Loop, [](const std::string &Target) {
