Reject responses with a line that is no field

What callers saw: a runner's response was passed on although a line of its head was no field. A folded line was joined to the value before it; a return without a line feed at the start of a line ended the head, so that the rest of the head came as the beginning of the body.

Cause: the parser library is built in its lenient form. It takes a return followed by any byte, or a line feed alone, for the end of a line, and folded lines; http_reader looked at names and values only once the library had cut them. Where another recipient cuts the lines in another way, it finds another Content-Length.

Change: response_grammar checks each line of the head, of informational responses too, before the library reads it: it ends with CR LF and holds neither elsewhere, and is a token, a colon and a value without control bytes (RFC 9112, section 5). Folded lines are rejected, as RFC 9112, section 5.2, allows.

Tests: 36 lines in net_test, in the head's first place and a later one and in an informational response; eight of them through each client.

--- a/src/net/response_grammar.cpp
+++ b/src/net/response_grammar.cpp
@@ -11,6 +11,13 @@
 
 bool isDigit(char Char) { return Char >= '0' && Char <= '9'; }
 
+/// RFC 9110, section 5.6.2.
+bool isTokenCharacter(char Char) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return isDigit(Char) || (Char >= 'a' && Char <= 'z') ||
+         (Char >= 'A' && Char <= 'Z') || Marks.find(Char) != Marks.npos;
+}
+
 /// \returns whether the text has no control characters other than tabs.
 bool isText(std::string_view Text) {
   return std::none_of(Text.begin(), Text.end(), [](unsigned char Char) {
@@ -33,6 +40,15 @@
          (Reason.empty() || Reason[0] == ' ') && isText(Reason);
 }
 
+bool isFieldLine(std::string_view Text) {
+  const std::size_t Colon = Text.find(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return false;
+  const std::string_view Name = Text.substr(0, Colon);
+  return std::all_of(Name.begin(), Name.end(), isTokenCharacter) &&
+         isText(Text.substr(Colon + 1));
+}
+
 void response_grammar::reset() {
   Part = part::StatusLine;
   Line.clear();
@@ -52,12 +68,15 @@
   std::string_view Text = Bytes.substr(0, Length);
   if (!Ended || !Line.empty())
     Text = Line.append(Text);
-  if (!Ended)
-    return Length;
-  Text.remove_suffix(1);
-  if (Text.ends_with('\r'))
-    Text.remove_suffix(1);
-  if (!acceptLine(Text))
+  // A return stands before a line feed, and a line feed behind a return.
+  const std::size_t Return = Text.find('\r');
+  if (!Ended) {
+    const bool Bare =
+        Return != std::string_view::npos && Return + 1 != Text.size();
+    return Bare ? std::nullopt : std::optional(Length);
+  }
+  if (Return == std::string_view::npos || Return + 2 != Text.size() ||
+      !acceptLine(Text.substr(0, Return)))
     return std::nullopt;
   Line.clear();
   return Length;
@@ -69,8 +88,9 @@
     Part = part::FieldLine;
     return isStatusLine(Text);
   case part::FieldLine:
-    if (Text.empty())
-      Part = part::StatusLine;
+    if (!Text.empty())
+      return isFieldLine(Text);
+    Part = part::StatusLine;
     return true;
   case part::Body:
     break;
--- a/src/net/response_grammar.h
+++ b/src/net/response_grammar.h
@@ -8,7 +8,8 @@
 namespace lentilhoist {
 
 /// Checks the bytes of responses against the grammar of RFC 9112 before the
-/// parser library reads them. The library accepts any number as a status.
+/// parser library reads them. The library accepts more: any number as a status,
+/// and lines that other recipients split or frame in another way.
 class response_grammar {
 public:
   /// Checks the next bytes.
@@ -44,4 +45,9 @@
 /// 9112, section 4; RFC 9110, section 15).
 bool isStatusLine(std::string_view Text);
 
+/// \param Text a line without its end.
+/// \returns whether it is a name, a colon and a value (RFC 9112, section 5).
+/// Lines that continue the one before are not.
+bool isFieldLine(std::string_view Text);
+
 } // namespace lentilhoist
--- a/tests/broken_responses.h
+++ b/tests/broken_responses.h
@@ -21,6 +21,15 @@
         "HTTP/1.1 0200 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
         "HTTP/1.1 101 Switching Protocols", "HTTP/2.0 200 OK"})
     Broken.push_back(Line + ("\r\n" + Fields) + Length + "\r\n" + Body);
+  for (const char *Line :
+       {"Content-Length : 1\r\n", " Content-Length: 1\r\n", "X A: b\r\n",
+        "X\x01: b\r\n", "X-A: b\r\n c\r\n", "X-A: b\x01\r\n",
+        "X-A: b\nX-B: c\r\n", "\rContent-Length: 1\r\n"}) {
+    Broken.push_back(Ok + Line + Fields + Length + "\r\n" + Body);
+    Broken.push_back(Ok + Fields + Line + Length + "\r\n" + Body);
+    Broken.push_back("HTTP/1.1 103 Early Hints\r\n" + (Line + ("\r\n" + Ok)) +
+                     Fields + Length + "\r\n" + Body);
+  }
   return Broken;
 }
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -200,11 +200,68 @@
     checkMalformed(std::string(Line) + "\r\nContent-Length: 3\r\n\r\nabc");
   using namespace std::string_literals;
   checkMalformed("HTTP/1.1 200 O\0K\r\nContent-Length: 3\r\n\r\nabc"s);
+  checkMalformed("HTTP/1.1 200 OK\nContent-Length: 3\r\n\r\nabc");
+  checkMalformed("HTTP/1.1 200 OK\rContent-Length: 3\r\n\r\nabc");
   // Framing that a recipient of the version stated would read otherwise.
   checkMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                  "3\r\nabc\r\n0\r\n\r\n");
 }
 
+// Guards against a line that one recipient takes for a field of framing and
+// another doesn't (incident 025).
+TEST_CASE("a response with a line that is no field is malformed, also before "
+          "the final response") {
+  using namespace std::string_literals;
+  const std::vector<std::string> Lines{
+      "Content-Length : 5\r\n",
+      "Content-Length\t: 5\r\n",
+      "Transfer-Encoding : chunked\r\n",
+      "Content Length: 5\r\n",
+      "X A: b\r\n",
+      "X-A : b\r\n",
+      " X-A: b\r\n",
+      "\tX-A: b\r\n",
+      " Content-Length: 5\r\n",
+      "X-A: b\r\n c\r\n",
+      "X-A: b\r\n\tc\r\n",
+      "X-A: b\r\n \r\n",
+      "X-A:\r\n b\r\n",
+      "X\tA: b\r\n",
+      "X\x01A: b\r\n",
+      "X\0A: b\r\n"s,
+      "X\x7f: b\r\n",
+      "X\xe4: b\r\n",
+      "X(A): b\r\n",
+      "X\"A: b\r\n",
+      "X@A: b\r\n",
+      "X[A]: b\r\n",
+      ": b\r\n",
+      "X-A\r\n",
+      "X-A: b\0c\r\n"s,
+      "X-A: b\x01\r\n",
+      "X-A: b\x1b[0m\r\n",
+      "X-A: b\x7f\r\n",
+      "X-A: b\rX-B: c\r\n",
+      "X-A: b\r\r\n",
+      "X-A: b\nX-B: c\r\n",
+      "X-A: b\n",
+      "X\rA: b\r\n",
+      "X\nA: b\r\n",
+      "\rContent-Length: 5\r\n",
+      "Content-Length: 5\n",
+  };
+  for (const std::string &Line : Lines) {
+    checkMalformed(responseWith(Line));
+    checkMalformed(responseWith("X-First: a\r\n" + Line));
+    checkMalformed("HTTP/1.1 103 Early Hints\r\n" + Line + "\r\n" +
+                   responseWith(""));
+  }
+  for (const char *Length : {"", " ", "+3", "-3", "3, 3", "3 3", "0x3", "3;a",
+                             "3.0", "99999999999999999999"})
+    checkMalformed("HTTP/1.1 200 OK\r\nContent-Length: " + std::string(Length) +
+                   "\r\n\r\nabc");
+}
+
 // Guards against a rule that gives up sound responses.
 TEST_CASE("unusual responses that are valid are read as before") {
   for (const int Status :
