End responses that have no body with their head

Cause: http_reader read a body behind 1xx, 204 and 304 if the head stated a length or chunks. Such responses end with their head (RFC 9112, section 6.3): a sound 304 that states the length of what it stands for never became complete, bytes behind a 204 became its body, and the body of an informational response hid the bytes that stood where the final one should.

Change: these responses have no body whatever the head says. What follows belongs to no request: the connection is closed, and behind an informational response it must be a status line.

--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -133,6 +133,10 @@
   return Out;
 }
 
+bool allowsBody(int Status) {
+  return Status / 100 != 1 && Status != 204 && Status != 304;
+}
+
 std::string encodeResponseHead(const http_response_head &Head,
                                body_framing Framing, std::size_t Length,
                                bool Close) {
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -75,6 +75,10 @@
 /// \returns its stable text form.
 const char *bodyFramingName(body_framing Framing);
 
+/// \param Status the status of a response.
+/// \returns whether such a response may have a body (RFC 9110, section 6.4.1).
+bool allowsBody(int Status);
+
 /// Writes the head of a response.
 /// \param Head the head, without framing fields.
 /// \param Framing how the body is delimited: by Length or Chunked.
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -188,6 +188,7 @@
     while (!Field.Value.empty() &&
            (Field.Value.back() == ' ' || Field.Value.back() == '\t'))
       Field.Value.pop_back();
+  bool Bodyless = false;
   const bool Version11 = Parser.http_major == 1;
   if (!Version11 || !framingIsSound()) {
     Error = http_read_error::Malformed;
@@ -210,21 +211,22 @@
     }
   } else {
     Response.Status = Parser.status_code;
-    const bool Bodyless = NoBody || Response.Status / 100 == 1 ||
-                          Response.Status == 204 || Response.Status == 304;
+    Bodyless = NoBody || !allowsBody(Response.Status);
     // No request asks for a switch of protocols. HTTP/1.0 has no chunks.
     if (Response.Status == StatusSwitchingProtocols ||
         (Parser.http_minor == 0 && Framing == body_framing::Chunked)) {
       Error = http_read_error::Malformed;
       return StopParsing;
     }
-    if (!Bodyless && Framing != body_framing::Chunked &&
-        !findField(Response.Fields, "Content-Length"))
+    if (Bodyless)
+      Framing = body_framing::Length;
+    else if (Framing != body_framing::Chunked &&
+             !findField(Response.Fields, "Content-Length"))
       Framing = body_framing::Connection;
     Grammar.beginBody(Framing == body_framing::Chunked);
   }
   HeadComplete = true;
-  return NoBody ? SkipBody : 0;
+  return Bodyless ? SkipBody : 0;
 }
 
 int http_reader::onBody(http_parser *Parser, const char *At, size_t Length) {
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -282,6 +282,27 @@
     checkMalformed(Head + Chunks);
 }
 
+// Guards against bytes behind a response that has no body being taken for one.
+TEST_CASE("responses without a body end with their head, whatever it says") {
+  for (const char *Status : {"204 No Content", "304 Not Modified"})
+    for (const char *Field :
+         {"Content-Length: 3\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+      const std::string Head =
+          std::string("HTTP/1.1 ") + Status + "\r\n" + Field + "\r\n";
+      for (const std::size_t Size : {std::size_t{1}, std::size_t{999}}) {
+        INFO(Head << " in pieces of " << Size);
+        const read_response Read = readResponse(Head + "abc", Size);
+        CHECK(Read.Error == http_read_error::None);
+        CHECK(Read.Complete);
+        CHECK(Read.Body.empty());
+        CHECK(Read.Used == Head.size());
+      }
+    }
+  // The body of an informational response would stand where the final one does.
+  checkMalformed("HTTP/1.1 103 Early Hints\r\nContent-Length: 3\r\n\r\nabc" +
+                 responseWith(""));
+}
+
 // Guards against a rule that gives up sound responses.
 TEST_CASE("unusual responses that are valid are read as before") {
   for (const int Status :
