Pass on responses without a body without framing of ours

Cause: on a streaming route the entry sends each success in chunks. A 204, or the response to a HEAD request, was sent with Transfer-Encoding and a last chunk behind its head; its caller reads no body there and takes those bytes for the start of the next answer. A 204 on other routes got a Content-Length, which RFC 9110, section 8.6, forbids, and a 304 one of 0.

Change: encodeResponseHead writes no framing fields where the status allows no body, and the last chunk is sent only behind a body.

Tests: forward_test, 204 and 304 on both kinds of routes, with and without history, and HEAD.

--- a/src/forward/exchange.cpp
+++ b/src/forward/exchange.cpp
@@ -946,7 +946,7 @@
     if (Route->KeepsHistory)
       commit();
     else
-      finishResponse(std::string(LastChunk));
+      finishRelayed();
     return;
   }
   ResponseStarted = true;
@@ -981,7 +981,7 @@
             "lentilhoist_commit_seconds", "", Self->Route->Name,
             readClock().Steady - Self->ResponseCompletedAt.Steady);
         if (Durable)
-          Self->finishResponse(std::string(LastChunk));
+          Self->finishRelayed();
         else
           Self->abortResponse("history_away");
       });
@@ -1185,6 +1185,13 @@
   Finish(Close);
 }
 
+/// Completes a response whose head has been sent by startRelaying().
+void exchange::finishRelayed() {
+  const bool HasBody =
+      Head.Method != "HEAD" && allowsBody(Reader.response().Status);
+  finishResponse(HasBody ? std::string(LastChunk) : std::string());
+}
+
 void exchange::finishResponse(std::string Tail) {
   const int Status = Reader.response().Status;
   settleReservation();
--- a/src/forward/exchange.h
+++ b/src/forward/exchange.h
@@ -125,6 +125,7 @@
   void onTimeout();
   bool promiseClose();
   bool rejectIfStopping(instant Now);
+  void finishRelayed();
   void finishResponse(std::string Tail);
   void abortResponse(const char *Reason);
   void releaseRunner(bool Reusable);
--- a/src/net/http_head.cpp
+++ b/src/net/http_head.cpp
@@ -143,10 +143,10 @@
   std::string Out =
       fmt::format("HTTP/1.1 {} {}\r\n", Head.Status, reasonPhrase(Head.Status));
   appendFields(Out, Head.Fields);
-  if (Framing == body_framing::Chunked)
-    Out += "Transfer-Encoding: chunked\r\n";
-  else
-    Out += fmt::format("Content-Length: {}\r\n", Length);
+  if (allowsBody(Head.Status))
+    Out += Framing == body_framing::Chunked
+               ? "Transfer-Encoding: chunked\r\n"
+               : fmt::format("Content-Length: {}\r\n", Length);
   if (Close)
     Out += "Connection: close\r\n";
   Out += "\r\n";
--- a/src/net/http_head.h
+++ b/src/net/http_head.h
@@ -79,7 +79,8 @@
 /// \returns whether such a response may have a body (RFC 9110, section 6.4.1).
 bool allowsBody(int Status);
 
-/// Writes the head of a response.
+/// Writes the head of a response. One that may have no body gets no framing
+/// fields.
 /// \param Head the head, without framing fields.
 /// \param Framing how the body is delimited: by Length or Chunked.
 /// \param Length the body's length, for body_framing::Length.
--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -366,7 +366,8 @@
   /// Sends a request and runs the event loop until it has ended, at most 5 s.
   /// \returns what the caller received; "<aborted>" marks a reset.
   std::string call(const std::string &Attempt, http_fields Extra = {},
-                   const std::string &Body = "body") {
+                   const std::string &Body = "body",
+                   const std::string &Method = "POST") {
     std::string Received;
     bool Ended = false;
     caller_sink Sink;
@@ -378,7 +379,7 @@
     };
     Sink.PendingBytes = [] { return std::size_t{0}; };
     http_request_head Head{
-        "POST", "/x", {{"Host", "h"}, {"X-Attempt-Id", Attempt}}};
+        Method, "/x", {{"Host", "h"}, {"X-Attempt-Id", Attempt}}};
     Head.Fields.insert(Head.Fields.end(), Extra.begin(), Extra.end());
     auto Exchange = std::make_shared<exchange>(Context, Head, Body, readClock(),
                                                true, Sink);
@@ -587,6 +588,54 @@
     }
 }
 
+// Guards against framing of ours behind a head that has no body: what follows
+// it is no answer to the caller's next request.
+TEST_CASE("a response that has no body is passed on without one") {
+  for (const route_kind Kind : {route_kind::Idempotent, route_kind::Streaming})
+    for (const bool KeepsHistory : {false, true})
+      for (const char *Field :
+           {"", "Content-Length: 0\r\n", "Content-Length: 3\r\n",
+            "Transfer-Encoding: chunked\r\n"})
+        for (const char *Status : {"204 No Content", "304 Not Modified"}) {
+          fixture Fixture([&](const http_request_head &Head,
+                              const std::string &) {
+            return scripted_response{std::string("HTTP/1.1 ") + Status +
+                                     "\r\nX-Attempt-Id: " + attemptOf(Head) +
+                                     "\r\nX-Server-Seal: s\r\n" + Field +
+                                     "\r\n"};
+          });
+          Fixture.setRoutes(Kind, KeepsHistory);
+          if (KeepsHistory)
+            Fixture.startHistory();
+          const std::string Response = Fixture.call("1");
+          INFO(std::string(routeKindName(Kind))
+               << " " << std::string(Status) << " " << std::string(Field));
+          CHECK(Response.starts_with(std::string("HTTP/1.1 ") +
+                                     std::string(Status).substr(0, 3)));
+          CHECK(Response.find("Content-Length") == std::string::npos);
+          CHECK(Response.find("Transfer-Encoding") == std::string::npos);
+          CHECK(Response.ends_with("\r\n\r\n"));
+          CHECK(bodyOf(Response).empty());
+        }
+}
+
+TEST_CASE("a response to HEAD is passed on without a body, also on streaming "
+          "routes") {
+  for (const route_kind Kind :
+       {route_kind::Idempotent, route_kind::NonIdempotent,
+        route_kind::Streaming}) {
+    fixture Fixture([&](const http_request_head &, const std::string &) {
+      return scripted_response{"HTTP/1.1 200 OK\r\n" + runnerFields("1") +
+                               "Content-Length: 14\r\n\r\n"};
+    });
+    Fixture.setRoutes(Kind, false);
+    const std::string Response = Fixture.call("1", {}, "", "HEAD");
+    INFO(std::string(routeKindName(Kind)));
+    CHECK(Response.starts_with("HTTP/1.1 200"));
+    CHECK(bodyOf(Response).empty());
+  }
+}
+
 // Guards against a stream that turns out broken behind its first events looking
 // complete.
 TEST_CASE("a stream that is broken behind its first events is aborted") {
