Close the store's connection when more than a response came on it

Cause: store_client dropped what followed a response in the same read and kept the connection. The rest of such bytes, when they came later, was read as the beginning of the next call's response.

Change: the connection is closed, as the clients of runners and objects do already.

Test: a store that sends a whole response and the start of another; the second call now goes over a new connection.

--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -79,7 +79,7 @@
     Stream.reset();
     return;
   }
-  Reader.feed(Bytes);
+  const bool TrailingBytes = Reader.feed(Bytes) < Bytes.size();
   Body += Reader.takeBody();
   const bool TooLarge = Body.size() > MaxStoreResponseBytes;
   if (TooLarge)
@@ -91,7 +91,7 @@
     return;
   }
   if (Reader.complete())
-    finishComplete();
+    finishComplete(!TrailingBytes);
 }
 
 void store_client::onEnd(stream_end End) {
@@ -104,15 +104,15 @@
     Body += Reader.takeBody();
   }
   if (Reader.complete())
-    finishComplete();
+    finishComplete(false);
   else
     finish({}, false);
 }
 
-void store_client::finishComplete() {
+void store_client::finishComplete(bool KeepConnection) {
   finish(
       {platform::decodeStoreStatus(Reader.response().Status), std::move(Body)},
-      Reader.keepAlive() && !Reader.endsWithConnection());
+      KeepConnection && Reader.keepAlive() && !Reader.endsWithConnection());
 }
 
 void store_client::finish(store_answer Answer, bool KeepConnection) {
--- a/src/store/store_client.h
+++ b/src/store/store_client.h
@@ -60,7 +60,7 @@
   void connect();
   void onBytes(std::string_view Bytes);
   void onEnd(stream_end End);
-  void finishComplete();
+  void finishComplete(bool KeepConnection);
   void finish(store_answer Answer, bool KeepConnection);
 
   asio::io_context &Loop;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -527,6 +527,29 @@
   }
 }
 
+// Guards against the rest of an unasked response being read as the beginning of
+// the next call's.
+TEST_CASE("store_client uses no connection again on which more than a response "
+          "came") {
+  asio::io_context Loop;
+  bool First = true;
+  scripted_store Store(Loop, [&](const std::string &) {
+    return jsonAnswer(200, "{}") +
+           (std::exchange(First, false) ? "HTTP/1.1 20" : "");
+  });
+  const auto Client = std::make_shared<store_client>(Loop, Store.address());
+  std::vector<store_answer> Answers;
+  for (const char *Name : {"one", "two"})
+    Client->call(
+        platform::readRequest("kind", Name), milliseconds(500),
+        [&](const store_answer &Answer) { Answers.push_back(Answer); });
+  Loop.run_for(milliseconds(300));
+  REQUIRE(Answers.size() == 2);
+  CHECK(Answers[1].Status == store_status::Done);
+  CHECK(Store.Connections == 2);
+  Client->close();
+}
+
 TEST_CASE("store_client sends calls sequentially on one connection") {
   asio::io_context Loop;
   scripted_store Store(Loop, [](const std::string &Target) {
