Take an engine's refusal only if it is whole

Cause: on the own interface a 4xx or 503 of an engine said that the call had not run as soon as its head could be read. A refusal that broke off, or whose chunks or trailers were malformed, said the same, and a call that did not run may be sent again.

Change: a status other than 200 counts only with a complete response; otherwise the call's outcome is that of a stream that broke off.

--- a/src/runner/model_client.cpp
+++ b/src/runner/model_client.cpp
@@ -190,8 +190,10 @@
           return !Progress.Endless && !Progress.Unreadable && !IsCancelled();
         });
     Connected = Result.End != call_end::NotConnected;
-    return Result.Head.Status != 0 ? std::optional<int>(Result.Head.Status)
-                                   : std::nullopt;
+    // A refusal that is not whole does not say that the call did not run.
+    const bool Stated =
+        Result.End == call_end::Complete || Result.Head.Status == StatusOk;
+    return Stated ? std::optional<int>(Result.Head.Status) : std::nullopt;
   }
 
   const placed_attempt &Placed;
--- a/tests/runner_test.cpp
+++ b/tests/runner_test.cpp
@@ -469,6 +469,31 @@
   }
 }
 
+// Guards against a call being sent again that may have run: a refusal counts
+// only if it is whole.
+TEST_CASE("an engine's refusal that is broken off or malformed does not say "
+          "that the call did not run") {
+  const std::string Head = "HTTP/1.1 503 Unavailable\r\n";
+  for (const std::string &Refusal :
+       {Head + "Content-Length: 9\r\n\r\nabc",
+        Head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcXX",
+        Head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX A: b\r\n"
+               "\r\n"}) {
+    closing_server Engine(Refusal, false);
+    const attempt_result Result = runModelAttempt(
+        makeAttempt(Engine.port(), 0), model_client_settings{},
+        [] { return false; }, [](std::string_view) {});
+    INFO(Refusal);
+    CHECK(Result.Code == error_code::RunnerFailed);
+    CHECK(Result.Run == run_state::Ran);
+  }
+  closing_server Engine(Head + "Content-Length: 3\r\n\r\nabc", false);
+  const attempt_result Result = runModelAttempt(
+      makeAttempt(Engine.port(), 0), model_client_settings{},
+      [] { return false; }, [](std::string_view) {});
+  CHECK(Result.Run == run_state::NotRun);
+}
+
 TEST_CASE("a service's response that trickles ends at the call's deadline") {
   endless_server Server("HTTP/1.1 200 OK\r\n\r\n", "x", milliseconds(50));
   placed_attempt Placed = makeAttempt(Server.port(), 0);
