Let the tools read responses by the same rule as the daemons

An operator could act on such a response, and a load run could check its promises against one.

Change: the tools call with callBounded, which reads with http_reader. lentilhoistctl's calls move into the ctl library; what cannot be read is "does not answer", exit code 3. limitsOf, which the client of the platform's objects had inline, turns timeouts into limits. makeHttpClient is left for tests.

--- a/bin/lentilhoistctl.cpp
+++ b/bin/lentilhoistctl.cpp
@@ -1,5 +1,5 @@
 #include "ctl/command_table.h"
-#include "http/http_client.h"
+#include "ctl/daemon_call.h"
 #include "operator/rpc_dispatcher.h"
 #include "settings/daemon_settings.h"
 
@@ -26,12 +26,6 @@
   ExitNoAnswer = 3
 };
 
-/// The daemon could not be reached or did not accept the token.
-class no_answer : public rpc_failure {
-public:
-  using rpc_failure::rpc_failure;
-};
-
 std::string usage() {
   std::string Text = "Operators' command line.\n"
                      "  lentilhoistctl [flags] COMMAND [arguments]\n\n";
@@ -52,34 +46,13 @@
                          : "");
 }
 
-std::string sendRequest(const std::string &Body, const std::string &Token) {
-  const http_timeouts Timeouts{std::chrono::milliseconds(2'000),
-                               std::chrono::milliseconds(20'000),
-                               std::chrono::milliseconds(2'000)};
-  const auto Client = makeHttpClient(parseEndpoint(FLAGS_address), Timeouts);
-  const auto Answer = Client->Post(
-      "/rpc", {{"Authorization", "Bearer " + Token}}, Body, "application/json");
-  if (!Answer)
-    throw no_answer(fmt::format("{} does not answer: {}", FLAGS_address,
-                                httplib::to_string(Answer.error())));
-  if (Answer->status == 401)
-    throw no_answer(fmt::format("{} refused the token", FLAGS_address));
-  return Answer->body;
-}
-
-/// Reads a page of a daemon that serves no methods.
+/// Prints a page of a daemon that serves no methods.
 void showPage(const ctl_command &Command) {
-  const http_timeouts Timeouts{std::chrono::milliseconds(2'000),
-                               std::chrono::milliseconds(5'000),
-                               std::chrono::milliseconds(2'000)};
-  const auto Client = makeHttpClient(parseEndpoint(FLAGS_address), Timeouts);
-  const auto Answer = Client->Get(std::string(Command.Page));
-  if (!Answer)
-    throw no_answer(fmt::format("{} does not answer: {}", FLAGS_address,
-                                httplib::to_string(Answer.error())));
-  const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
+  const std::string Text =
+      readPage(parseEndpoint(FLAGS_address), std::string(Command.Page));
+  const auto Json = nlohmann::json::parse(Text, nullptr, false);
   if (FLAGS_json || Json.is_discarded())
-    fmt::print("{}", Answer->body);
+    fmt::print("{}", Text);
   else
     fmt::print("{}", renderTable(Json));
 }
@@ -92,8 +65,9 @@
   const std::string Token = readToken(FLAGS_token_file);
   if (Command.Changes)
     Parameters["by"] = FLAGS_by;
+  const endpoint Daemon = parseEndpoint(FLAGS_address);
   rpc_client Client(
-      [&](const std::string &Body) { return sendRequest(Body, Token); });
+      [&](const std::string &Body) { return callMethod(Daemon, Body, Token); });
   const auto Result = nlohmann::json::parse(
       Client.call(std::string(Command.Method), Parameters.dump()));
   if (FLAGS_json)
--- a/src/http/bounded_call.cpp
+++ b/src/http/bounded_call.cpp
@@ -4,6 +4,14 @@
 
 namespace lentilhoist {
 
+call_limits limitsOf(const http_timeouts &Timeouts) {
+  call_limits Limits;
+  Limits.Connect = Timeouts.Connect;
+  Limits.Silence = Timeouts.Read;
+  Limits.Total = Timeouts.Connect + Timeouts.Write + Timeouts.Read;
+  return Limits;
+}
+
 const char *callEndName(call_end End) {
   switch (End) {
   case call_end::Complete:
--- a/src/http/bounded_call.h
+++ b/src/http/bounded_call.h
@@ -19,6 +19,10 @@
   std::size_t MaxBodyBytes = 1U << 20U;
 };
 
+/// \param Timeouts limits of each wait.
+/// \returns limits of a call, whose total time is the sum of the waits.
+call_limits limitsOf(const http_timeouts &Timeouts);
+
 /// How a call ended.
 enum class call_end {
   Complete,     ///< The response is whole.
--- a/src/load/load_balancer.cpp
+++ b/src/load/load_balancer.cpp
@@ -1,5 +1,7 @@
 #include "load/load_balancer.h"
 
+#include "load/tool_call.h"
+
 #include <nlohmann/json.hpp>
 
 namespace lentilhoist {
@@ -12,8 +14,7 @@
                                       std::chrono::milliseconds(500)};
 
 bool isReady(const endpoint &Instance) {
-  const auto Answer = makeHttpClient(Instance, ProbeTimeouts)->Get("/healthz");
-  return Answer && Answer->status == 200;
+  return getPage(Instance, "/healthz", ProbeTimeouts).has_value();
 }
 
 } // namespace
@@ -37,11 +38,10 @@
 
 std::vector<endpoint> load_balancer::readList() {
   std::vector<endpoint> Found;
-  const auto Answer =
-      makeHttpClient(Platform, ProbeTimeouts)->Get("/instances");
+  const auto Answer = getPage(Platform, "/instances", ProbeTimeouts);
   if (!Answer)
     return Found;
-  const auto Json = nlohmann::json::parse(Answer->body, nullptr, false);
+  const auto Json = nlohmann::json::parse(*Answer, nullptr, false);
   if (!Json.is_object() || !Json.contains("instances"))
     return Found;
   for (const auto &Item : Json["instances"]) {
--- a/src/load/overhead_probe.cpp
+++ b/src/load/overhead_probe.cpp
@@ -1,5 +1,7 @@
 #include "load/overhead_probe.h"
 
+#include "http/bounded_connection.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -36,46 +38,48 @@
       .count();
 }
 
-call_time timeCall(httplib::Client &Client, httplib::Headers Headers) {
+/// Sends a request on a connection that is kept between calls.
+call_result post(bounded_connection &Server, const char *Path,
+                 http_fields Fields, const char *Text,
+                 const body_receiver &OnBody = {}) {
+  Fields.push_back({"Host", "server"});
+  Fields.push_back({"Content-Type", "application/json"});
+  return Server.call({"POST", Path, std::move(Fields)}, Text,
+                     limitsOf(http_timeouts{}), OnBody);
+}
+
+call_time timeCall(bounded_connection &Server, http_fields Fields) {
   call_time Time;
-  httplib::Request Request;
-  Request.method = "POST";
-  Request.path = "/v1/chat/completions";
-  Request.headers = std::move(Headers);
-  Request.set_header("Content-Type", "application/json");
-  Request.body = Body;
   const auto Start = clock::now();
-  Request.content_receiver = [&](const char *, std::size_t, std::uint64_t,
-                                 std::uint64_t) {
-    if (Time.First == 0)
-      Time.First = millisecondsSince(Start);
-    return true;
-  };
-  httplib::Response Response;
-  httplib::Error Error = httplib::Error::Success;
-  if (!Client.send(Request, Response, Error) || Response.status != 200)
+  const call_result Answer =
+      post(Server, "/v1/chat/completions", std::move(Fields), Body,
+           [&](std::string_view) {
+             if (Time.First == 0)
+               Time.First = millisecondsSince(Start);
+             return true;
+           });
+  if (Answer.End != call_end::Complete || Answer.Head.Status != 200)
     throw std::runtime_error("a call of the probe failed");
   Time.Last = millisecondsSince(Start);
   return Time;
 }
 
-std::string createProgram(httplib::Client &Client) {
-  const auto Answer =
-      Client.Post("/v1/programs",
-                  R"({"tenant":"probe","class":"probe","budget":)"
-                  R"({"tokens":1000000,"turns":1000,"wall_ms":600000}})",
-                  "application/json");
-  if (!Answer || Answer->status != 201)
+std::string createProgram(bounded_connection &Instance) {
+  const call_result Answer =
+      post(Instance, "/v1/programs", {},
+           R"({"tenant":"probe","class":"probe","budget":)"
+           R"({"tokens":1000000,"turns":1000,"wall_ms":600000}})");
+  if (Answer.End != call_end::Complete || Answer.Head.Status != 201)
     throw std::runtime_error("the probe's program was not created");
-  return nlohmann::json::parse(Answer->body)["program"];
+  return nlohmann::json::parse(Answer.Body)["program"];
 }
 
 } // namespace
 
 overhead_result probeOverhead(const endpoint &Engine, const endpoint &Instance,
                               int Calls) {
-  const auto Direct = makeHttpClient(Engine, {});
-  const auto Through = makeHttpClient(Instance, {});
+  bounded_connection Direct(Engine);
+  bounded_connection Through(Instance);
   std::vector<double> DirectLast;
   std::vector<double> DirectFirst;
   std::vector<double> ThroughLast;
@@ -84,14 +88,14 @@
   for (int Call = 0; Call < Calls; ++Call) {
     const int Number = Call % CallsPerProgram + 1;
     if (Number == 1)
-      Program = createProgram(*Through);
+      Program = createProgram(Through);
     std::this_thread::sleep_for(Pace);
     const call_time Straight =
-        timeCall(*Direct, {{"X-Session-Id", "direct"},
-                           {"X-Attempt-Id", fmt::format("direct-{}", Call)}});
+        timeCall(Direct, {{"X-Session-Id", "direct"},
+                          {"X-Attempt-Id", fmt::format("direct-{}", Call)}});
     const call_time Routed =
-        timeCall(*Through, {{"X-Lentilhoist-Program", Program},
-                            {"X-Lentilhoist-Call", std::to_string(Number)}});
+        timeCall(Through, {{"X-Lentilhoist-Program", Program},
+                           {"X-Lentilhoist-Call", std::to_string(Number)}});
     DirectFirst.push_back(Straight.First);
     DirectLast.push_back(Straight.Last);
     ThroughFirst.push_back(Routed.First);
--- a/src/load/program_runner.cpp
+++ b/src/load/program_runner.cpp
@@ -1,6 +1,7 @@
 #include "load/program_runner.h"
 
 #include "core/hash.h"
+#include "load/tool_call.h"
 #include "net/event_parser.h"
 
 #include <fmt/format.h>
@@ -89,39 +90,34 @@
   if (Instance.Port == 0)
     return Answer;
   const auto Start = clock::now();
-  httplib::Request Request;
-  Request.method = Method;
-  Request.path = Path;
-  Request.body = Body;
-  Request.set_header("X-Lentilhoist-Program", Report.Program);
-  Request.set_header("X-Lentilhoist-Call", std::to_string(NextCall));
-  Request.set_header("X-Lentilhoist-Idempotent", "false");
-  Request.set_header("Idempotency-Key", std::to_string(Seed));
-  Request.set_header("Content-Type", "application/json");
-  if (Stream) {
-    Request.response_handler = [&](const httplib::Response &Response) {
-      Answer.Status = Response.status;
-      return true;
-    };
-    Request.content_receiver = [&](const char *Data, std::size_t Length,
-                                   std::uint64_t, std::uint64_t) {
+  const http_request_head Head{
+      Method,
+      Path,
+      {{"X-Lentilhoist-Program", Report.Program},
+       {"X-Lentilhoist-Call", std::to_string(NextCall)},
+       {"X-Lentilhoist-Idempotent", "false"},
+       {"Idempotency-Key", std::to_string(Seed)},
+       {"Content-Type", "application/json"}}};
+  body_receiver OnBody;
+  if (Stream)
+    OnBody = [&](std::string_view Bytes) {
       if (Answer.Body.empty())
         Answer.FirstByte = since(Start);
-      Answer.Body.append(Data, Length);
+      Answer.Body += Bytes;
       return true;
     };
+  const call_result Result =
+      callServer(Instance, Head, Body, CallTimeouts, OnBody);
+  Answer.Complete = Result.End == call_end::Complete;
+  // A stream that breaks off has a status, too.
+  if (Stream || Answer.Complete) {
+    Answer.Status = Result.Head.Status;
+    Answer.Body += Result.Body;
   }
-  httplib::Response Response;
-  httplib::Error Error = httplib::Error::Success;
-  auto Client = makeHttpClient(Instance, CallTimeouts);
-  Answer.Complete = Client->send(Request, Response, Error);
-  if (!Stream && Answer.Complete) {
-    Answer.Status = Response.status;
-    Answer.Body = Response.body;
-    if (Response.has_header("X-Lentilhoist-Committed-Through"))
-      Answer.CommittedThrough = std::atoi(
-          Response.get_header_value("X-Lentilhoist-Committed-Through").c_str());
-  }
+  const std::string Through(
+      fieldValue(Result.Head.Fields, "X-Lentilhoist-Committed-Through"));
+  if (Answer.Complete && !Stream && !Through.empty())
+    Answer.CommittedThrough = std::atoi(Through.c_str());
   return Answer;
 }
 
--- a/src/load/promise_check.cpp
+++ b/src/load/promise_check.cpp
@@ -1,5 +1,7 @@
 #include "load/promise_check.h"
 
+#include "load/tool_call.h"
+
 #include <fmt/format.h>
 #include <map>
 #include <set>
@@ -16,14 +18,13 @@
 constexpr std::chrono::milliseconds CacheCheckInterval{500};
 
 nlohmann::json readRecord(const endpoint &Runner, record_summary &Summary) {
-  const auto Answer =
-      makeHttpClient(Runner, RecordTimeouts)->Get("/admin/record");
+  const auto Answer = getPage(Runner, "/admin/record", RecordTimeouts);
   if (!Answer) {
     Summary.Breaches.push_back(
         fmt::format("the record of port {} can't be read", Runner.Port));
     return nlohmann::json::object();
   }
-  return nlohmann::json::parse(Answer->body);
+  return nlohmann::json::parse(*Answer);
 }
 
 void checkSideEffects(const load_settings &Settings,
--- a/src/objects/object_store.cpp
+++ b/src/objects/object_store.cpp
@@ -70,10 +70,8 @@
 } // namespace
 
 object_store::object_store(endpoint Given, http_timeouts Timeouts)
-    : Target(std::move(Given)), Connections(Target) {
-  Limits.Connect = Timeouts.Connect;
-  Limits.Silence = Timeouts.Read;
-  Limits.Total = Timeouts.Connect + Timeouts.Write + Timeouts.Read;
+    : Target(std::move(Given)), Limits(limitsOf(Timeouts)),
+      Connections(Target) {
   Limits.MaxBodyBytes = MaxObjectBytes;
 }
 
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -1,5 +1,8 @@
 #define DOCTEST_CONFIG_IMPLEMENT_WITH_MAIN
+#include "broken_responses.h"
+#include "closing_server.h"
 #include "ctl/command_table.h"
+#include "ctl/daemon_call.h"
 
 #include <doctest/doctest.h>
 
@@ -51,3 +54,23 @@
   }
   CHECK(findCommand("status")->Page.empty());
 }
+
+// Guards against an operator acting on a broken response (incident 025).
+TEST_CASE("a broken response of a daemon is no answer") {
+  for (const std::string &Broken : brokenResponses("", "{}")) {
+    closing_server Daemon(Broken, false);
+    const endpoint Address{"127.0.0.1", Daemon.port()};
+    INFO(Broken);
+    CHECK_THROWS_AS(readPage(Address, "/entry"), no_answer);
+    CHECK_THROWS_AS(callMethod(Address, "{}", "token"), no_answer);
+  }
+  closing_server Daemon("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+                        false);
+  const endpoint Address{"127.0.0.1", Daemon.port()};
+  CHECK(readPage(Address, "/entry") == "{}");
+  CHECK(callMethod(Address, "{}", "token") == "{}");
+  closing_server Wary("HTTP/1.1 401 Unauthorized\r\nContent-Length: 0\r\n\r\n",
+                      false);
+  CHECK_THROWS_AS(callMethod({"127.0.0.1", Wary.port()}, "{}", "token"),
+                  no_answer);
+}
