Let the tools reach daemons by the name of their host

Change: resolveHost turns the name into a number before the call.

Test: ctl_test reads a page from localhost, and an unknown name is no answer.

--- a/src/ctl/daemon_call.cpp
+++ b/src/ctl/daemon_call.cpp
@@ -25,7 +25,7 @@
   Head.Fields.push_back({"Connection", "close"});
   call_limits Limits = limitsOf(Timeouts);
   Limits.MaxBodyBytes = MaxReportBytes;
-  call_result Answer = callBounded(Daemon, Head, Body, Limits);
+  call_result Answer = callBounded(resolveHost(Daemon), Head, Body, Limits);
   if (Answer.End != call_end::Complete)
     throw no_answer(fmt::format("{} does not answer: the response was {}",
                                 Address, callEndName(Answer.End)));
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -2,8 +2,10 @@
 
 #include "http/http_server.h"
 
+#include <arpa/inet.h>
 #include <charconv>
 #include <fmt/format.h>
+#include <netdb.h>
 #include <stdexcept>
 
 namespace lentilhoist {
@@ -42,4 +44,21 @@
   return Parsed;
 }
 
+endpoint resolveHost(const endpoint &Target) {
+  addrinfo Hints{};
+  Hints.ai_family = AF_INET;
+  Hints.ai_socktype = SOCK_STREAM;
+  addrinfo *Found = nullptr;
+  if (::getaddrinfo(Target.Address.c_str(), nullptr, &Hints, &Found) != 0)
+    return Target;
+  const std::unique_ptr<addrinfo, decltype(&::freeaddrinfo)> Owner(
+      Found, ::freeaddrinfo);
+  char Number[INET_ADDRSTRLEN];
+  const auto *Address = reinterpret_cast<const sockaddr_in *>(Found->ai_addr);
+  if (::inet_ntop(AF_INET, &Address->sin_addr, Number, sizeof(Number)) ==
+      nullptr)
+    return Target;
+  return {Number, Target.Port};
+}
+
 } // namespace lentilhoist
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -38,4 +38,8 @@
 /// \throws std::invalid_argument if the text is malformed.
 endpoint parseEndpoint(const std::string &Text);
 
+/// \param Target a server, by name or number.
+/// \returns the server by number; as given if the name is not known.
+endpoint resolveHost(const endpoint &Target);
+
 } // namespace lentilhoist
--- a/src/load/overhead_probe.cpp
+++ b/src/load/overhead_probe.cpp
@@ -78,8 +78,8 @@
 
 overhead_result probeOverhead(const endpoint &Engine, const endpoint &Instance,
                               int Calls) {
-  bounded_connection Direct(Engine);
-  bounded_connection Through(Instance);
+  bounded_connection Direct(resolveHost(Engine));
+  bounded_connection Through(resolveHost(Instance));
   std::vector<double> DirectLast;
   std::vector<double> DirectFirst;
   std::vector<double> ThroughLast;
--- a/src/load/tool_call.cpp
+++ b/src/load/tool_call.cpp
@@ -19,7 +19,7 @@
   call_limits Limits = limitsOf(Timeouts);
   Limits.Total = NoTotalLimit;
   Limits.MaxBodyBytes = MaxRecordBytes;
-  return callBounded(Server, Head, Body, Limits, OnBody);
+  return callBounded(resolveHost(Server), Head, Body, Limits, OnBody);
 }
 
 std::optional<std::string> getPage(const endpoint &Server,
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -69,6 +69,8 @@
   const endpoint Address{"127.0.0.1", Daemon.port()};
   CHECK(readPage(Address, "/entry") == "{}");
   CHECK(callMethod(Address, "{}", "token") == "{}");
+  CHECK(readPage({"localhost", Daemon.port()}, "/entry") == "{}");
+  CHECK_THROWS_AS(readPage({"no host", Daemon.port()}, "/entry"), no_answer);
   closing_server Wary("HTTP/1.1 401 Unauthorized\r\nContent-Length: 0\r\n\r\n",
                       false);
   CHECK_THROWS_AS(callMethod({"127.0.0.1", Wary.port()}, "{}", "token"),
