Check fuzzed responses without the library's regular expressions

Change: the same question by a few functions of the test, which also ask that informational heads come before the final one.

--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -9,10 +9,12 @@
 #include "net/response_end.h"
 #include "net/tcp_stream.h"
 
+#include <algorithm>
+#include <cctype>
+#include <cstdlib>
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 #include <random>
-#include <regex>
 #include <sys/resource.h>
 #include <vector>
 
@@ -638,15 +640,56 @@
 
 namespace {
 
-/// \returns whether the text begins with the heads of a response, informational
+bool isFieldName(std::string_view Text) {
+  return !Text.empty() &&
+         std::all_of(Text.begin(), Text.end(), [](unsigned char Char) {
+           return std::isalnum(Char) != 0 ||
+                  std::string_view("!#$%&'*+-.^_`|~").find(Char) !=
+                      std::string_view::npos;
+         });
+}
+
+/// \returns the status of a status line; 0 if it is none.
+int statusOfLine(std::string_view Line) {
+  constexpr std::size_t Length = 12; // Up to the status.
+  if (Line.size() < Length || !Line.starts_with("HTTP/1.") ||
+      std::isdigit(static_cast<unsigned char>(Line[7])) == 0 ||
+      Line[8] != ' ' || (Line.size() > Length && Line[Length] != ' '))
+    return 0;
+  const std::string Status(Line.substr(9, 3));
+  return std::to_string(std::atoi(Status.c_str())) == Status
+             ? std::atoi(Status.c_str())
+             : 0;
+}
+
+/// \returns whether the text begins with the head of a response, informational
 /// ones before it. Written apart from the grammar of the reader.
-bool beginsWithHeads(const std::string &Text) {
-  static const std::regex Heads(
-      "[\r\n]*(HTTP/1\\.[0-9] [1-5][0-9]{2}"
-      "( [^\\x00-\\x08\\x0a-\\x1f\\x7f]*)?\r\n"
-      "([-!#$%&'*+.^_`|~0-9A-Za-z]+:[^\\x00-\\x08\\x0a-\\x1f\\x7f]*\r\n)*"
-      "\r\n)+");
-  return std::regex_search(Text, Heads, std::regex_constants::match_continuous);
+bool beginsWithHeads(std::string_view Text) {
+  Text.remove_prefix(std::min(Text.find_first_not_of("\r\n"), Text.size()));
+  int Status = 0; // 0 between two heads.
+  for (;;) {
+    const std::size_t End = Text.find("\r\n");
+    if (End == std::string_view::npos)
+      return false;
+    const std::string_view Line = Text.substr(0, End);
+    Text.remove_prefix(End + 2);
+    if (std::any_of(Line.begin(), Line.end(), [](unsigned char Char) {
+          return std::iscntrl(Char) != 0 && Char != '\t';
+        }))
+      return false;
+    if (Status == 0) {
+      Status = statusOfLine(Line);
+      if (Status < 100 || Status > 599)
+        return false;
+    } else if (Line.empty()) {
+      if (Status >= 200)
+        return true;
+      Status = 0;
+    } else if (!isFieldName(Line.substr(0, Line.find(':'))) ||
+               Line.find(':') == std::string_view::npos) {
+      return false;
+    }
+  }
 }
 
 } // namespace
