Keep the ports bound at which a test's runners refuse connections

Cause: stranded_fixture gave its runners ports that it had bound and closed again, and opened its relay next, on a port of the system's choice. Address sanitizer, 1 of 12,005 checks of forward_test. The code under test was right.

Change: the sockets stay bound for as long as the fixture lives, without listening: connections are refused as before, and the system gives the port to nobody else. No check changes.

--- a/tests/forward_test.cpp
+++ b/tests/forward_test.cpp
@@ -2041,11 +2041,13 @@
                "own", readClock());
   }
 
-  /// \returns an address at which connections are refused.
+  /// \returns an address at which connections are refused. Its port stays
+  /// bound: a free one could be given to the relay or to a runner of the test.
   std::string unusedAddress() {
-    const auto Port =
-        listenOn(Loop, {asio::ip::address_v4::loopback(), 0}).local_endpoint();
-    return "127.0.0.1:" + std::to_string(Port.port());
+    UnusedPorts.emplace_back(
+        Loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return "127.0.0.1:" +
+           std::to_string(UnusedPorts.back().local_endpoint().port());
   }
 
   /// Gives this instance its path to the runners back.
@@ -2054,6 +2056,7 @@
       Runner.Entry.Address = RealAddresses.at(Id);
   }
 
+  std::list<asio::ip::tcp::socket> UnusedPorts; ///< Bound, not listening.
   std::map<std::string, std::string> RealAddresses;
   tunnel_refusal Refusal = tunnel_refusal::None;
   std::optional<tunnel_server> Relay;
