--- a/review/15/stand.h
+++ b/review/stand-3/stand.h
@@ -2,6 +2,7 @@
 // plain sockets, the platform's store, and processes of the project.
 #pragma once
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <atomic>
 #include <cerrno>
@@ -228,11 +229,38 @@
 class store {
 public:
   explicit store(const std::string &Ip)
-      : Server(Ip, 0, [this](int Socket, const message &Request) {
-          return handle(Socket, Request);
+      : Server(Ip, 0,
+               [this](int Socket, const message &Request) {
+                 return handle(Socket, Request, false);
+               }),
+        LateServer(Ip, 0, [this](int Socket, const message &Request) {
+          return handle(Socket, Request, true);
         }) {}
 
   int port() const { return Server.port(); }
+  /// The same store, for the machine whose list ends the wait of a write.
+  int latePort() const { return LateServer.port(); }
+
+  /// Executes a write of an object with a version once the kind has been listed
+  /// at latePort(), or after 200 ms.
+  void holdWrite(const std::string &Kind, std::int64_t Version) {
+    const std::lock_guard Lock(Mutex);
+    HeldKind = Kind;
+    HeldVersion = Version;
+  }
+
+  /// \returns how many writes have been held.
+  int held() {
+    const std::lock_guard Lock(Mutex);
+    return HeldWrites;
+  }
+
+  /// \returns the spec of an object, or null.
+  json get(const std::string &Kind, const std::string &Name) {
+    const std::lock_guard Lock(Mutex);
+    const auto Found = Objects[Kind].find(Name);
+    return Found == Objects[Kind].end() ? json() : specOf(Found->second);
+  }
 
   /// Writes an object, as the operator or a server does.
   void put(const std::string &Kind, const std::string &Name, json Spec) {
@@ -292,7 +320,15 @@
     Changed.notify_all();
   }
 
-  bool handle(int Socket, const message &Request) {
+  /// \returns the spec of an object; one that was written as text is parsed.
+  static json specOf(const json &Object) {
+    const json &Spec = Object["spec"];
+    return Spec.is_string()
+               ? json::parse(Spec.get<std::string>(), nullptr, false)
+               : Spec;
+  }
+
+  bool handle(int Socket, const message &Request, bool Late) {
     std::istringstream Words(Request.First);
     std::string Method;
     std::string Target;
@@ -328,8 +364,18 @@
                 {"store-revision", Revision}};
       for (const auto &[Id, Object] : Objects[Kind])
         Answer["items"].push_back(Object);
+      if (Late && Kind == HeldKind) {
+        ++HeldLists;
+        Changed.notify_all();
+      }
     } else {
       const json Body = json::parse(Request.Body, nullptr, false);
+      if (Method == "PUT" && Kind == HeldKind && !Late && HeldLists == 0 &&
+          specOf(Body)["version"] == HeldVersion) {
+        ++HeldWrites;
+        Changed.wait_for(Lock, std::chrono::milliseconds(200),
+                         [&] { return HeldLists != 0; });
+      }
       if (Method == "POST")
         Name = Body["metadata"]["name"].get<std::string>();
       const auto Found = Objects[Kind].find(Name);
@@ -394,7 +440,12 @@
   std::vector<change> Log;
   std::map<std::string, int> Cuts;
   std::map<std::string, int> Waiting;
-  server Server; ///< Last member: it serves the others.
+  std::string HeldKind;
+  std::int64_t HeldVersion = 0;
+  int HeldLists = 0;
+  int HeldWrites = 0;
+  server Server; ///< Last members: they serve the others.
+  server LateServer;
 };
 
 /// A process of the project, ended with the object.
