--- a/review/11/split.cpp
+++ b/review/11/split.cpp
@@ -34,11 +34,12 @@
     for (int Event = 1; Event <= 3; ++Event)
       Body += "id: " + std::to_string(Event) + "\ndata: word" +
               std::to_string(Event) + " of " + Attempt + "\n\n";
-    return writeAll(Socket, answer(200, Body,
-                                   "X-Attempt-Id: " + Attempt +
-                                       "\r\nContent-Type: text/event-stream\r\n"
-                                       "X-Server-Seal: " +
-                                       Id + ".1\r\nX-Server-Load: 1,0,12\r\n"));
+    return writeAll(Socket,
+                    answer(200, Body,
+                           "X-Attempt-Id: " + Attempt +
+                               "\r\nContent-Type: text/event-stream\r\n"
+                               "X-Weight-Versions: 1\r\nX-Server-Seal: " +
+                               Id + ".1\r\nX-Server-Load: 1,0,12\r\n"));
   }
 
   std::string Id;
@@ -64,8 +65,9 @@
   const std::string Body = "input of " + Attempt + "\n";
   std::string Head = "POST /chat/4b HTTP/1.1\r\nHost: ficu95.example\r\n"
                      "X-Attempt-Id: " +
-                     Attempt +
-                     "\r\nX-Program-Id: 3fa81c\r\nX-Session-Id: 77d20b\r\n"
+                     Attempt + "\r\nX-Program-Id: p-" + Attempt +
+                     "\r\nX-Session-Id: s-" + Attempt +
+                     "\r\n"
                      "X-Program-Deadline-Ms: 60000\r\nX-Token-Budget: 20000\r\n"
                      "X-Token-Usage: 1840,290\r\nX-Deadline-Ms: 4000\r\n"
                      "X-Prompt-Prefix: 5c1e07a2:512\r\nConnection: close\r\n"
@@ -176,6 +178,8 @@
            Machine.Ip + ":" + std::to_string(Machine.First + 16)}};
       Machine.Settings["data-dir"] = Folder + "/data-" + Machine.Name;
       Machine.Settings["fault-counted"] = true;
+      // The spare machine of its zone, which is added.
+      Machine.Settings["first-start"] = Number < 3;
       Machine.Settings["limits"] = {{"cpu-share", 0.22},
                                     {"memory-mb", 280},
                                     {"max-fds", 8200},
@@ -347,7 +351,7 @@
   }
   int NotFound = 0;
   int Count = 0;
-  double BackAt = nowMs() + 3500;
+  double BackAt = nowMs() + 2800;
   for (const double End = nowMs() + 6000; nowMs() < End;) {
     if (Trouble && BackAt != 0 && nowMs() >= BackAt) {
       D.start(A);
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for source in review/11/split.cpp review/14/leaving.cpp; do
+for source in review/11/split.cpp review/13/leaving.cpp; do
   ${CXX:-g++} -std=c++20 -O1 -Wall -Ireview/stand-3 \
     -o "target/review-3/$(basename "$source" .cpp)" "$source" -pthread
 done
--- a/review/stand-3/stand.h
+++ b/review/stand-3/stand.h
@@ -22,6 +22,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <poll.h>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/prctl.h>
@@ -196,12 +197,28 @@
 
   int port() const { return Port; }
 
+  /// Refuses and ends all connections, as a process that has exited.
+  void exit() {
+    const std::lock_guard Lock(Mutex);
+    Exited = true;
+    ::shutdown(Socket, SHUT_RDWR);
+    ::close(Socket);
+    for (const int Peer : Peers)
+      ::shutdown(Peer, SHUT_RDWR);
+  }
+
 private:
   void run() {
     for (;;) {
       const int Peer = ::accept4(Socket, nullptr, nullptr, SOCK_CLOEXEC);
+      if (Peer < 0 && Exited)
+        return;
       if (Peer < 0)
         continue;
+      {
+        const std::lock_guard Lock(Mutex);
+        Peers.insert(Peer);
+      }
       std::thread([this, Peer] {
         const int One = 1;
         ::setsockopt(Peer, IPPROTO_TCP, TCP_NODELAY, &One, sizeof(One));
@@ -209,6 +226,8 @@
         while (auto Request = readMessage(Peer, Input))
           if (!Handler(Peer, *Request))
             break;
+        const std::lock_guard Lock(Mutex);
+        Peers.erase(Peer);
         ::close(Peer);
       }).detach();
     }
@@ -216,6 +235,9 @@
 
   int Port;
   int Socket = -1;
+  std::atomic<bool> Exited = false;
+  std::mutex Mutex;
+  std::set<int> Peers;
   handler Handler;
 };
 
@@ -294,6 +316,10 @@
   void write(const std::string &Kind, const std::string &Name, json Spec,
              json Status) {
     json &Object = Objects[Kind][Name];
+    // A write that changes nothing does not increase the revision.
+    if (!Object.is_null() && Object["spec"] == Spec &&
+        Object["status"] == Status)
+      return;
     const std::int64_t Created =
         Object.is_null() ? Revision + 1
                          : Object["metadata"]["created"].get<std::int64_t>();
