history: write a change of the replica set under the revision it was derived from

Cause: an instance derived the next set from the set that it knew, synced a marker, and only then took the revision for the conditional write from the newest set that its watch had reported. A set that changed during the sync was overwritten under the version number that it had just got, so that two sets of one version with other members were in use, whose quorums need not overlap.

Change: a set carries the revision that it was read at, from the read through the decision and the sync to the write. membership_change carries out the changes of the daemon and of the explorer; a change whose base is no longer the newest known set is dropped, and the next check decides again.

The explorer had the same window in a copy of this code, but delivered sets only between checks, so that it could not open. Now machines start within 0.3 s of each other, more of them than slots, watches report sets at any moment, disks and the store may hold a sync or a call back, and no version may be stored with other members.

--- a/src/history/replica_set.h
+++ b/src/history/replica_set.h
@@ -28,7 +28,11 @@
   /// Whether all slots have been filled once. Nothing is acknowledged before.
   bool Established = false;
   std::vector<replica_slot> Slots;
-  MSGPACK_DEFINE(Version, DisksLost, Established, Slots)
+  /// Revision of the stored object that this set was read from; 0 if it was not
+  /// read from the store, or by an older build. A change of the set is written
+  /// on condition of the revision of the set that it was derived from.
+  std::uint64_t Revision = 0;
+  MSGPACK_DEFINE(Version, DisksLost, Established, Slots, Revision)
 
   /// \returns number of replicas that must sync a record before it is
   /// acknowledged.
@@ -46,7 +50,7 @@
 };
 
 /// \param Set the set.
-/// \returns its stored text form (JSON).
+/// \returns its stored text form (JSON), without the revision.
 std::string encodeReplicaSet(const replica_set &Set);
 
 /// \param Text the stored text form.
@@ -77,8 +81,9 @@
   TakeOver,  ///< Replace a replica that is lost or retiring.
 };
 
-/// A step and the set to write. The write is conditional on the stored set
-/// being unchanged since it was read.
+/// A step and the set to write. The set keeps the revision of the one that it
+/// was derived from: the write is conditional on the stored set being unchanged
+/// since.
 struct membership_decision {
   membership_step Step = membership_step::None;
   replica_set Set;
--- a/src/history_explore/history_explore.h
+++ b/src/history_explore/history_explore.h
@@ -17,16 +17,20 @@
   LateReservation,  ///< Tokens are handed out before they are reserved.
   OneSource,        ///< A copy from one replica makes another complete.
   OldSetAccepted,   ///< Replicas answer requests of an older set.
+  /// A change of the set is written under the newest revision that is known,
+  /// not under that of the set which it was derived from.
+  LateRevision,
 };
 
-inline constexpr std::array<std::string_view, 7> PlantedHistoryFaultNames{
+inline constexpr std::array<std::string_view, 8> PlantedHistoryFaultNames{
     "none",
     "no_sync",
     "incomplete_counts",
     "small_quorum",
     "late_reservation",
     "one_source",
-    "old_set_accepted"};
+    "old_set_accepted",
+    "late_revision"};
 
 /// Settings of one exploration of the history.
 struct history_explore_settings {
--- a/src/history_explore/history_world.cpp
+++ b/src/history_explore/history_world.cpp
@@ -9,6 +9,12 @@
 /// As in the daemon.
 constexpr milliseconds MembershipInterval{300};
 constexpr milliseconds TakeoverDelay{2'500};
+constexpr milliseconds StoreTimeout{2'000};
+/// Time from a change in the store to its arrival at those that watch it.
+constexpr milliseconds MinWatchDelay{1};
+constexpr milliseconds MaxWatchDelay{60};
+/// Machines start within this time of each other.
+constexpr milliseconds StartSpan{300};
 constexpr std::size_t MemoryBytes = 64UL * 1024UL * 1024UL;
 
 } // namespace
@@ -41,8 +47,13 @@
   model_replica Replica;
   Replica.Name = "s" + std::to_string(Replicas.size());
   Replica.FirstStart = FirstStart;
+  Replica.Up = false;
   Replicas.push_back(std::move(Replica));
-  startReplica(Replicas.size() - 1);
+  const std::size_t Index = Replicas.size() - 1;
+  Clock.after(Choice.between(microseconds(0), StartSpan), [this, Index] {
+    if (Replicas[Index].Present && Replicas[Index].Life == 0)
+      startReplica(Index);
+  });
 }
 
 void history_world::startReplica(std::size_t Index) {
@@ -51,8 +62,8 @@
   ++Replica.Life;
   Replica.State = {};
   Replica.Set.reset();
-  Replica.SetRevision = 0;
-  Replica.WritingSet = false;
+  Replica.Change =
+      std::make_unique<membership_change>(changeEnvironment(Index));
   Replica.Copy = {};
   Replica.LastHeard.clear();
   for (const replica_change &Change : Replica.Synced)
@@ -60,9 +71,19 @@
   note(Replica.Name + " starts, complete " +
        std::to_string(Replica.State.Complete) + ", turns " +
        std::to_string(Replica.State.Turns.size()));
+  watchSet(Index);
   scheduleDecide(Index, Replica.Life);
 }
 
+/// Lets a replica read the stored set, as its watch reports it.
+void history_world::watchSet(std::size_t Index) {
+  Clock.after(Choice.between(MinWatchDelay, MaxWatchDelay),
+              [this, Index, Life = Replicas[Index].Life] {
+                if (Replicas[Index].Life == Life)
+                  onReplica(Index, [this, Index] { decide(Index); });
+              });
+}
+
 void history_world::stopReplica(std::size_t Index) {
   model_replica &Replica = Replicas[Index];
   Replica.Up = false;
@@ -159,23 +180,24 @@
   model_replica &Replica = Replicas[Index];
   Replica.Syncing = true;
   const std::size_t Count = Replica.Written.size();
-  Clock.after(Choice.between(milliseconds(1), milliseconds(6)),
-              [this, Index, Life = Replica.Life, Count,
-               Handlers = std::exchange(Replica.AfterSync, {})] {
-                model_replica &Disk = Replicas[Index];
-                if (Disk.Life != Life)
-                  return;
-                const auto End =
-                    Disk.Written.begin() + static_cast<std::ptrdiff_t>(Count);
-                Disk.Synced.insert(Disk.Synced.end(), Disk.Written.begin(),
-                                   End);
-                Disk.Written.erase(Disk.Written.begin(), End);
-                Disk.Syncing = false;
-                for (const auto &Handler : Handlers)
-                  onReplica(Index, Handler);
-                if (!Disk.Written.empty() && Disk.Life == Life && !Disk.Syncing)
-                  syncReplica(Index);
-              });
+  // A disk may hang.
+  const auto Time = Choice.chance(20)
+                        ? Choice.between(milliseconds(20), milliseconds(900))
+                        : Choice.between(milliseconds(1), milliseconds(6));
+  Clock.after(Time, [this, Index, Life = Replica.Life, Count,
+                     Handlers = std::exchange(Replica.AfterSync, {})] {
+    model_replica &Disk = Replicas[Index];
+    if (Disk.Life != Life)
+      return;
+    const auto End = Disk.Written.begin() + static_cast<std::ptrdiff_t>(Count);
+    Disk.Synced.insert(Disk.Synced.end(), Disk.Written.begin(), End);
+    Disk.Written.erase(Disk.Written.begin(), End);
+    Disk.Syncing = false;
+    for (const auto &Handler : Handlers)
+      onReplica(Index, Handler);
+    if (!Disk.Written.empty() && Disk.Life == Life && !Disk.Syncing)
+      syncReplica(Index);
+  });
 }
 
 void history_world::scheduleDecide(std::size_t Index, std::uint64_t Life) {
@@ -189,10 +211,10 @@
 
 void history_world::takeSet(std::size_t Index) {
   model_replica &Replica = Replicas[Index];
-  if (StoreDown || Replica.SetRevision == StoredRevision)
+  if (StoreDown || !Stored ||
+      (Replica.Set && Replica.Set->Revision == Stored->Revision))
     return;
   Replica.Set = Stored;
-  Replica.SetRevision = StoredRevision;
   if (!Stored->Established || Stored->Version <= Replica.State.SetVersion)
     return;
   replica_change Change;
@@ -208,22 +230,12 @@
   // An instance that has never reached the store can't know the set.
   if (!Replica.Set && StoreDown)
     return;
-  if (Replica.WritingSet)
-    return;
   if (!Replica.Set || !Replica.Set->find(Replica.Name)) {
+    if (Replica.Change->busy())
+      return;
     probe(Index);
-    membership_view View;
-    View.Node = View.Address = Replica.Name;
-    View.Set = Replica.Set;
-    View.FirstStart = Replica.FirstStart;
-    if (Replica.Set)
-      for (const replica_slot &Slot : Replica.Set->Slots) {
-        const auto Heard = Replica.LastHeard.find(Slot.Address);
-        View.Unreachable.push_back(Heard != Replica.LastHeard.end() &&
-                                   Clock.now().Steady - Heard->second.Steady >
-                                       TakeoverDelay);
-      }
-    act(Index, decideMembership(View));
+    Replica.ChangedSet = Replica.Set;
+    Replica.Change->begin(decideMembership(viewOf(Index)));
     return;
   }
   if (!Replica.Set->Established)
@@ -232,8 +244,25 @@
     copy(Index);
     return;
   }
-  if (const auto Next = withoutPredecessor(*Replica.Set, Replica.Name))
-    writeSet(Index, *Next, false);
+  const auto Next = withoutPredecessor(*Replica.Set, Replica.Name);
+  if (Next && !Replica.Change->busy())
+    Replica.Change->write(*Next);
+}
+
+membership_view history_world::viewOf(std::size_t Index) const {
+  const model_replica &Replica = Replicas[Index];
+  membership_view View;
+  View.Node = View.Address = Replica.Name;
+  View.Set = Replica.Set;
+  View.FirstStart = Replica.FirstStart;
+  if (Replica.Set)
+    for (const replica_slot &Slot : Replica.Set->Slots) {
+      const auto Heard = Replica.LastHeard.find(Slot.Address);
+      View.Unreachable.push_back(Heard != Replica.LastHeard.end() &&
+                                 Clock.now().Steady - Heard->second.Steady >
+                                     TakeoverDelay);
+    }
+  return View;
 }
 
 void history_world::probe(std::size_t Index) {
@@ -251,44 +280,82 @@
   }
 }
 
-void history_world::act(std::size_t Index,
-                        const membership_decision &Decision) {
-  if (Decision.Step == membership_step::None)
-    return;
-  model_replica &Replica = Replicas[Index];
-  Replica.WritingSet = true;
-  replica_change Change;
-  Change.Kind = Decision.Step == membership_step::TakeOver
-                    ? change_kind::Incomplete
-                    : change_kind::Complete;
-  applyChange(Replica.State, Change, 1, Limits, Clock.now());
-  persist(Index, {Change}, [this, Index, Decision] {
-    Replicas[Index].WritingSet = false;
-    writeSet(Index, Decision.Set, Decision.Step == membership_step::CreateSet);
-    if (Decision.Step == membership_step::TakeOver)
-      ++Result.Takeovers;
-  });
+membership_change::environment
+history_world::changeEnvironment(std::size_t Index) {
+  membership_change::environment Environment;
+  Environment.Persist = [this, Index](const replica_change &Marker,
+                                      membership_change::on_durable OnDone) {
+    applyChange(Replicas[Index].State, Marker, 1, Limits, Clock.now());
+    persist(Index, {Marker}, [OnDone = std::move(OnDone)] { OnDone(true); });
+  };
+  Environment.Write = [this, Index](const replica_set &Next, bool,
+                                    const std::function<void()> &OnDone) {
+    writeSet(Index, Next, OnDone);
+  };
+  const bool Late = Settings.Planted == planted_history_fault::LateRevision;
+  Environment.Known = [this, Index,
+                       Late]() -> const std::optional<replica_set> & {
+    return Late ? Replicas[Index].ChangedSet : Replicas[Index].Set;
+  };
+  Environment.OnDropped = [this](const replica_set &Next) {
+    note("a change of revision " + std::to_string(Next.Revision) +
+         " is dropped");
+  };
+  return Environment;
 }
 
-void history_world::writeSet(std::size_t Index, const replica_set &Next,
-                             bool Create) {
-  model_replica &Replica = Replicas[Index];
-  Replica.WritingSet = true;
-  const std::uint64_t Revision = Create ? 0 : Replica.SetRevision;
-  const std::uint64_t Life = Replica.Life;
-  Clock.after(Choice.between(milliseconds(1), milliseconds(30)),
-              [this, Index, Next, Revision, Life] {
-                // The answer may be lost although the change was made.
-                if (!StoreDown && StoredRevision == Revision) {
-                  Stored = Next;
-                  ++StoredRevision;
-                  note("set " + encodeReplicaSet(Next));
-                }
-                if (Replicas[Index].Life == Life)
-                  Replicas[Index].WritingSet = false;
+void history_world::writeSet(std::size_t Index, replica_set Next,
+                             const std::function<void()> &OnDone) {
+  if (Settings.Planted == planted_history_fault::LateRevision &&
+      Replicas[Index].Set)
+    Next.Revision = Replicas[Index].Set->Revision;
+  // The store may hold a call back; it is executed although its sender has
+  // given up.
+  const auto Time = Choice.chance(30)
+                        ? Choice.between(milliseconds(100), seconds(4))
+                        : Choice.between(milliseconds(1), milliseconds(30));
+  Clock.after(Time, [this, Next] {
+    if (!StoreDown && (Stored ? Stored->Revision : 0) == Next.Revision)
+      storeSet(Next);
+  });
+  Clock.after(std::min<microseconds>(Time, StoreTimeout),
+              [this, Index, OnDone, Life = Replicas[Index].Life] {
+                if (Replicas[Index].Life != Life)
+                  return;
+                onReplica(Index, [this, Index, OnDone] {
+                  OnDone();
+                  decide(Index);
+                });
               });
 }
 
+void history_world::storeSet(const replica_set &Next) {
+  const std::uint64_t Revision = Next.Revision + 1;
+  if (Stored && Stored->Established && Next.Version > Stored->Version)
+    ++Result.Takeovers;
+  Stored = Next;
+  Stored->Revision = Revision;
+  note("set, revision " + std::to_string(Revision) + " " +
+       encodeReplicaSet(Next));
+  std::set<std::string> Members;
+  for (const replica_slot &Slot : Next.Slots)
+    Members.insert(Slot.Address);
+  const auto Known = Memberships.emplace(Next.Version, Members).first;
+  if (Known->second != Members)
+    breach("version " + std::to_string(Next.Version) +
+           " of the replica set was stored with other members");
+  for (std::size_t Index = 0; Index < Replicas.size(); ++Index)
+    if (Replicas[Index].Up)
+      watchSet(Index);
+  for (std::size_t Index = 0; Index < Edges.size(); ++Index)
+    if (!Choice.chance(300))
+      Clock.after(Choice.between(MinWatchDelay, MaxWatchDelay),
+                  [this, Index, Set = *Stored] {
+                    if (!StoreDown)
+                      adoptSet(Index, Set);
+                  });
+}
+
 void history_world::copy(std::size_t Index) {
   model_replica &Replica = Replicas[Index];
   restartIfSetChanged(Replica.Copy, *Replica.Set);
@@ -358,8 +425,10 @@
   constexpr std::uint64_t Budget = 600;
   for (int Index = 0; Index < 3; ++Index)
     addReplica(true);
-  if (Choice.chance(400))
-    addReplica(Choice.chance(500));
+  // More machines than slots may start at once.
+  for (int Index = 0; Index < 3; ++Index)
+    if (Choice.chance(250))
+      addReplica(Choice.chance(700));
   for (std::size_t Index = 0; Index < EdgeCount; ++Index) {
     model_edge Edge;
     Edge.Name = "e" + std::to_string(Index);
--- a/src/history_explore/history_world.h
+++ b/src/history_explore/history_world.h
@@ -2,12 +2,14 @@
 
 #include "explore/virtual_clock.h"
 #include "history/copy_progress.h"
+#include "history/membership_change.h"
 #include "history/quorum.h"
 #include "history_explore/history_explore.h"
 
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -30,8 +32,9 @@
   bool Syncing = false;
   replica_state State;
   std::optional<replica_set> Set; ///< As last read from the store.
-  std::uint64_t SetRevision = 0;
-  bool WritingSet = false;
+  /// The set that the change in progress was derived from.
+  std::optional<replica_set> ChangedSet;
+  std::unique_ptr<membership_change> Change;
   copy_progress Copy;
   std::map<std::string, instant> LastHeard;
 };
@@ -100,8 +103,12 @@
   void scheduleDecide(std::size_t Index, std::uint64_t Life);
   void decide(std::size_t Index);
   void takeSet(std::size_t Index);
-  void act(std::size_t Index, const membership_decision &Decision);
-  void writeSet(std::size_t Index, const replica_set &Next, bool Create);
+  void watchSet(std::size_t Index);
+  membership_change::environment changeEnvironment(std::size_t Index);
+  membership_view viewOf(std::size_t Index) const;
+  void writeSet(std::size_t Index, replica_set Next,
+                const std::function<void()> &OnDone);
+  void storeSet(const replica_set &Next);
   void probe(std::size_t Index);
   void copy(std::size_t Index);
   void copyFrom(std::size_t Index, const std::string &Source,
@@ -152,7 +159,8 @@
   std::vector<model_edge> Edges;
   std::vector<model_budget> Programs;
   std::optional<replica_set> Stored; ///< In the platform's store.
-  std::uint64_t StoredRevision = 0;
+  /// Addresses of the replicas of each version that was stored.
+  std::map<std::uint64_t, std::set<std::string>> Memberships;
   bool StoreDown = false;
   bool FaultsOn = true;
   std::uint64_t NextId = 1;
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -3,6 +3,7 @@
 #include "admission/memory_account.h"
 #include "history/copy_progress.h"
 #include "history/history_link.h"
+#include "history/membership_change.h"
 #include "history/permit_service.h"
 #include "history/replica_server.h"
 #include "history/suspect_service.h"
@@ -261,16 +262,17 @@
   }
 
   void updateReplicaSet(const store_item &Item) {
-    if (Item.Name != ReplicaSetName || Item.Revision <= SetRevision)
+    const auto Revision = static_cast<std::uint64_t>(Item.Revision);
+    if (Item.Name != ReplicaSetName || (Set && Revision <= Set->Revision))
       return;
-    const auto Read = decodeReplicaSet(Item.Spec);
+    auto Read = decodeReplicaSet(Item.Spec);
     if (!Read) {
       logEvent(log_level::Error, "replica_set_unreadable",
                {{"revision", std::to_string(Item.Revision)}});
       return;
     }
-    SetRevision = Item.Revision;
-    Set = *Read;
+    Read->Revision = Revision;
+    Set = std::move(Read);
     logEvent(log_level::Info, "replica_set_read",
              {{"version", std::to_string(Set->Version)},
               {"revision", std::to_string(Item.Revision)},
@@ -442,9 +444,9 @@
     const bool Member = Set && Set->find(Address);
     if (Member) {
       continueAsMember();
-    } else if (!WritingReplicaSet) {
+    } else if (!Change.busy()) {
       probeReplicas();
-      beginMembershipChange(decideMembership(membershipView()));
+      Change.begin(decideMembership(membershipView()));
     }
     reportRetirement();
   }
@@ -495,41 +497,39 @@
     return *Link;
   }
 
-  void beginMembershipChange(const membership_decision &Decision) {
-    if (Decision.Step == membership_step::None)
-      return;
-    WritingReplicaSet = true;
-    // Must be durable before the set names this instance, as others rely on it
-    // from then on. A founding or joining replica is complete, since no set is
-    // established yet; a successor lacks the records of its predecessor.
-    replica_change Change;
-    Change.Kind = Decision.Step == membership_step::TakeOver
-                      ? change_kind::Incomplete
-                      : change_kind::Complete;
-    Store.apply(Change, [this, Decision](bool Durable) {
-      if (!Durable) {
-        WritingReplicaSet = false;
-        return;
-      }
-      writeReplicaSet(Decision.Set,
-                      Decision.Step == membership_step::CreateSet);
-    });
-  }
-
-  void writeReplicaSet(const replica_set &Next, bool Create) {
-    WritingReplicaSet = true;
+  membership_change::environment changeEnvironment() {
+    return {[this](const replica_change &Marker,
+                   membership_change::on_durable OnDone) {
+              Store.apply(Marker, std::move(OnDone));
+            },
+            [this](const replica_set &Next, bool Create,
+                   std::function<void()> OnDone) {
+              writeReplicaSet(Next, Create, std::move(OnDone));
+            },
+            [this]() -> const std::optional<replica_set> & { return Set; },
+            [](const replica_set &Next) {
+              logEvent(log_level::Info, "replica_set_proposal_dropped",
+                       {{"version", std::to_string(Next.Version)},
+                        {"revision", std::to_string(Next.Revision)}});
+            }};
+  }
+
+  void writeReplicaSet(const replica_set &Next, bool Create,
+                       std::function<void()> OnDone) {
+    const std::string Spec = encodeReplicaSet(Next);
     logEvent(log_level::Info, "replica_set_proposed",
              {{"version", std::to_string(Next.Version)},
-              {"revision", std::to_string(SetRevision)},
-              {"replicas", encodeReplicaSet(Next)}});
-    const std::string Spec = encodeReplicaSet(Next);
+              {"revision", std::to_string(Next.Revision)},
+              {"replicas", Spec}});
     StoreClient->call(
         Create ? platform::createRequest(platform::ReplicaSetKind,
                                          ReplicaSetName, Spec)
-               : platform::replaceRequest(platform::ReplicaSetKind,
-                                          ReplicaSetName, Spec, SetRevision),
-        StoreTimeout, [this](const store_answer &Answer) {
-          WritingReplicaSet = false;
+               : platform::replaceRequest(
+                     platform::ReplicaSetKind, ReplicaSetName, Spec,
+                     static_cast<std::int64_t>(Next.Revision)),
+        StoreTimeout,
+        [this, OnDone = std::move(OnDone)](const store_answer &Answer) {
+          OnDone();
           logEvent(log_level::Info, "replica_set_written",
                    {{"status", storeStatusName(Answer.Status)}});
           // On success and on conflict the answer holds the
@@ -548,8 +548,8 @@
     const replica_state &State = Store.state();
     if (State.Complete) {
       const auto Next = withoutPredecessor(*Set, Address);
-      if (Next && !WritingReplicaSet)
-        writeReplicaSet(*Next, false);
+      if (Next && !Change.busy())
+        Change.write(*Next);
       return;
     }
     startCopies();
@@ -721,10 +721,8 @@
   bool SuspectsChanged = false; ///< Since they were last saved.
 
   std::optional<replica_set> Set;
-  std::int64_t SetRevision = 0;
   bool SetListed = false;
-  /// A change of the replica set is in progress.
-  bool WritingReplicaSet = false;
+  membership_change Change{changeEnvironment()};
   std::map<std::string, store_item> Retirements;
   bool ReportingRetirement = false;
   std::map<std::string, std::shared_ptr<history_link>> Links;
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -4,6 +4,7 @@
 #include "history/chain_cache.h"
 #include "history/copy_progress.h"
 #include "history/history_link.h"
+#include "history/membership_change.h"
 #include "history/ownership.h"
 #include "history/permit_service.h"
 #include "history/quorum.h"
@@ -732,6 +733,119 @@
   CHECK(decideMembership(Spare).Step == membership_step::None);
 }
 
+namespace {
+
+/// A process that changes the replica set, with a disk and a store that answer
+/// when the test says so.
+struct changing_instance {
+  std::optional<replica_set> Known;
+  std::vector<replica_change> Markers;
+  std::vector<membership_change::on_durable> Syncs;
+  std::vector<std::pair<replica_set, bool>> Writes;
+  std::vector<std::function<void()>> Calls;
+  int Dropped = 0;
+  membership_change Change{
+      {[this](const replica_change &Marker,
+              membership_change::on_durable OnDone) {
+         Markers.push_back(Marker);
+         Syncs.push_back(std::move(OnDone));
+       },
+       [this](const replica_set &Next, bool Create,
+              std::function<void()> OnDone) {
+         Writes.emplace_back(Next, Create);
+         Calls.push_back(std::move(OnDone));
+       },
+       [this]() -> const std::optional<replica_set> & { return Known; },
+       [this](const replica_set &) { ++Dropped; }}};
+};
+
+/// A set that has been read from the store.
+replica_set storedSet(std::uint64_t Revision, std::uint64_t Version,
+                      std::vector<replica_slot> Slots) {
+  replica_set Set{Version, 1, Slots.size() == 3, std::move(Slots)};
+  Set.Revision = Revision;
+  return Set;
+}
+
+const replica_slot SlotA{"a", "a:1", "za", ""};
+const replica_slot SlotB{"b", "b:1", "zb", ""};
+const replica_slot SlotC{"c", "c:1", "zc", ""};
+
+} // namespace
+
+// Guards against two replica sets of one version: an instance joined with the
+// revision of a set that its decision had not seen.
+TEST_CASE("a set that changes while a marker is synced is not overwritten by a "
+          "change that has not seen it") {
+  changing_instance Instance;
+  Instance.Known = storedSet(7, 2, {SlotA, SlotB});
+  const auto Decide = [&] {
+    return decideMembership(viewOf("d", *Instance.Known));
+  };
+  Instance.Change.begin(Decide());
+  REQUIRE(Instance.Syncs.size() == 1);
+  CHECK(Instance.Markers[0].Kind == change_kind::Complete);
+  // Another instance joins while the disk hangs.
+  Instance.Known = storedSet(8, 3, {SlotA, SlotB, SlotC});
+  CHECK(Instance.Change.busy());
+  Instance.Syncs[0](true);
+  CHECK(Instance.Writes.empty());
+  CHECK(Instance.Dropped == 1);
+  CHECK_FALSE(Instance.Change.busy());
+  CHECK(Decide().Step == membership_step::None);
+}
+
+TEST_CASE("a change of the set is written under the revision of the set that "
+          "it was derived from, also when the store holds the call back") {
+  changing_instance Instance;
+  Instance.Known = storedSet(7, 2, {SlotA, SlotB});
+  Instance.Change.begin(decideMembership(viewOf("d", *Instance.Known)));
+  Instance.Syncs[0](true);
+  REQUIRE(Instance.Writes.size() == 1);
+  CHECK(Instance.Writes[0].first.Revision == 7);
+  CHECK(Instance.Writes[0].first.Version == 3);
+  CHECK_FALSE(Instance.Writes[0].second);
+  Instance.Known = storedSet(8, 3, {SlotA, SlotB, SlotC});
+  CHECK(Instance.Change.busy());
+  CHECK(Instance.Writes[0].first.Revision == 7);
+  Instance.Calls[0]();
+  CHECK_FALSE(Instance.Change.busy());
+}
+
+TEST_CASE("a set is created only while none is known, and nothing is written "
+          "for a marker that is not durable") {
+  changing_instance Instance;
+  membership_view First = viewOf("a", std::nullopt);
+  First.FirstStart = true;
+  Instance.Change.begin(decideMembership(First));
+  Instance.Syncs[0](false);
+  CHECK(Instance.Writes.empty());
+  CHECK_FALSE(Instance.Change.busy());
+  Instance.Change.begin(decideMembership(First));
+  Instance.Syncs[1](true);
+  REQUIRE(Instance.Writes.size() == 1);
+  CHECK(Instance.Writes[0].second);
+  Instance.Calls[0]();
+  Instance.Change.begin(decideMembership(First));
+  Instance.Known = storedSet(7, 1, {SlotB});
+  Instance.Syncs[2](true);
+  CHECK(Instance.Writes.size() == 1);
+}
+
+TEST_CASE("a predecessor is removed under the revision of the set that names "
+          "it") {
+  changing_instance Instance;
+  replica_slot Successor = SlotC;
+  Successor.Predecessor = "x:1";
+  Instance.Known = storedSet(9, 4, {SlotA, SlotB, Successor});
+  const auto Next = withoutPredecessor(*Instance.Known, "c:1");
+  REQUIRE(Next);
+  Instance.Change.write(*Next);
+  CHECK(Instance.Markers.empty());
+  REQUIRE(Instance.Writes.size() == 1);
+  CHECK(Instance.Writes[0].first.Revision == 9);
+}
+
 TEST_CASE(
     "a replica set decodes from its JSON form; malformed text yields nothing") {
   const auto Set = decodeReplicaSet(encodeReplicaSet(makeSet()));
