replica: keep an older set apart from the newest version in segment headers

Cause: a replica that has heard of a version from a request, before it has read the set from the store, wrote the slots of the older set under the newer version into the header of each new segment. After a restart it took them for the set of that version and handed them to entry instances, which then ignored the real set of that version.

Change: the header has the set as it is known, and the newest version as a record without slots, which older builds read as well.

Test: "a segment repeats the newest version that is known apart from an older set" failed 4 checks before (version 2 with the slots of version 1 after the first restart, handed out in the answer to an older request), passes now.

--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -65,8 +65,13 @@
   replica_change Set;
   Set.Kind = change_kind::Set;
   Set.Set = State.Set;
-  Set.Set.Version = State.SetVersion;
   std::vector<replica_change> Header{Completeness, Set};
+  if (State.SetVersion != State.Set.Version) {
+    replica_change Newest;
+    Newest.Kind = change_kind::Set;
+    Newest.Set.Version = State.SetVersion;
+    Header.push_back(Newest);
+  }
   for (const auto &[Kind, Backup] : State.Backups) {
     replica_change Change;
     Change.Kind = change_kind::Backup;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -527,6 +527,44 @@
   CHECK(Restarted.state().SetVersion == 1);
 }
 
+// Guards against a set of one version with the members of another: segments
+// repeated the newest version together with the slots of an older set.
+TEST_CASE("a segment repeats the newest version that is known apart from an "
+          "older set") {
+  const temporary_folder Folder;
+  const replica_set Set{
+      1,
+      1,
+      true,
+      {{"a", "a:1", "", ""}, {"b", "b:1", "", ""}, {"c", "c:1", "", ""}}};
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    replica_change Change;
+    Change.Kind = change_kind::Set;
+    Change.Set = Set;
+    Store.apply(Change, [](bool) {});
+    // A sender knows a set that this replica has not read yet.
+    replica_request Newer = commitOf("t1", 60'000);
+    Newer.SetVersion = 2;
+    handleAndWait(Loop, Store, Newer);
+  }
+  for (int Restart = 0; Restart < 3; ++Restart) {
+    CAPTURE(Restart);
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    CHECK(Store.state().SetVersion == 2);
+    CHECK(Store.state().Set.Version == 1);
+    CHECK(Store.state().Set.Slots.size() == 3);
+    std::optional<replica_reply> Reply;
+    Store.handle(commitOf("t2", 60'000),
+                 [&](replica_reply Given) { Reply = std::move(Given); });
+    REQUIRE(Reply);
+    CHECK(Reply->Status == replica_status::OldSet);
+    CHECK(Reply->Set.empty());
+  }
+}
+
 TEST_CASE("a replica accepts writes again once its disk does, and then deletes "
           "the segments that it could not relocate") {
   const temporary_folder Folder;
