replica: adopt a set also if its version was known from a request

Callers saw: entry instances that still used an older set waited for the store; with the store away, they could not learn the newer set from the replicas.

Cause: a replica adopted a set that it read from the store only if its version was newer than any it had heard of. If a request had named the version first, which a takeover makes likely, the replica kept the older set for good and passed none on.

Change: the replica adopts whatever is news: a newer version, or the newest text of a version by the revision in the store, also one without predecessors.

Test: "a replica passes on the set of a version that it knew from a request before it read the set", with a running replica and a stand-in of the store, failed before (no set in the answer within 5 s), passes now.

--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -459,13 +459,32 @@
   }
 }
 
+namespace {
+
+/// \returns whether a set replaces the one that is known. Predecessors are
+/// removed from a set without a new version. Sets without a revision were
+/// passed on by an older build; the later one is taken for the newer.
+bool replacesSet(const replica_state &State, const replica_set &Set) {
+  const replica_set &Known = State.Set;
+  if (Set.Slots.empty() || Set.Version != Known.Version)
+    return !Set.Slots.empty() && Set.Version > Known.Version;
+  if (Set.Revision != 0 || Known.Revision != 0)
+    return Set.Revision > Known.Revision;
+  return encodeReplicaSet(Set) != encodeReplicaSet(Known);
+}
+
+} // namespace
+
+bool isNews(const replica_state &State, const replica_set &Set) {
+  return Set.Version > State.SetVersion || replacesSet(State, Set);
+}
+
 bool adoptReplicaSet(replica_state &State, const replica_set &Set) {
-  const bool Newer = Set.Version > State.SetVersion;
+  const bool News = isNews(State, Set);
   State.SetVersion = std::max(State.SetVersion, Set.Version);
-  // Predecessors are removed from a set without a new version.
-  if (Set.Version >= State.Set.Version && !Set.Slots.empty())
+  if (replacesSet(State, Set))
     State.Set = Set;
-  return Newer;
+  return News;
 }
 
 void copyText(const turn_record &Turn, const text_part &Part, char *To) {
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -213,12 +213,17 @@
 applyFetched(replica_state &State, const replica_reply &Reply,
              segment_number Segment, const replica_limits &Limits, instant Now);
 
-/// Adopts a replica set unless a newer one is known. A set of the same version
-/// replaces the known one, since it may have fewer predecessors. A set without
-/// slots only raises the known version.
 /// \param State the replica's state.
+/// \param Set a replica set; without slots if only its version is known.
+/// \returns whether the replica learns something from the set: a newer version,
+/// or the newest known text of a version.
+bool isNews(const replica_state &State, const replica_set &Set);
+
+/// Adopts a replica set if it is news. A newer text of the same version
+/// replaces the known one, since it may have fewer predecessors. A set without
+/// slots only raises the known version. \param State the replica's state.
 /// \param Set the set.
-/// \returns whether the version is new, so that the set must be synced.
+/// \returns whether it was news, so that the set must be synced.
 bool adoptReplicaSet(replica_state &State, const replica_set &Set);
 
 /// Deletes records whose retention has ended.
--- a/src/history_explore/history_world.cpp
+++ b/src/history_explore/history_world.cpp
@@ -215,7 +215,7 @@
       (Replica.Set && Replica.Set->Revision == Stored->Revision))
     return;
   Replica.Set = Stored;
-  if (!Stored->Established || Stored->Version <= Replica.State.SetVersion)
+  if (!Stored->Established || !isNews(Replica.State, *Stored))
     return;
   replica_change Change;
   Change.Kind = change_kind::Set;
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -277,7 +277,7 @@
              {{"version", std::to_string(Set->Version)},
               {"revision", std::to_string(Item.Revision)},
               {"replicas", encodeReplicaSet(*Set)}});
-    if (Set->Established && Set->Version > Store.state().SetVersion) {
+    if (Set->Established && isNews(Store.state(), *Set)) {
       replica_change Change;
       Change.Kind = change_kind::Set;
       Change.Set = *Set;
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -154,6 +154,12 @@
   asio::io_context &loop() { return Loop; }
   const replica_set &set() const { return Set; }
 
+  /// Changes the set in the store, of which all replicas are told.
+  void changeSet(const replica_set &Next) {
+    Store.setSpec(encodeReplicaSet(Next), "main");
+    Store.change(platform::ReplicaSetKind);
+  }
+
   /// \returns the ids of the chain that ends with a turn, as one replica
   /// returns it, newest first.
   std::string chainAt(int Replica, const std::string &Last) {
@@ -565,6 +571,29 @@
   }
 }
 
+TEST_CASE("a replica passes on the set of a version that it knew from a "
+          "request before it read the set") {
+  replica_group Group;
+  replica_request Ping;
+  Ping.SetVersion = 2;
+  CHECK(Group.call(0, Ping).Status == replica_status::Done);
+  replica_set Next = Group.set();
+  Next.Version = 2;
+  Next.Slots[2].Predecessor = "127.0.0.1:1";
+  Group.changeSet(Next);
+  replica_reply Reply;
+  Group.runUntil(
+      [&] {
+        Reply = Group.call(0, commitOf("t1", 60'000));
+        return !Reply.Set.empty();
+      },
+      seconds(5));
+  CHECK(Reply.Status == replica_status::OldSet);
+  REQUIRE(Reply.Set.size() == 1);
+  CHECK(Reply.Set[0].Version == 2);
+  CHECK(Reply.Set[0].Slots[2].Predecessor == "127.0.0.1:1");
+}
+
 TEST_CASE("a replica accepts writes again once its disk does, and then deletes "
           "the segments that it could not relocate") {
   const temporary_folder Folder;
--- a/tests/watched_store.h
+++ b/tests/watched_store.h
@@ -98,8 +98,12 @@
   }
 
   /// \param Given spec of the objects that change from now on, JSON text.
-  void setSpec(const std::string &Given) {
-    post([this, Given] { Spec = Given; });
+  /// \param Name their name.
+  void setSpec(const std::string &Given, const std::string &Name = "other") {
+    post([this, Given, Name] {
+      Spec = Given;
+      ChangedName = Name;
+    });
   }
 
   /// \returns whether a call of the process's watch has shown that it knows the
@@ -253,8 +257,8 @@
   void respondEvents(const poll &Poll) {
     std::string Events;
     if (Changes[Poll.Kind] > Poll.From)
-      Events = R"({"removed":false,"object":{"metadata":{"name":"other",)"
-               R"("revision":)" +
+      Events = R"({"removed":false,"object":{"metadata":{"name":")" +
+               ChangedName + R"(","revision":)" +
                std::to_string(Changes[Poll.Kind]) + R"(},"spec":)" + Spec +
                R"(,"status":null}})";
     respond(*Poll.Caller, 200,
@@ -277,6 +281,7 @@
   store_fault Fault = store_fault::None;
   std::int64_t Revision = 5;
   std::string Spec = "{}";
+  std::string ChangedName = "other";
   std::map<std::string, std::int64_t> Changes; ///< Last revision, by kind.
   std::map<std::string, std::string> Listed;   ///< The one object, by kind.
 
