history: tell sets of one version apart by their replicas, and end a conflict

Callers saw: 404 for a turn that was answered whole, where two replica sets of one version are in use.

Cause: nothing but the version named a set. Entry instances ignored another set of their version, replicas took it, and quorums were counted by slot whatever set a replica had in mind. A replica without a slot answered as complete.

Change: - Sets are ordered by version, then by their revision in the store; entry instances and replicas end with the set that the store holds, and log replica_set_conflict. - Requests and replies name the replicas of the set. A replica answers a sender that knows others, or counts on a slot that it hasn't, as incomplete and with its set; such answers form no quorum. - A replica that has seen the store replace a set by another one of the same version answers nothing as certain until there is a newer version. The displaced replica takes its slot back as a successor, under a new version; if it is gone, a member writes a new version after 5 s, when repair has brought the members what only some of them had. Older builds leave out the new fields and are answered as before.

--- a/src/edge/edge.cpp
+++ b/src/edge/edge.cpp
@@ -740,10 +740,11 @@
   }
 
   void applyReplicaSet(const store_item &Item) {
-    const auto Set = decodeReplicaSet(Item.Spec);
-    if (Set)
+    auto Set = decodeReplicaSet(Item.Spec);
+    if (Set) {
+      Set->Revision = static_cast<std::uint64_t>(Item.Revision);
       History.setReplicas(*Set, "store");
-    else
+    } else
       logEvent(log_level::Error, "replica_set_unreadable",
                {{"entry", Item.Name}});
   }
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -88,11 +88,13 @@
                  std::size_t CacheBytes);
   ~history_client();
 
-  /// Adopts a replica set if its version is newer, and restarts the operations
-  /// in progress on it.
+  /// Adopts a replica set if it is later in the store than the known one, and
+  /// restarts the operations in progress on it if its version or its replicas
+  /// differ.
   /// \param Set the set.
   /// \param Source origin of the set, for the log.
-  void setReplicas(const replica_set &Set, const char *Source);
+  /// \returns whether operations were restarted.
+  bool setReplicas(const replica_set &Set, const char *Source);
 
   /// \returns whether an established replica set is known.
   bool ready() const { return Set.Established; }
@@ -261,7 +263,13 @@
 
   asio::io_context &Loop;
   std::string Domain;
+  void reportConflict(const replica_set &Other, const char *Source);
+  replica_request makePing() const;
+
   replica_set Set;
+  std::uint64_t SetReplicas = 0; ///< hashReplicas() of Set.
+  /// hashReplicas() of the set that was last reported as in conflict.
+  std::uint64_t ReportedReplicas = 0;
   replica_set FormerSet;   ///< Established set before this one.
   instant SetReplacedAt{}; ///< When it was replaced.
   /// Replicas by address that relays don't reach, until the given time.
--- a/src/history/quorum.cpp
+++ b/src/history/quorum.cpp
@@ -17,6 +17,8 @@
                          instant Now) {
   const auto &Answer = Round.Answers[Slot];
   return Answer && Answer->Status == replica_status::Done &&
+         (Answer->SetReplicas == 0 ||
+          Answer->SetReplicas == Round.SetReplicas) &&
          isWithinWindow(Round.ReceivedAt[Slot], Now);
 }
 
@@ -30,6 +32,7 @@
 quorum_round beginRound(const replica_set &Set) {
   quorum_round Round;
   Round.Needed = std::max(Set.writeQuorum(), Set.readQuorum());
+  Round.SetReplicas = hashReplicas(Set);
   Round.Answers.resize(Set.Slots.size());
   Round.ReceivedAt.resize(Set.Slots.size());
   return Round;
--- a/src/history/quorum.h
+++ b/src/history/quorum.h
@@ -19,6 +19,9 @@
 /// Answers to one request that is sent to all replicas of a set.
 struct quorum_round {
   std::size_t Needed = 0; ///< Answers of complete replicas that form a quorum.
+  /// hashReplicas() of the set. Answers of replicas that know another set of
+  /// the version don't count.
+  std::uint64_t SetReplicas = 0;
   /// Latest answer of each slot.
   std::vector<std::optional<replica_reply>> Answers;
   std::vector<instant> ReceivedAt; ///< Arrival time of each answer.
--- a/src/history/replica_message.h
+++ b/src/history/replica_message.h
@@ -88,10 +88,12 @@
   /// them; 0, as from older builds: all texts are returned.
   std::uint64_t TextLimit = 0;
   std::vector<text_part> Parts; ///< Texts: at most MaxTextReplyBytes.
+  /// hashReplicas() of the set of SetVersion; 0 from replicas and older builds.
+  std::uint64_t SetReplicas = 0;
   MSGPACK_DEFINE(Sequence, SetVersion, Operation, Program, Entry, RetentionMs,
                  Previous, WantChain, Turn, Turns, Cursor, Set, Target,
                  RelayAddress, Permits, Suspects, Signature, Workspace, Quotas,
-                 Run, Records, TextLimit, Parts)
+                 Run, Records, TextLimit, Parts, SetReplicas)
 };
 
 /// Token ledger of one program on a replica.
@@ -126,6 +128,7 @@
   std::uint64_t Cursor = 0; ///< Copy, List: position of the last item sent.
   std::uint64_t Head = 0;   ///< Copy, List: position of the last item to send.
   /// OldSet: the newer set, if known. Backups: the newest set, if known.
+  /// Incomplete: the known set, if that of the sender has other replicas.
   std::vector<replica_set> Set;
   std::vector<std::string> Relays;   ///< Ping: addresses of relays.
   std::vector<store_backup> Backups; ///< Backups: all kinds.
@@ -143,10 +146,13 @@
   /// Texts: the parts that were asked for, one after the other; empty if the
   /// replica lacks any of them.
   std::string Text;
+  /// hashReplicas() of the set of SetVersion; 0 if that isn't known, and from
+  /// older builds.
+  std::uint64_t SetReplicas = 0;
   MSGPACK_DEFINE(Sequence, Status, SetVersion, Ledger, PreviousFound, Turns,
                  Ledgers, Cursor, Head, Set, Relays, Backups, PreviousRunner,
                  Permits, Limits, Suspects, PreviousWorkspace, Quotas, Run,
-                 Records, TurnsLeftMs, Text)
+                 Records, TurnsLeftMs, Text, SetReplicas)
 };
 
 /// Most bytes of texts that one request may read.
--- a/src/history/replica_set.cpp
+++ b/src/history/replica_set.cpp
@@ -1,5 +1,7 @@
 #include "history/replica_set.h"
 
+#include "core/hash.h"
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -12,6 +14,31 @@
   return std::nullopt;
 }
 
+bool hasSameReplicas(const replica_set &Left, const replica_set &Right) {
+  return Left.Slots.size() == Right.Slots.size() &&
+         std::all_of(Left.Slots.begin(), Left.Slots.end(),
+                     [&](const replica_slot &Slot) {
+                       return Right.find(Slot.Address).has_value();
+                     });
+}
+
+std::uint64_t hashReplicas(const replica_set &Set) {
+  std::uint64_t Sum = 0;
+  for (const replica_slot &Slot : Set.Slots)
+    Sum += stableHash(Slot.Address);
+  return Sum == 0 ? 1 : Sum;
+}
+
+bool isLaterSet(const replica_set &Set, const replica_set &Known) {
+  return Set.Version != Known.Version ? Set.Version > Known.Version
+                                      : Set.Revision > Known.Revision;
+}
+
+bool areInConflict(const replica_set &Set, const replica_set &Known) {
+  return Set.Version == Known.Version && Set.Established && Known.Established &&
+         !hasSameReplicas(Set, Known);
+}
+
 std::string encodeReplicaSet(const replica_set &Set) {
   nlohmann::json Json{{"version", Set.Version},
                       {"disks_lost", Set.DisksLost},
@@ -77,6 +104,18 @@
   return std::nullopt;
 }
 
+/// \returns the slot that another replica took from this one without a new
+/// version, so that both may have been used as replicas of that version.
+std::optional<std::size_t> slotToTakeBack(const membership_view &View) {
+  if (!View.Conflicting || !areInConflict(*View.Conflicting, *View.Set) ||
+      !View.Conflicting->find(View.Address))
+    return std::nullopt;
+  for (std::size_t Index = 0; Index < View.Set->Slots.size(); ++Index)
+    if (!View.Conflicting->find(View.Set->Slots[Index].Address))
+      return Index;
+  return std::nullopt;
+}
+
 } // namespace
 
 membership_decision decideMembership(const membership_view &View) {
@@ -102,7 +141,9 @@
     Set.Established = Set.Slots.size() >= Set.fullSize();
     return {membership_step::Join, Set};
   }
-  const auto Index = slotToTakeOver(View);
+  auto Index = slotToTakeBack(View);
+  if (!Index)
+    Index = slotToTakeOver(View);
   if (!Index)
     return {};
   replica_slot Successor = Self;
@@ -121,6 +162,12 @@
   return Result;
 }
 
+replica_set withNewVersion(const replica_set &Set) {
+  replica_set Result = Set;
+  ++Result.Version;
+  return Result;
+}
+
 bool isReferenced(const replica_set &Set, const std::string &Node,
                   const std::string &Address) {
   return std::any_of(Set.Slots.begin(), Set.Slots.end(),
--- a/src/history/replica_set.h
+++ b/src/history/replica_set.h
@@ -49,6 +49,29 @@
   std::optional<std::size_t> find(const std::string &Address) const;
 };
 
+/// \param Left a set.
+/// \param Right another set.
+/// \returns whether both have the same replicas, whatever else differs.
+bool hasSameReplicas(const replica_set &Left, const replica_set &Right);
+
+/// Names the replicas of a set. Sets of one version have the same replicas,
+/// unless an older build has written one of them.
+/// \param Set the set.
+/// \returns a hash of the replicas' addresses in any order; never 0.
+std::uint64_t hashReplicas(const replica_set &Set);
+
+/// \param Set a set.
+/// \param Known the set that is known.
+/// \returns whether Set is the later one in the store: by its version, then by
+/// its revision.
+bool isLaterSet(const replica_set &Set, const replica_set &Known);
+
+/// \param Set a set.
+/// \param Known the set that is known.
+/// \returns whether both are established sets of one version with other
+/// replicas. Quorums of the two need not overlap.
+bool areInConflict(const replica_set &Set, const replica_set &Known);
+
 /// \param Set the set.
 /// \returns its stored text form (JSON), without the revision.
 std::string encodeReplicaSet(const replica_set &Set);
@@ -71,6 +94,8 @@
   std::vector<bool> Unreachable;
   /// Names of instances that are being retired.
   std::vector<std::string> Retiring;
+  /// A set in conflict with Set that was in force before it.
+  std::optional<replica_set> Conflicting;
 };
 
 /// Change that an instance makes to the replica set.
@@ -78,7 +103,8 @@
   None,
   CreateSet, ///< Create the set with this instance as its first replica.
   Join,      ///< Add a slot to a set that is not established yet.
-  TakeOver,  ///< Replace a replica that is lost or retiring.
+  TakeOver,  ///< Replace a replica that is lost or retiring, or that has
+             ///< replaced this one without a new version.
 };
 
 /// A step and the set to write. The set keeps the revision of the one that it
@@ -101,6 +127,10 @@
 std::optional<replica_set> withoutPredecessor(const replica_set &Set,
                                               const std::string &Address);
 
+/// \param Set the set, whose version another set has, too.
+/// \returns the set under a new version, which ends the use of the other one.
+replica_set withNewVersion(const replica_set &Set);
+
 /// \param Set the set.
 /// \param Node name of an instance.
 /// \param Address address of its replica.
--- a/src/history/replica_state.cpp
+++ b/src/history/replica_state.cpp
@@ -481,9 +481,16 @@
 
 bool adoptReplicaSet(replica_state &State, const replica_set &Set) {
   const bool News = isNews(State, Set);
-  State.SetVersion = std::max(State.SetVersion, Set.Version);
-  if (replacesSet(State, Set))
+  if (Set.Version > State.SetVersion) {
+    State.SetVersion = Set.Version;
+    State.Conflicting.reset();
+  }
+  if (replacesSet(State, Set)) {
+    if (Set.Revision != 0 && areInConflict(Set, State.Set))
+      State.Conflicting = State.Set;
     State.Set = Set;
+    State.SetReplicas = hashReplicas(Set);
+  }
   return News;
 }
 
@@ -497,6 +504,43 @@
                      Offset + FromInput - Turn.Input.size());
 }
 
+namespace {
+
+/// \returns whether an operation is one of entry instances, which count the
+/// replies of a set's replicas. The others are between replicas.
+bool isCounted(replica_operation Operation) {
+  switch (Operation) {
+  case replica_operation::Ping:
+  case replica_operation::Reserve:
+  case replica_operation::Commit:
+  case replica_operation::Settle:
+  case replica_operation::Read:
+  case replica_operation::Texts:
+    return true;
+  case replica_operation::Copy:
+  case replica_operation::Backups:
+  case replica_operation::List:
+  case replica_operation::Fetch:
+    break;
+  }
+  return false;
+}
+
+/// \returns whether a request of the newest version comes from a sender whose
+/// set has other replicas than the set that is known, or was sent to an
+/// instance that has no slot in it.
+bool isOfOtherReplicas(const replica_state &State,
+                       const replica_request &Request) {
+  if (!isCounted(Request.Operation) || !State.Set.Established ||
+      State.Set.Version != State.SetVersion)
+    return false;
+  const bool Named =
+      Request.SetReplicas != 0 && Request.SetReplicas != State.SetReplicas;
+  return Named || (!State.Address.empty() && !State.Set.find(State.Address));
+}
+
+} // namespace
+
 replica_outcome handleRequest(replica_state &State, replica_request Request,
                               segment_number Segment,
                               const replica_limits &Limits, instant Now) {
@@ -535,8 +579,19 @@
       Reply.Set.push_back(State.Set);
     return Outcome;
   }
-  Reply.Status =
-      State.Complete ? replica_status::Done : replica_status::Incomplete;
+  if (State.Set.Version == State.SetVersion)
+    Reply.SetReplicas = State.SetReplicas;
+  const bool OtherReplicas = isOfOtherReplicas(State, Request);
+  if (OtherReplicas) {
+    Reply.Set.push_back(State.Set);
+    if (Request.Operation == replica_operation::Ping) {
+      Reply.Status = replica_status::OldSet;
+      return Outcome;
+    }
+  }
+  const bool Certain = State.Complete && !OtherReplicas &&
+                       !(State.Conflicting && isCounted(Request.Operation));
+  Reply.Status = Certain ? replica_status::Done : replica_status::Incomplete;
   const bool Writes = Request.Operation == replica_operation::Reserve ||
                       Request.Operation == replica_operation::Commit;
   if (Writes && State.Bytes > Limits.MaxBytes) {
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -5,6 +5,7 @@
 
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -92,7 +93,13 @@
 struct replica_state {
   bool Complete = false;
   replica_set Set; ///< Newest set known in full; Version 0 if none is.
-  std::uint64_t SetVersion = 0; ///< Newest version; Set may be older.
+  std::uint64_t SetVersion = 0;  ///< Newest version; Set may be older.
+  std::uint64_t SetReplicas = 0; ///< hashReplicas() of Set.
+  /// A set in conflict with Set that the store held before it. Records that
+  /// were acknowledged by replicas of the one may be missing on those of the
+  /// other, so that no answer is certain until there is a newer version.
+  std::optional<replica_set> Conflicting;
+  std::string Address; ///< Of this replica; empty if not known.
   std::unordered_map<std::string, replica_turn> Turns;
   std::unordered_map<std::string, replica_ledger> Ledgers;
   std::map<std::uint64_t, record_key> Order; ///< Records by position.
--- a/src/history_explore/history_world.h
+++ b/src/history_explore/history_world.h
@@ -34,6 +34,8 @@
   std::optional<replica_set> Set; ///< As last read from the store.
   /// The set that the change in progress was derived from.
   std::optional<replica_set> ChangedSet;
+  bool OlderBuild = false;
+  instant ConflictTimeout{};
   std::unique_ptr<membership_change> Change;
   copy_progress Copy;
   std::map<std::string, instant> LastHeard;
@@ -46,6 +48,7 @@
   bool Cut = false; ///< Reaches no replica.
   std::uint64_t Life = 0;
   replica_set Set;
+  std::uint64_t SetChanges = 0; ///< Adopted versions or other replicas.
 };
 
 /// A turn that callers were told to be complete.
@@ -71,7 +74,7 @@
   std::uint64_t Life = 0;
   replica_request Request;
   quorum_round Round;
-  std::uint64_t Version = 0;
+  std::uint64_t SetChanges = 0; ///< Of the instance, when it was asked.
   bool Done = false;
   std::function<void(const quorum_round *)> OnDone;
 };
@@ -103,10 +106,14 @@
   void scheduleDecide(std::size_t Index, std::uint64_t Life);
   void decide(std::size_t Index);
   void takeSet(std::size_t Index);
+  void continueAsMember(std::size_t Index);
+  bool ignoresConflicts(const model_replica &Replica) const;
+  bool ignoresReplicas(const model_replica &Replica) const;
+  bool writesLate(const model_replica &Replica) const;
   void watchSet(std::size_t Index);
   membership_change::environment changeEnvironment(std::size_t Index);
   membership_view viewOf(std::size_t Index) const;
-  void writeSet(std::size_t Index, replica_set Next,
+  void writeSet(std::size_t Index, replica_set Next, bool Create,
                 const std::function<void()> &OnDone);
   void storeSet(const replica_set &Next);
   void probe(std::size_t Index);
@@ -131,7 +138,7 @@
   void askOne(const question_ptr &Question, std::size_t Slot);
   void askAgain(const question_ptr &Question);
   void finish(const question_ptr &Question, bool Decided);
-  void adoptSet(std::size_t Edge, const replica_set &Set);
+  bool adoptSet(std::size_t Edge, const replica_set &Set);
   void refreshEdges();
   void readChain(std::size_t Edge, const std::string &Previous,
                  std::map<std::string, turn_record> Turns,
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -38,6 +38,10 @@
 /// A replica that has been unreachable for longer than this may be replaced; a
 /// restarted process answers again within a second.
 constexpr milliseconds TakeoverDelay{2'500};
+/// After this time, a member ends a conflict of two sets of one version that no
+/// displaced replica has ended. Replicas have fetched from each other by then
+/// what only those of one set had received.
+constexpr milliseconds ConflictTime{5'000};
 /// Interval between readings of what other replicas have received. A record
 /// that this replica missed is here after about three intervals.
 constexpr milliseconds RepairInterval{1'000};
@@ -95,6 +99,8 @@
         }) {}
 
   int run() {
+    Store.setAddress(Address);
+    ConflictTimeout = later(readClock(), ConflictTime);
     loadSuspects();
     watchReplicaSet();
     watchRetirements();
@@ -282,6 +288,8 @@
       Change.Kind = change_kind::Set;
       Change.Set = *Set;
       Store.apply(Change, [](bool) {});
+      if (const auto &Former = Store.state().Conflicting)
+        noteConflict(*Former);
     }
     std::erase_if(Links, [this](const auto &Link) {
       const bool Unused = !isCopySource(Link.first);
@@ -291,6 +299,19 @@
     });
   }
 
+  /// Reports that the store has replaced a set by one of the same version with
+  /// other replicas, as an older build may do.
+  void noteConflict(const replica_set &Former) {
+    ConflictTimeout = later(readClock(), ConflictTime);
+    logEvent(log_level::Error, "replica_set_conflict",
+             {{"version", std::to_string(Set->Version)},
+              {"revision", std::to_string(Set->Revision)},
+              {"replicas", encodeReplicaSet(*Set)},
+              {"other_revision", std::to_string(Former.Revision)},
+              {"other_replicas", encodeReplicaSet(Former)},
+              {"source", "store"}});
+  }
+
   bool isCopySource(const std::string &PeerAddress) const {
     return std::any_of(
         Set->Slots.begin(), Set->Slots.end(), [&](const replica_slot &Slot) {
@@ -459,6 +480,7 @@
     View.Set = Set;
     View.FirstStart = Settings.FirstStart;
     View.DisksLost = Settings.DisksLost;
+    View.Conflicting = Store.state().Conflicting;
     for (const auto &[Node, Item] : Retirements)
       if (!platform::isRetirementCompleted(Item.Status))
         View.Retiring.push_back(Node);
@@ -546,6 +568,10 @@
     if (!Set->Established)
       return;
     const replica_state &State = Store.state();
+    const bool Unresolved =
+        State.Conflicting && ConflictTimeout.Steady <= readClock().Steady;
+    if (Unresolved && !Change.busy())
+      Change.write(withNewVersion(*Set));
     if (State.Complete) {
       const auto Next = withoutPredecessor(*Set, Address);
       if (Next && !Change.busy())
@@ -721,6 +747,8 @@
   bool SuspectsChanged = false; ///< Since they were last saved.
 
   std::optional<replica_set> Set;
+  /// When this instance may end a conflict of two sets.
+  instant ConflictTimeout{};
   bool SetListed = false;
   membership_change Change{changeEnvironment()};
   std::map<std::string, store_item> Retirements;
--- a/src/replica/replica_store.h
+++ b/src/replica/replica_store.h
@@ -26,6 +26,10 @@
   replica_store(asio::io_context &Loop, const std::string &Folder,
                 std::size_t DiskBytes, replica_limits Limits);
 
+  /// \param Address address of this replica. Requests that count on a slot are
+  /// not answered as complete while the known set has none of this address.
+  void setAddress(std::string Address) { State.Address = std::move(Address); }
+
   /// Handles a request.
   /// \param Request the request.
   /// \param OnReply receives the reply: before this function returns if the
