--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -46,6 +46,31 @@
 /// maximum that it reserved.
 constexpr milliseconds SettleTimeout{10'000};
 
+/// \returns the replicas that answered and how, for the log.
+std::string listAnswers(const replica_set &Set, const quorum_round &Round) {
+  std::string List;
+  for (std::size_t Slot = 0; Slot < Round.Answers.size(); ++Slot)
+    if (const auto &Answer = Round.Answers[Slot]) {
+      List += List.empty() ? "" : " ";
+      List += Set.Slots[Slot].Address;
+      List += "=";
+      List += replicaStatusName(Answer->Status);
+    }
+  return List;
+}
+
+/// Writes which replicas decided about a turn, and under which set.
+void logQuorum(const char *Event, const std::string &Turn,
+               const std::string &Attempt, const replica_set &Set,
+               const quorum_round &Round) {
+  logEvent(log_level::Info, Event,
+           {{"request", Attempt},
+            {"turn", Turn},
+            {"replica_set", std::to_string(Set.Version)},
+            {"revision", std::to_string(Set.Revision)},
+            {"answers", listAnswers(Set, Round)}});
+}
+
 } // namespace
 
 const char *reserveOutcomeName(reserve_outcome Outcome) {
@@ -676,6 +701,8 @@
     return;
   }
   if (!View.PreviousFound) {
+    logQuorum("turn_unknown", Reservation->Previous, Reservation->Attempt, Set,
+              *Round);
     Result.Outcome = reserve_outcome::UnknownTurn;
     OnDone(std::move(Result));
     return;
@@ -795,11 +822,15 @@
   if (Chain && isCached(Chain->size() + Turn.Input.size() + Turn.Output.size()))
     Text = std::string(*Chain) + Turn.Input + Turn.Output;
   std::string Id = ownedName(Turn.Workspace, Turn.Id);
+  std::string Name = Turn.Id;
   Request.Turn = std::move(Turn);
   Request.Turn.Program = Request.Program;
   return start(std::move(Request), Timeout, hasQuorum,
-               [this, Id = std::move(Id), Text = std::move(Text),
+               [this, Id = std::move(Id), Name = std::move(Name),
+                Text = std::move(Text),
                 OnDone = std::move(OnDone)](const quorum_round *Round) mutable {
+                 if (Round)
+                   logQuorum("turn_committed", Name, Name, Set, *Round);
                  if (Round && Text)
                    Chains.put(Id, std::move(*Text));
                  OnDone(Round != nullptr);
