replica: start a copy again if the set has other replicas, and end it without a slot

Sources that were copied under one set counted for another set of the same version, against whose replicas they were not fenced; and an instance that had lost its slot during a copy could still end it and mark itself as complete.

A copy now starts again if the version or the replicas differ, batches of former copies are told by a number, and no copy is complete for an instance without a slot.

Test: "a copy starts again when a set of the same version has other replicas, ..." failed with the former comparison, passes now.

--- a/src/history/copy_progress.cpp
+++ b/src/history/copy_progress.cpp
@@ -5,10 +5,10 @@
 namespace lentilhoist {
 
 bool restartIfSetChanged(copy_progress &Progress, const replica_set &Set) {
-  if (Progress.Version == Set.Version)
+  const std::uint64_t SetReplicas = hashReplicas(Set);
+  if (Progress.Version == Set.Version && Progress.SetReplicas == SetReplicas)
     return false;
-  Progress = {};
-  Progress.Version = Set.Version;
+  Progress = {Set.Version, SetReplicas, Progress.Restarts + 1, {}, {}};
   return true;
 }
 
@@ -26,6 +26,8 @@
 
 bool isCopyComplete(const copy_progress &Progress, const replica_set &Set,
                     const std::string &Address) {
+  if (!Set.find(Address))
+    return false;
   std::size_t CopiedSlots = 0;
   for (const auto &Slot : copySources(Set, Address))
     CopiedSlots +=
--- a/src/history/copy_progress.h
+++ b/src/history/copy_progress.h
@@ -11,11 +11,13 @@
 /// Progress of an incomplete replica that copies records from other replicas.
 struct copy_progress {
   std::uint64_t Version = 0;        ///< Version of the replica set.
+  std::uint64_t SetReplicas = 0;    ///< hashReplicas() of the replica set.
+  std::uint64_t Restarts = 0;       ///< Tells batches of former copies.
   std::set<std::string> InProgress; ///< Addresses of sources being copied.
   std::set<std::string> Copied;     ///< Addresses of fully copied sources.
 };
 
-/// Discards the progress if the version of the replica set has changed.
+/// Discards the progress if the version or the replicas of the set have changed.
 /// \param Progress the progress.
 /// \param Set the current set.
 /// \returns whether the copy starts again.
--- a/src/history_explore/history_world.cpp
+++ b/src/history_explore/history_world.cpp
@@ -403,9 +403,9 @@
     copyFrom(Index, Source, 0, 0);
     // A lost question is asked again, as a link does.
     Clock.after(seconds(1), [this, Index, Life = Replica.Life, Source,
-                             Version = Replica.Copy.Version] {
+                             Restart = Replica.Copy.Restarts] {
       copy_progress &Copy = Replicas[Index].Copy;
-      if (Replicas[Index].Life == Life && Copy.Version == Version)
+      if (Replicas[Index].Life == Life && Copy.Restarts == Restart)
         Copy.InProgress.erase(Source);
     });
   }
@@ -421,10 +421,10 @@
   Request.Set.push_back(*Replica.Set);
   request(Replica.Cut, Source, std::move(Request),
           [this, Index, Source, Target, Life = Replica.Life,
-           Version = Replica.Copy.Version](const replica_reply &Reply) {
+           Restart = Replica.Copy.Restarts](const replica_reply &Reply) {
             model_replica &Self = Replicas[Index];
-            if (Self.Life != Life || Self.Copy.Version != Version ||
-                Self.Set->Version != Version ||
+            if (Self.Life != Life || Self.Copy.Restarts != Restart ||
+                Self.Set->Version != Self.Copy.Version ||
                 Reply.Status != replica_status::Done)
               return;
             const std::uint64_t End = Target == 0 ? Reply.Head : Target;
@@ -432,9 +432,9 @@
                 applyCopyBatch(Self.State, Reply, 1, Limits, Clock.now());
             persist(
                 Index, std::move(Changes),
-                [this, Index, Source, End, Life, Version, At = Reply.Cursor] {
+                [this, Index, Source, End, Life, Restart, At = Reply.Cursor] {
                   model_replica &Copier = Replicas[Index];
-                  if (Copier.Life != Life || Copier.Copy.Version != Version ||
+                  if (Copier.Life != Life || Copier.Copy.Restarts != Restart ||
                       Copier.State.Complete)
                     return;
                   if (At < End) {
@@ -453,7 +453,7 @@
                   persist(Index, {Change}, nullptr);
                   ++Result.Copies;
                   note(Copier.Name + " is complete, set " +
-                       std::to_string(Version));
+                       std::to_string(Copier.Copy.Version));
                 });
           });
 }
--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -608,9 +608,9 @@
     Request.Cursor = Cursor;
     Request.Set.push_back(*Set);
     linkTo(Source).send(
-        std::move(Request), [this, Source, Target, Version = Progress.Version](
+        std::move(Request), [this, Source, Target, Restart = Progress.Restarts](
                                 const replica_reply &Reply) {
-          if (Version != Progress.Version)
+          if (Restart != Progress.Restarts)
             return;
           if (Reply.Status != replica_status::Done) {
             // The source is incomplete or at another set version; the next
@@ -625,8 +625,8 @@
   void addCopyBatch(const std::string &Source, const replica_reply &Reply,
                     std::uint64_t Target) {
     Store.addCopyBatch(Reply, [this, Source, Target, Cursor = Reply.Cursor,
-                               Version = Progress.Version](bool Durable) {
-      if (Version != Progress.Version)
+                               Restart = Progress.Restarts](bool Durable) {
+      if (Restart != Progress.Restarts)
         return;
       if (!Durable)
         Progress.InProgress.erase(Source);
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -681,11 +681,35 @@
   Set.Slots[2].Predecessor = "old:1";
   Progress.Copied = {"a:1", "old:1"};
   CHECK(isCopyComplete(Progress, Set, "c:1"));
+  CHECK_FALSE(restartIfSetChanged(Progress, Set));
   Set.Version = 4;
   CHECK(restartIfSetChanged(Progress, Set));
   CHECK(Progress.Copied.empty());
 }
 
+TEST_CASE("a copy starts again when a set of the same version has other "
+          "replicas, and ends for a replica that has no slot any more") {
+  replica_set Set = makeSet();
+  Set.Slots[2].Predecessor = "old:1";
+  copy_progress Progress;
+  restartIfSetChanged(Progress, Set);
+  const std::uint64_t Restarts = Progress.Restarts;
+  Progress.Copied = {"a:1", "b:1"};
+  // Another successor has removed its predecessor.
+  Set.Slots[1].Predecessor = "older:1";
+  CHECK_FALSE(restartIfSetChanged(Progress, Set));
+  CHECK(isCopyComplete(Progress, Set, "c:1"));
+  // These were not fenced against the replicas of the other set.
+  Set.Slots[1].Address = "d:1";
+  CHECK(restartIfSetChanged(Progress, Set));
+  CHECK(Progress.Restarts != Restarts);
+  CHECK(Progress.Copied.empty());
+  Progress.Copied = {"a:1", "d:1"};
+  CHECK(isCopyComplete(Progress, Set, "c:1"));
+  Set.Slots[2].Address = "e:1";
+  CHECK_FALSE(isCopyComplete(Progress, Set, "c:1"));
+}
+
 TEST_CASE("replicas create and join a set, and a spare takes over from a lost "
           "replica") {
   membership_view View = viewOf("a", std::nullopt);
