history: ask a new issuer as a stand-in after each of several changes of the set

Test: "a new first issuer is a stand-in while other instances may still use any of the former sets" failed before (position 0 after the second change), passes now.

--- a/src/history/copy_progress.h
+++ b/src/history/copy_progress.h
@@ -17,10 +17,9 @@
   std::set<std::string> Copied;     ///< Addresses of fully copied sources.
 };
 
-/// Discards the progress if the version or the replicas of the set have changed.
-/// \param Progress the progress.
-/// \param Set the current set.
-/// \returns whether the copy starts again.
+/// Discards the progress if the version or the replicas of the set have
+/// changed. \param Progress the progress. \param Set the current set. \returns
+/// whether the copy starts again.
 bool restartIfSetChanged(copy_progress &Progress, const replica_set &Set);
 
 /// Marks all sources that are neither copied nor being copied as in progress.
--- a/src/history/history_client.cpp
+++ b/src/history/history_client.cpp
@@ -38,6 +38,10 @@
 /// three seconds.
 constexpr milliseconds IssuerChangeTime{4'000};
 
+/// Most former sets that are kept. Takeovers are further apart than this many
+/// in IssuerChangeTime.
+constexpr std::size_t MaxFormerSets = 8;
+
 /// Connections kept open to relays. One is used at a time; the others are
 /// standbys.
 constexpr std::size_t MaxRelays = 3;
@@ -481,11 +485,15 @@
       break;
     ++Way.Position;
   }
-  const bool Changed = FormerSet.Established &&
-                       Now.Steady - SetReplacedAt.Steady < IssuerChangeTime;
-  if (Changed && Way.Position == 0 &&
-      FormerSet.Slots[issuerOrder(FormerSet, Workspace).front()].Address !=
-          Way.Issuer)
+  std::erase_if(FormerSets, [Now](const former_set &Former) {
+    return Now.Steady - Former.ReplacedAt.Steady >= IssuerChangeTime;
+  });
+  const auto HadOtherIssuer = [&](const former_set &Former) {
+    const replica_set &Old = Former.Set;
+    return Old.Slots[issuerOrder(Old, Workspace).front()].Address != Way.Issuer;
+  };
+  if (Way.Position == 0 &&
+      std::any_of(FormerSets.begin(), FormerSets.end(), HadOtherIssuer))
     Way.Position = 1;
   return Way;
 }
@@ -589,8 +597,9 @@
             {"source", Source},
             {"replicas", encodeReplicaSet(NewSet)}});
   if (Set.Established && !hasSameReplicas(Set, NewSet)) {
-    FormerSet = Set;
-    SetReplacedAt = readClock();
+    if (FormerSets.size() == MaxFormerSets)
+      FormerSets.erase(FormerSets.begin());
+    FormerSets.push_back({Set, readClock()});
   }
   Set = NewSet;
   SetReplicas = hashReplicas(Set);
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -270,8 +270,13 @@
   std::uint64_t SetReplicas = 0; ///< hashReplicas() of Set.
   /// hashReplicas() of the set that was last reported as in conflict.
   std::uint64_t ReportedReplicas = 0;
-  replica_set FormerSet;   ///< Established set before this one.
-  instant SetReplacedAt{}; ///< When it was replaced.
+  /// An established set that was in use before.
+  struct former_set {
+    replica_set Set;
+    instant ReplacedAt{};
+  };
+  /// Those that other instances may still use, oldest first.
+  std::vector<former_set> FormerSets;
   /// Replicas by address that relays don't reach, until the given time.
   std::map<std::string, instant> UnreachedByRelays;
   /// Replicas by address that don't decide on quotas, until the given time.
--- a/tests/history_test.cpp
+++ b/tests/history_test.cpp
@@ -1019,6 +1019,46 @@
   CHECK(Client.replicas().Revision == 9);
 }
 
+// Guards against permits of two issuers: with a second change of the set within
+// seconds, an instance no longer asked the new issuer as a stand-in.
+TEST_CASE(
+    "a new first issuer is a stand-in while other instances may still use "
+    "any of the former sets") {
+  const std::string Workspace = "w";
+  const auto FirstIssuer = [&](const replica_set &Set) {
+    return Set.Slots[issuerOrder(Set, Workspace).front()].Address;
+  };
+  const auto WithPort = [](std::uint64_t Version, int Port) {
+    const auto Address = [](int At) {
+      return "127.0.0.1:" + std::to_string(At);
+    };
+    return storedSet(Version, Version,
+                     {{"a", Address(1), "za", ""},
+                      {"b", Address(2), "zb", ""},
+                      {"c", Address(Port), "zc", ""}});
+  };
+  // The first set has another first issuer than the second and third.
+  int First = 3;
+  while (FirstIssuer(WithPort(1, First)) != WithPort(1, First).Slots[2].Address)
+    ++First;
+  std::vector<int> Later;
+  for (int Port = First + 1; Later.size() < 2; ++Port)
+    if (FirstIssuer(WithPort(1, Port)) != WithPort(1, Port).Slots[2].Address)
+      Later.push_back(Port);
+  asio::io_context Loop;
+  history_client Client(Loop, "za", 1'000);
+  const auto PositionAfter = [&](const replica_set &Set) {
+    Client.setReplicas(Set, "store");
+    quota_request Request;
+    Request.Workspace = Workspace;
+    const auto Sent = Client.requestQuota(Request, [](const quota_answer &) {});
+    return Sent ? static_cast<int>(Sent->Position) : -1;
+  };
+  CHECK(PositionAfter(WithPort(1, First)) == 0);
+  CHECK(PositionAfter(WithPort(2, Later[0])) == 1);
+  CHECK(PositionAfter(WithPort(3, Later[1])) == 1);
+}
+
 TEST_CASE(
     "a replica set decodes from its JSON form; malformed text yields nothing") {
   const auto Set = decodeReplicaSet(encodeReplicaSet(makeSet()));
