replica: recognize an older set that an older build repeated under a newer version

The replica handed such a set out, and took the real one for a set in conflict, which holds up certain answers until there is a new version.

A start now takes a header whose replicas are those of the set before it for its version only: each version of an older build has other replicas than the one before.

Test: "an older set that an older build repeated under the newest version ..." failed before (version 2 with the slots of version 1), passes now.

--- a/src/replica/replica_store.cpp
+++ b/src/replica/replica_store.cpp
@@ -14,6 +14,16 @@
 /// of callers are not delayed for longer than by a copy batch.
 constexpr std::size_t MaxRewrittenRecords = 500;
 
+/// \returns whether a record of the journal has the slots of the known set
+/// under a newer version, as headers that older builds wrote before they had
+/// read the set of that version. No set has the replicas of the one before it,
+/// unless it was read from the store by this build.
+bool repeatsOlderSet(const replica_change &Change, const replica_set &Known) {
+  return Change.Kind == change_kind::Set && Change.Set.Revision == 0 &&
+         Known.Version != 0 && Change.Set.Version > Known.Version &&
+         hasSameReplicas(Change.Set, Known);
+}
+
 } // namespace
 
 replica_store::replica_store(asio::io_context &Loop,
@@ -30,6 +40,8 @@
   ActiveSegment = Log.load(
       [&](replica_change Change, record_location Location, bool FullRecord) {
         ++Records;
+        if (repeatsOlderSet(Change, State.Set))
+          Change.Set.Slots.clear();
         if (!FullRecord) {
           ++Indexed;
           applyIndexedChange(State, std::move(Change), Location, Limits, Now);
--- a/tests/replica_test.cpp
+++ b/tests/replica_test.cpp
@@ -594,6 +594,35 @@
   }
 }
 
+TEST_CASE("an older set that an older build repeated under the newest version "
+          "is not taken for the set of that version") {
+  const temporary_folder Folder;
+  replica_set Set{
+      1,
+      1,
+      true,
+      {{"a", "a:1", "", ""}, {"b", "b:1", "", ""}, {"c", "c:1", "", ""}}};
+  {
+    asio::io_context Loop;
+    replica_store Store(Loop, Folder.Path.string(), DiskBytes, Limits);
+    for (; Set.Version <= 2; ++Set.Version) {
+      replica_change Change;
+      Change.Kind = change_kind::Set;
+      Change.Set = Set;
+      Store.apply(Change, [](bool) {});
+    }
+    CHECK(handleAndWait(Loop, Store, commitOf("t1", 60'000)) ==
+          replica_status::OldSet);
+    replica_request Commit = commitOf("t2", 60'000);
+    Commit.SetVersion = 2;
+    handleAndWait(Loop, Store, Commit);
+  }
+  asio::io_context Loop;
+  const replica_store Restarted(Loop, Folder.Path.string(), DiskBytes, Limits);
+  CHECK(Restarted.state().SetVersion == 2);
+  CHECK(Restarted.state().Set.Version == 1);
+}
+
 TEST_CASE("a replica passes on the set of a version that it knew from a "
           "request before it read the set") {
   replica_group Group;
