history: repair comments and the order of declarations

Cause: the formatter had drawn the lines of parameters into the text of two comments, and two functions stood among the data members of history_client. Change: comments and declarations only. Measured: history_client.cpp compiles without a warning, the format check passes; no test was run.

--- a/src/history/copy_progress.h
+++ b/src/history/copy_progress.h
@@ -18,8 +18,10 @@
 };
 
 /// Discards the progress if the version or the replicas of the set have
-/// changed. \param Progress the progress. \param Set the current set. \returns
-/// whether the copy starts again.
+/// changed.
+/// \param Progress the progress.
+/// \param Set the current set.
+/// \returns whether the copy starts again.
 bool restartIfSetChanged(copy_progress &Progress, const replica_set &Set);
 
 /// Marks all sources that are neither copied nor being copied as in progress.
--- a/src/history/history_client.h
+++ b/src/history/history_client.h
@@ -246,6 +246,8 @@
   applyQuotaReply(const replica_reply &Reply, const quota_way &Way,
                   const std::function<void(const quota_answer &)> &OnReply);
   void applyPing(const replica_reply &Reply);
+  void reportConflict(const replica_set &Other, const char *Source);
+  replica_request makePing() const;
   operation_ptr
   start(replica_request Request, milliseconds Timeout,
         std::function<bool(const quorum_round &, instant)> IsSufficient,
@@ -263,9 +265,6 @@
 
   asio::io_context &Loop;
   std::string Domain;
-  void reportConflict(const replica_set &Other, const char *Source);
-  replica_request makePing() const;
-
   replica_set Set;
   std::uint64_t SetReplicas = 0; ///< hashReplicas() of Set.
   /// hashReplicas() of the set that was last reported as in conflict.
--- a/src/history/replica_state.h
+++ b/src/history/replica_state.h
@@ -228,7 +228,8 @@
 
 /// Adopts a replica set if it is news. A newer text of the same version
 /// replaces the known one, since it may have fewer predecessors. A set without
-/// slots only raises the known version. \param State the replica's state.
+/// slots only raises the known version.
+/// \param State the replica's state.
 /// \param Set the set.
 /// \returns whether it was news, so that the set must be synced.
 bool adoptReplicaSet(replica_state &State, const replica_set &Set);
