replica: report senders that know other replicas under the same version

Cause: a replica that met another set of its version in a request, not in the store, answered as incomplete and wrote nothing; a sender of an older build writes nothing either, so that both went on silently.

Change: replica_set_conflict with source=request, once for each set of senders, at most eight for a set of the store.

--- a/src/replica/replica_daemon.cpp
+++ b/src/replica/replica_daemon.cpp
@@ -22,6 +22,7 @@
 #include <csignal>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace lentilhoist {
 
@@ -42,6 +43,8 @@
 /// displaced replica has ended. Replicas have fetched from each other by then
 /// what only those of one set had received.
 constexpr milliseconds ConflictTime{5'000};
+/// Most sets of senders that are reported as in conflict with one set.
+constexpr std::size_t MaxReportedSenders = 8;
 /// Interval between readings of what other replicas have received. A record
 /// that this replica missed is here after about three intervals.
 constexpr milliseconds RepairInterval{1'000};
@@ -200,18 +203,26 @@
                            !Request.RelayAddress.empty();
     if (RelayPing)
       Relays[Request.RelayAddress] = Start;
+    for (const replica_set &Other : Request.Set)
+      if (areInConflict(Other, Store.state().Set))
+        reportSender(hashReplicas(Other));
     if (Request.Operation == replica_operation::Ping) {
       Store.handle(Request,
                    [this, Request, RelayPing, OnReply](replica_reply Reply) {
+                     noteSender(Request.SetVersion, Request.SetReplicas, Reply);
                      answerPing(Request, Reply, RelayPing);
                      OnReply(std::move(Reply));
                    });
       return;
     }
     const request_signature Signature = Request.Signature;
+    const std::uint64_t SetVersion = Request.SetVersion;
+    const std::uint64_t SetReplicas = Request.SetReplicas;
     Store.handle(std::move(Request),
-                 [this, Start, Signature, OnReply](replica_reply Reply) {
+                 [this, Start, Signature, SetVersion, SetReplicas,
+                  OnReply](replica_reply Reply) {
                    const instant Now = readClock();
+                   noteSender(SetVersion, SetReplicas, Reply);
                    Metrics.observe("lentilhoist_replica_answer_seconds", "", "",
                                    Now.Steady - Start.Steady);
                    answerSuspect(Suspects, Signature, Reply, Now);
@@ -219,6 +230,31 @@
                  });
   }
 
+  /// Reports a sender whose set of the version in use has other replicas, or
+  /// names this instance, which has no slot. Its reply has the set.
+  void noteSender(std::uint64_t SetVersion, std::uint64_t SetReplicas,
+                  const replica_reply &Reply) {
+    if (SetVersion == Reply.SetVersion && !Reply.Set.empty() &&
+        Store.state().Set.Established)
+      reportSender(SetReplicas);
+  }
+
+  /// Writes a line for the first request of each such set.
+  void reportSender(std::uint64_t SetReplicas) {
+    const replica_set &Known = Store.state().Set;
+    if (std::exchange(ReportedRevision, Known.Revision) != Known.Revision)
+      ReportedSenders.clear();
+    if (ReportedSenders.size() >= MaxReportedSenders ||
+        !ReportedSenders.insert(SetReplicas).second)
+      return;
+    logEvent(log_level::Error, "replica_set_conflict",
+             {{"version", std::to_string(Known.Version)},
+              {"revision", std::to_string(Known.Revision)},
+              {"replicas", encodeReplicaSet(Known)},
+              {"other_hash", std::to_string(SetReplicas)},
+              {"source", "request"}});
+  }
+
   void answerPing(const replica_request &Request, replica_reply &Reply,
                   bool RelayPing) {
     if (RelayPing)
@@ -749,6 +785,10 @@
   std::optional<replica_set> Set;
   /// When this instance may end a conflict of two sets.
   instant ConflictTimeout{};
+  /// Hashes of the sets of senders that were reported as in conflict with the
+  /// known set of this revision.
+  std::set<std::uint64_t> ReportedSenders;
+  std::uint64_t ReportedRevision = 0;
   bool SetListed = false;
   membership_change Change{changeEnvironment()};
   std::map<std::string, store_item> Retirements;
